--- /dev/null
+++ b/src/node/attempt.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "node/memcache.h"
+#include "policy/policy.h"
+
+namespace silverpin::node {
+
+class UpstreamConnection;
+
+// One `send` of the module: on the wire at most once, ended by one outcome.
+struct Attempt {
+  RequestId request = 0;
+  int number = 0;
+  std::shared_ptr<const memcache::Command> command;
+  Time until{0};
+  bool unsafe = false;  // its class must never run twice
+  bool ended = false;   // its outcome is known
+  std::shared_ptr<boost::asio::steady_timer> timer;
+  std::weak_ptr<UpstreamConnection> connection;
+};
+using AttemptPtr = std::shared_ptr<Attempt>;
+
+// What becomes of attempts. Called from the event loop only, never from inside start().
+class AttemptEvents {
+ public:
+  virtual ~AttemptEvents() = default;
+  virtual Time now() const = 0;
+  // Whether the request still waits for its answer. After it nothing more may go out.
+  virtual bool wanted(const Attempt& attempt) const = 0;
+  // `value`: the value or the receipt, if the result is kOk and none of it was relayed.
+  virtual void on_end(const AttemptPtr& attempt, Result result, std::string value) = 0;
+  // A long value begins. False: nobody waits for it.
+  virtual bool on_relay(const AttemptPtr& attempt, std::size_t length) = 0;
+  // False: the client's window is full, and resume() follows on the connection.
+  virtual bool on_relay_data(const AttemptPtr& attempt, std::string_view data) = 0;
+};
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/cache_connection.cc
@@ -0,0 +1,68 @@
+#include "node/cache_connection.h"
+
+#include <algorithm>
+
+namespace silverpin::node {
+
+using memcache::AnswerHead;
+using memcache::AnswerReader;
+
+void CacheConnection::encode(Outgoing& out) {
+  const auto left = std::chrono::floor<std::chrono::milliseconds>(out.attempt->until - now());
+  const auto& command = *out.attempt->command;
+  out.head = command.encode(std::max(left, std::chrono::milliseconds(1)));
+  if (command.kind == memcache::Command::Kind::kSet) {
+    out.body = command.body;
+    out.tail = "\r\n";
+  }
+}
+
+// Answers are matched by their order and, where they carry one, by their id: one that belongs to
+// another request must never reach a client.
+bool CacheConnection::on_head(const AnswerHead& head) {
+  if (!expecting()) return false;
+  const auto& command = *current()->command;
+  if (!head.id.empty() && head.id != command.id) return false;
+  const bool set = command.kind == memcache::Command::Kind::kSet;
+  if (head.kind == AnswerHead::Kind::kValue) {
+    begin_value(head.length);
+    return !set;
+  }
+  return head.kind != AnswerHead::Kind::kStored || set;
+}
+
+bool CacheConnection::on_bytes(std::string_view bytes) {
+  for (;;) {
+    switch (reader_.next(bytes)) {
+      case AnswerReader::Event::kMore:
+        return true;
+      case AnswerReader::Event::kMalformed:
+        return false;
+      case AnswerReader::Event::kHead:
+        if (!on_head(reader_.head())) return false;
+        break;
+      case AnswerReader::Event::kData:
+        if (!take_value(reader_.data(), reader_.head().length)) return false;
+        break;
+      case AnswerReader::Event::kEnd:
+        switch (reader_.head().kind) {
+          case AnswerHead::Kind::kValue:
+            if (!complete(Result::kOk)) return false;
+            break;
+          case AnswerHead::Kind::kStored:
+            if (!complete(Result::kOk, reader_.head().receipt)) return false;
+            break;
+          case AnswerHead::Kind::kMiss:
+            if (!complete(Result::kMiss)) return false;
+            break;
+          case AnswerHead::Kind::kBusy:
+            if (!complete(Result::kRejected)) return false;
+            break;
+          default:
+            if (!complete(Result::kError)) return false;
+        }
+    }
+  }
+}
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/cache_connection.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "node/upstream_connection.h"
+
+namespace silverpin::node {
+
+class CacheConnection : public UpstreamConnection {
+ public:
+  using UpstreamConnection::UpstreamConnection;
+
+ private:
+  bool can_pipeline() const override { return true; }
+  void encode(Outgoing& out) override;
+  bool on_bytes(std::string_view bytes) override;
+  bool on_head(const memcache::AnswerHead& head);
+
+  memcache::AnswerReader reader_;
+};
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/client_listener.cc
@@ -0,0 +1,128 @@
+#include "node/client_listener.h"
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
+namespace silverpin::node {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr int kBacklog = 4096;
+// Accepted at one go before others get their turn.
+constexpr int kAcceptBatch = 64;
+// A client that comes to ask does so at once, and may take 2 s to write its command.
+constexpr Duration kSpeaks = std::chrono::milliseconds(300);
+constexpr Duration kWrites = std::chrono::milliseconds(2500);
+
+}  // namespace
+
+ClientListener::ClientListener(asio::io_context& io, const asio::ip::tcp::endpoint& listen,
+                               Limits& limits, RequestHandler& handler)
+    : io_(io), acceptor_(io), limits_(limits), handler_(handler), tick_(io) {
+  acceptor_.open(listen.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(listen);
+  acceptor_.listen(kBacklog);
+  acceptor_.non_blocking(true);
+  arm_accept();
+  arm_tick();
+}
+
+void ClientListener::arm_accept() {
+  if (accepting_ || !acceptor_.is_open()) return;
+  accepting_ = true;
+  acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, [this](const error_code& e) {
+    accepting_ = false;
+    if (!e) on_acceptable();
+  });
+}
+
+void ClientListener::on_acceptable() {
+  for (int i = 0; i < kAcceptBatch; ++i) {
+    // With nobody to make room, new clients wait in the backlog; the tick looks again.
+    if (!limits_.clients.room_for(1) && !make_room()) return;
+    asio::ip::tcp::socket socket(io_);
+    error_code error;
+    acceptor_.accept(socket, error);
+    if (error == asio::error::connection_aborted || error == asio::error::interrupted) continue;
+    if (error == asio::error::would_block || error == asio::error::try_again) break;
+    if (error) return;  // out of descriptors or memory: to wait for readiness would spin
+    auto session = std::make_shared<ClientSession>(std::move(socket), limits_, handler_);
+    sessions_.insert(session);
+    session->start();
+    if (draining_) session->drain();
+  }
+  arm_accept();
+}
+
+// In a crowd most connections never ask for anything. First to go are those that have had time to
+// speak, then those that stopped within a command; clients that were served and come back must not
+// be driven out by them.
+bool ClientListener::make_room() {
+  const Time now = handler_.now();
+  const auto rank = [now](const ClientSession& s) {
+    const Duration age = now - s.since();
+    switch (s.rest()) {
+      case ClientSession::Rest::kSilent:
+        return age > kSpeaks ? 0 : 3;
+      case ClientSession::Rest::kPartial:
+        return age > kWrites ? 1 : 4;
+      case ClientSession::Rest::kServed:
+        return 2;
+      default:
+        return 4;  // in work, or writing its command: it keeps its place
+    }
+  };
+  std::vector<std::tuple<int, Time, std::shared_ptr<ClientSession>>> candidates;
+  for (const auto& s : sessions_)
+    if (const int r = rank(*s); r < 4) candidates.emplace_back(r, s->since(), s);
+  std::sort(candidates.begin(), candidates.end());
+  for (const auto& [r, since, session] : candidates) {
+    if (session->has_input()) continue;  // it has just spoken
+    session->close();
+    return true;
+  }
+  return false;
+}
+
+void ClientListener::on_session_closed(const std::shared_ptr<ClientSession>& session) {
+  sessions_.erase(session);
+}
+
+void ClientListener::arm_tick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const error_code& e) {
+    if (e) return;
+    const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
+    const Time now = handler_.now();
+    for (const auto& session : all) session->tick(now);
+    arm_accept();
+    arm_tick();
+  });
+}
+
+void ClientListener::drain() {
+  draining_ = true;
+  const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) session->drain();
+}
+
+void ClientListener::stop() {
+  if (!acceptor_.is_open()) return;
+  on_acceptable();  // those in the backlog count as accepted
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void ClientListener::close_all() {
+  stop();
+  tick_.cancel();
+  const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) session->close();
+}
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/client_session.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "node/limits.h"
+#include "node/memcache.h"
+#include "policy/policy.h"
+
+namespace silverpin::node {
+
+class ClientSession;
+
+// Where clients' requests go.
+class RequestHandler {
+ public:
+  virtual ~RequestHandler() = default;
+  virtual Time now() const = 0;
+  // Takes the request, which will be answered at `slot`. Returns the reason if it makes no sense.
+  virtual std::string_view submit(const std::shared_ptr<ClientSession>& session, std::uint64_t slot,
+                                  std::shared_ptr<const memcache::Command> command) = 0;
+  // The client has gone. From the event loop only.
+  virtual void withdraw(ClientSession& session, std::uint64_t slot) = 0;
+  virtual void on_session_closed(const std::shared_ptr<ClientSession>& session) = 0;
+};
+
+// One client's connection: reads commands, and writes answers in the order of their requests.
+class ClientSession : public std::enable_shared_from_this<ClientSession> {
+ public:
+  ClientSession(boost::asio::ip::tcp::socket socket, Limits& limits, RequestHandler& handler);
+
+  void start();
+  void answer(std::uint64_t slot, std::string text);
+  void begin_relay(std::uint64_t slot, std::string head, std::function<void()> on_room);
+  bool relay(std::uint64_t slot, std::string_view data);  // false: the window is full
+  void end_relay(std::uint64_t slot, bool whole);
+
+  enum class Rest { kSilent, kPartial, kServed, kBusy };
+  // What it is doing, for who must go when descriptors run short.
+  Rest rest() const;
+  Time since() const { return since_; }
+  bool has_input();  // bytes have come that were not read yet
+  void close();      // at once
+  void drain();      // closes at the next moment between requests
+  void tick(Time now);
+
+ private:
+  struct Slot {
+    std::uint64_t number;
+    std::string out;
+    std::size_t written = 0;
+    bool complete = false;
+    bool broken = false;  // the relay ended early: what is missing must show
+    std::function<void()> on_room;
+    Lease bytes;
+  };
+
+  Slot* find(std::uint64_t slot);
+  void pump();
+  void pump_soon();
+  bool reserve_body();
+  bool may_begin() const;
+  void reply_error(const memcache::ClientError& error);
+  void arm_read();
+  void arm_write();
+  void on_readable();
+  void flush();
+  void on_all_written();
+  void linger();
+  void close_soon();
+
+  boost::asio::ip::tcp::socket socket_;
+  Limits& limits_;
+  RequestHandler& handler_;
+  Lease descriptor_;
+  memcache::CommandReader reader_;
+  Lease body_;
+  std::deque<Slot> slots_;
+  std::uint64_t next_slot_ = 1;
+  std::size_t unwritten_ = 0;
+  bool reading_ = false, writing_ = false, pump_posted_ = false;
+  bool blocked_ = false;  // may not begin another request now
+  bool no_more_ = false;  // reads no further command, after a fatal error
+  bool draining_ = false;
+  bool lingering_ = false;  // all is written; waits for the client to close
+  bool closed_ = false;
+  bool served_ = false;  // has had an answer
+  Time since_{0};        // it last went over to what it is doing
+  Time wrote_{0};        // last time that the client took something
+};
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/config.cc
@@ -0,0 +1,77 @@
+#include "node/config.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <random>
+#include <stdexcept>
+
+#include "settings/json.h"
+
+namespace silverpin::node {
+namespace {
+
+using namespace json;
+
+std::string variable(const char* name) {
+  const char* value = std::getenv(name);
+  return value ? value : "";
+}
+
+std::string text_or_variable(object o, std::string_view field, const char* name) {
+  const auto text = std::string(get_or<std::string_view>(o, field, ""));
+  return text.empty() ? variable(name) : text;
+}
+
+Endpoint endpoint(object o, std::string_view field, const char* name) {
+  const auto text = text_or_variable(o, field, name);
+  const auto parsed = parse_endpoint(text);
+  if (!parsed) bad(field, text.empty() ? "is missing" : "is no address: " + text);
+  return *parsed;
+}
+
+std::uint64_t read_seed(object o) {
+  const auto e = find(o, "seed");
+  std::uint64_t seed = 0;
+  if (!e) return std::random_device{}();
+  if (!e->get(seed)) return seed;
+  const auto text = as<std::string_view>(*e, "seed");
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc{} || end != text.data() + text.size()) bad("seed", "is no hex number");
+  return seed;
+}
+
+}  // namespace
+
+Config load_config() {
+  const auto path = variable("ROUTER_CONFIG");
+  if (path.empty()) throw std::runtime_error("ROUTER_CONFIG is not set");
+  simdjson::dom::parser parser;
+  element root;
+  if (const auto error = parser.load(path).get(root))
+    throw std::runtime_error(path + ": " + simdjson::error_message(error));
+  try {
+    const auto o = as<object>(root, "config");
+    Config config;
+    config.name = text_or_variable(o, "name", "ROUTER_NAME");
+    config.listen = endpoint(o, "listen", "ROUTER_LISTEN");
+    config.discovery = endpoint(o, "discovery", "ROUTER_DISCOVERY");
+    config.seed = read_seed(o);
+    if (const auto e = find(o, "limits")) {
+      const auto limits = as<object>(*e, "limits");
+      // Below these there is no balancer to speak of.
+      config.sockets = static_cast<std::size_t>(
+          std::clamp<std::int64_t>(get_or<std::int64_t>(limits, "sockets", 1024), 64, 1 << 20));
+      config.memory_mb = static_cast<std::size_t>(
+          std::clamp<std::int64_t>(get_or<std::int64_t>(limits, "memory_mb", 192), 32, 1 << 20));
+    }
+    config.site = read_settings(need<object>(o, "settings"));
+    if (const auto e = find(o, "known"))
+      config.known = read_host_list(as<object>(*e, "known"), config.site);
+    return config;
+  } catch (const FieldError& e) {
+    throw std::runtime_error(path + ": " + e.what());
+  }
+}
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/config.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "node/host_list.h"
+#include "settings/settings.h"
+
+namespace silverpin::node {
+
+struct Config {
+  std::string name;
+  Endpoint listen;
+  Endpoint discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  std::size_t memory_mb = 192;
+  SiteSettings site;
+  std::optional<HostList> known;
+};
+
+// From the file named by ROUTER_CONFIG and, where that lacks something, from the other variables.
+// Throws std::runtime_error with one plain line.
+Config load_config();
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/discovery.cc
@@ -0,0 +1,157 @@
+#include "node/discovery.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <utility>
+
+#include "settings/json.h"
+
+namespace silverpin::node {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kMaxList = 8u << 20;
+// A watch that has fallen silent looks like one with no news until its wait is over. Where a call
+// costs nothing the wait is short, so that a drain is heard of well within its grace all the same.
+constexpr milliseconds kPushedWait{1000};
+constexpr milliseconds kAskedWait{5000};
+constexpr milliseconds kPushedPatience{500};
+// A service that works through calls in turn may take its time-out of 2 s.
+constexpr milliseconds kAskedPatience{2000};
+constexpr milliseconds kFirstRetry{20};
+constexpr milliseconds kLongestRetry{320};
+// Answers that come at once and hold nothing new must not become a busy loop. The next call of a
+// watch has 200 ms.
+constexpr milliseconds kPause{50};
+
+}  // namespace
+
+Discovery::Discovery(boost::asio::io_context& io, const Endpoint& endpoint,
+                     const SiteSettings& site, std::uint64_t known_seq, Handlers handlers)
+    : endpoint_(endpoint),
+      site_(site),
+      handlers_(std::move(handlers)),
+      asked_(site.policy.list_on_request),
+      io_(io),
+      timer_(io),
+      seq_(known_seq) {}
+
+void Discovery::start() {
+  running_ = true;
+  call();
+}
+
+void Discovery::subscribe() {
+  if (std::exchange(running_, true)) return;
+  call_after(Duration{0});  // called by the module, which must not be called back from here
+}
+
+void Discovery::stop() {
+  running_ = false;
+  ++call_;
+  timer_.cancel();
+  stream_.reset();
+}
+
+void Discovery::call_after(Duration delay) {
+  timer_.expires_after(delay);
+  timer_.async_wait([this](const error_code& e) {
+    if (!e && running_) call();
+  });
+}
+
+void Discovery::call() {
+  const auto call = ++call_;
+  const auto wait = asked_ ? kAskedWait : kPushedWait;
+  std::string target = "/discovery/hosts";
+  patience_ = asked_ ? kAskedPatience : kPushedPatience;
+  if (!whole_next_) {
+    target += "?index=" + std::to_string(seq_) + "&wait=" + std::to_string(wait.count());
+    patience_ += wait;
+  }
+  request_ = {http::verb::get, target, 11};
+  request_.set(http::field::host, "discovery");
+  called_at_ = std::chrono::steady_clock::now();
+  if (stream_) return write(call);
+  stream_ = std::make_unique<beast::tcp_stream>(io_);
+  buffer_.clear();
+  stream_->expires_after(patience_);
+  stream_->async_connect(endpoint_, [this, call](const error_code& e) { on_connected(call, e); });
+}
+
+void Discovery::on_connected(std::uint64_t call, const error_code& error) {
+  if (call != call_) return;
+  if (error) return fail(call);
+  error_code ignored;
+  stream_->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  write(call);
+}
+
+void Discovery::write(std::uint64_t call) {
+  parser_.emplace();
+  parser_->body_limit(kMaxList);
+  parser_->header_limit(64u << 10);
+  stream_->expires_after(patience_);
+  http::async_write(*stream_, request_, [this, call](const error_code& e, std::size_t) {
+    if (call != call_) return;
+    if (e) return fail(call);
+    http::async_read(
+        *stream_, buffer_, *parser_,
+        [this, call](const error_code& error, std::size_t) { on_answer(call, error); });
+  });
+}
+
+void Discovery::on_answer(std::uint64_t call, const error_code& error) {
+  if (call != call_) return;
+  if (error || parser_->get().result() != http::status::ok) return fail(call);
+  const bool keep_alive = parser_->get().keep_alive();
+  if (!apply(parser_->get().body())) return fail(call);
+  if (!keep_alive) stream_.reset();
+  failures_ = 0;
+  whole_next_ = false;
+  if (!running_) return;
+  const auto took = std::chrono::steady_clock::now() - called_at_;
+  call_after(news_ || took > kPause ? Duration{0} : Duration{kPause});
+}
+
+// False: what came is no list.
+bool Discovery::apply(const std::string& body) {
+  try {
+    simdjson::dom::element root;
+    if (json_.parse(body).get(root)) return false;
+    const HostList list = read_host_list(json::as<simdjson::dom::object>(root, "list"), site_);
+    // Versions are applied in their order. A whole list stands for itself.
+    const bool old = !list.whole && list.seq <= seq_;
+    news_ = list.whole || !old;
+    if (!old) seq_ = list.seq;
+    if (news_ || asked_) {
+      HostList applied = list;
+      if (old) applied.hosts.clear();
+      handlers_.on_list(applied);
+    }
+    return true;
+  } catch (const FieldError&) {
+    return false;
+  }
+}
+
+void Discovery::fail(std::uint64_t call) {
+  if (call != call_) return;
+  ++call_;
+  stream_.reset();
+  buffer_.clear();
+  if (asked_) {
+    running_ = false;
+    return handlers_.on_refused();
+  }
+  // What the broken call would have told may have been told: the whole list leaves no doubt.
+  whole_next_ = true;
+  const auto delay = std::min(kFirstRetry * (1 << std::min(failures_++, 8)), kLongestRetry);
+  call_after(delay);
+}
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/host_list.cc
@@ -0,0 +1,72 @@
+#include "node/host_list.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "node/memcache.h"
+#include "settings/json.h"
+
+namespace silverpin::node {
+namespace {
+
+using namespace json;
+
+// Unknown names share the index behind the last.
+int index_of(const std::vector<std::string>& names, std::string_view name) {
+  return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+HostState read_state(std::string_view word) {
+  if (word == "ready") return HostState::kServing;
+  return word == "gone" ? HostState::kGone : HostState::kDraining;
+}
+
+ListedHost read_host(object o, const SiteSettings& site) {
+  ListedHost host;
+  host.id = need<std::string_view>(o, "host");
+  if (host.id.empty()) bad("host", "is empty");
+  host.state = read_state(need<std::string_view>(o, "health"));
+  host.dial = parse_endpoint(get_or<std::string_view>(o, "dial", ""));
+  if (!host.dial && host.state == HostState::kServing) bad("dial", "is no address");
+  const auto born_ms = get_or<std::int64_t>(o, "born_ms", 0);
+  if (born_ms > 0 && born_ms < 9'000'000'000'000)
+    host.started_at = std::chrono::milliseconds(born_ms);
+  const auto kind = get_or<std::string_view>(o, "class", "");
+  host.origin = kind == "origin" || index_of(site.kinds, kind) == site.origin_kind;
+  host.zone = index_of(site.zones, get_or<std::string_view>(o, "site", ""));
+  host.cell = small(get_or<std::int64_t>(o, "block", 0), "block");
+  host.weight = get_or(o, "share", 1.0);
+  return host;
+}
+
+}  // namespace
+
+std::optional<Endpoint> parse_endpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::string_view host = text.substr(0, colon);
+  if (host.starts_with('[') && host.ends_with(']')) host = host.substr(1, host.size() - 2);
+  const auto port = memcache::parse_number(text.substr(colon + 1));
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(std::string(host), error);
+  if (error || !port || *port > 65535) return std::nullopt;
+  return Endpoint(address, static_cast<std::uint16_t>(*port));
+}
+
+HostList read_host_list(object o, const SiteSettings& site) {
+  HostList list;
+  const auto seq = need<std::int64_t>(o, "seq");
+  if (seq < 0) bad("seq", "is negative");
+  list.seq = static_cast<std::uint64_t>(seq);
+  list.whole = need<bool>(o, "whole");
+  for (const element e : need<array>(o, "hosts")) {
+    try {
+      list.hosts.push_back(read_host(as<object>(e, "hosts"), site));
+    } catch (const FieldError&) {
+      // One bad entry must not keep the others from being heard.
+    }
+  }
+  return list;
+}
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/host_list.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <simdjson.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "settings/settings.h"
+
+namespace silverpin::node {
+
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+struct ListedHost {
+  std::string id;
+  std::optional<Endpoint> dial;  // none: it could not be read
+  std::optional<Time> started_at;
+  bool origin = false;
+  int zone = 0;
+  int cell = 0;
+  HostState state = HostState::kServing;
+  double weight = 1;
+};
+
+// Discovery's list, or what changed in it.
+struct HostList {
+  std::uint64_t seq = 0;
+  bool whole = false;
+  std::vector<ListedHost> hosts;  // entries that make no sense are left out
+};
+
+// "127.0.0.1:80" or "[::1]:80"; names are not looked up.
+std::optional<Endpoint> parse_endpoint(std::string_view text);
+
+// Throws FieldError if the list as such cannot be read.
+HostList read_host_list(simdjson::dom::object o, const SiteSettings& site);
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/limits.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstddef>
+#include <utility>
+
+// The budgets of descriptors and bytes. One thread uses them; leases give back what they took.
+namespace silverpin::node {
+
+// Values up to this length are collected whole, so that a break can still be retried. Longer ones,
+// and bodies beyond it, are paid for from the byte budget ahead.
+inline constexpr std::size_t kWholeValue = 64u << 10;
+// A relay stops reading from its host while this much waits for the client.
+inline constexpr std::size_t kRelayWindow = 64u << 10;
+
+class Budget {
+ public:
+  explicit Budget(std::size_t most) : most_(most) {}
+  Budget(const Budget&) = delete;
+  Budget& operator=(const Budget&) = delete;
+
+  bool room_for(std::size_t n) const { return used_ + n <= most_; }
+  std::size_t used() const { return used_; }
+  std::size_t most() const { return most_; }
+
+ private:
+  friend class Lease;
+  const std::size_t most_;
+  std::size_t used_ = 0;
+};
+
+class Lease {
+ public:
+  Lease() = default;
+  explicit Lease(Budget& budget, std::size_t n = 0) : budget_(&budget) { resize(n); }
+  Lease(Lease&& other) noexcept
+      : budget_(std::exchange(other.budget_, nullptr)), n_(std::exchange(other.n_, 0)) {}
+  Lease& operator=(Lease&& other) noexcept {
+    std::swap(budget_, other.budget_);
+    std::swap(n_, other.n_);
+    return *this;
+  }
+  ~Lease() {
+    if (budget_) budget_->used_ -= n_;
+  }
+
+  std::size_t size() const { return n_; }
+  void resize(std::size_t n) {
+    if (!budget_) return;
+    budget_->used_ += n;
+    budget_->used_ -= n_;
+    n_ = n;
+  }
+
+ private:
+  Budget* budget_ = nullptr;
+  std::size_t n_ = 0;
+};
+
+struct Limits {
+  Limits(std::size_t sockets, std::size_t memory_mb)
+      : clients(sockets - kReserved - upstream_share(sockets)),
+        upstreams(upstream_share(sockets)),
+        bytes((memory_mb << 20) / 2) {}
+
+  // Standard streams, epoll, timer, signals, the listener and discovery.
+  static constexpr std::size_t kReserved = 24;
+  // Each request in work has a client's descriptor and mostly one or two to hosts.
+  static std::size_t upstream_share(std::size_t sockets) { return (sockets - kReserved) * 2 / 5; }
+
+  Budget clients, upstreams;
+  Budget bytes;  // bodies, values and what waits for clients to read it
+  // Beyond it only clients that have nothing in work may begin a request.
+  bool bytes_short() const { return bytes.used() > bytes.most() / 2; }
+};
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/memcache.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+// The meta commands of the memcache text protocol, as far as this protocol uses them. Incremental:
+// input may be cut at any byte. No sockets.
+namespace silverpin::memcache {
+
+// The longest legal line is far shorter: a key of 250 bytes, an id and a dozen short properties.
+inline constexpr std::size_t kMaxLine = 4096;
+inline constexpr std::size_t kMaxKey = 250;
+inline constexpr std::size_t kMaxId = 32;
+inline constexpr std::size_t kMaxValue = 4u << 20;
+
+struct Command {
+  enum class Kind { kGet, kSet, kNoop };
+
+  Kind kind = Kind::kNoop;
+  std::string line;  // as it came, without its end
+  std::string key;
+  std::string id;     // the opaque token
+  std::string props;  // the list of names and values
+  std::string body;
+
+  std::string_view prop(std::string_view name) const;  // empty if there is none
+  // The line to a cache host, with `d` set to what is left. The rest goes on unchanged.
+  std::string encode(std::chrono::milliseconds left) const;
+};
+
+// What a client has sent wrongly. After a fatal one the stream can no longer be framed.
+struct ClientError {
+  std::string_view reason;
+  bool fatal = false;
+};
+
+class CommandReader {
+ public:
+  void feed(std::string_view bytes) { in_ += bytes; }
+  // The next command or error, or nothing until more has come.
+  std::optional<std::variant<Command, ClientError>> next();
+
+  std::size_t buffered() const { return in_.size() - at_ + command_.body.size(); }
+  bool between_commands() const { return !body_left_ && in_.size() == at_; }
+  // How long the body under way will be; 0 if there is none.
+  std::size_t body_length() const { return body_left_ ? body_length_ : 0; }
+
+ private:
+  using Item = std::variant<Command, ClientError>;
+
+  std::optional<Item> take_line();
+  std::optional<Item> take_body();
+  std::optional<Item> begin(std::string_view line);
+  void compact();
+
+  std::string in_;
+  std::size_t at_ = 0;  // consumed up to here
+  Command command_;     // whose body is under way
+  std::size_t body_length_ = 0;
+  std::optional<std::size_t> body_left_;  // without the line end behind it
+  std::string_view body_fault_;           // the body is skipped and this is answered
+};
+
+// An answer's first line.
+struct AnswerHead {
+  enum class Kind { kValue, kStored, kMiss, kBusy, kFailed };
+
+  Kind kind = Kind::kFailed;
+  std::size_t length = 0;  // of the value
+  std::string id;          // empty for those that carry none
+  std::string receipt;
+};
+
+class AnswerReader {
+ public:
+  enum class Event { kMore, kHead, kData, kEnd, kMalformed };
+
+  // Consumes from the front of `input`. kHead tells that head() is set, kData that data() views a
+  // piece of the value, kEnd that the answer is complete.
+  Event next(std::string_view& input);
+  const AnswerHead& head() const { return head_; }
+  std::string_view data() const { return data_; }
+  bool between_answers() const { return state_ == State::kLine && line_.empty(); }
+
+ private:
+  enum class State { kLine, kValue, kValueEnd, kDone };
+
+  State state_ = State::kLine;
+  std::string line_;
+  AnswerHead head_;
+  std::string_view data_;
+  std::size_t left_ = 0;
+};
+
+std::optional<AnswerHead> parse_answer(std::string_view line);
+// A token that can stand in a line: no spaces, no control characters.
+bool is_token(std::string_view text, std::size_t longest);
+std::optional<std::uint64_t> parse_number(std::string_view text);
+
+}  // namespace silverpin::memcache
--- /dev/null
+++ b/src/node/upstream_pool.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "node/upstream_connection.h"
+
+namespace silverpin::node {
+
+struct UpstreamTimes {
+  Duration connect_timeout;
+  Duration retire_idle;  // well before the host would close it
+  int streams = 1;
+};
+
+// The connections to one host.
+class UpstreamPool : public UpstreamOwner {
+ public:
+  using FreeDescriptor = std::function<bool()>;
+
+  UpstreamPool(boost::asio::io_context& io, Limits& limits, AttemptEvents& events,
+               const UpstreamTimes& times, FreeDescriptor free_descriptor);
+
+  void set_host(const ListedHost& host);
+  void start(AttemptPtr attempt);
+  void close_idle();
+  void tick();
+  bool empty() const { return all_.empty() && waiting_.empty() && !pump_posted_; }
+  // When its least recently used idle connection became so.
+  std::optional<Time> oldest_idle() const;
+  void close_oldest_idle();
+
+  void on_idle(const std::shared_ptr<UpstreamConnection>& connection) override;
+  void on_closed(const std::shared_ptr<UpstreamConnection>& connection) override;
+
+ private:
+  struct Waiting {
+    AttemptPtr attempt;
+    Time until;
+  };
+
+  bool try_start(const AttemptPtr& attempt);
+  std::shared_ptr<UpstreamConnection> take_idle(Duration longest);
+  void pump_soon();
+  void end_soon(const AttemptPtr& attempt, Result result);
+  void pump();
+
+  boost::asio::io_context& io_;
+  Limits& limits_;
+  AttemptEvents& events_;
+  const UpstreamTimes& times_;
+  FreeDescriptor free_descriptor_;
+  std::optional<Endpoint> dial_;
+  std::optional<Time> started_at_;
+  bool origin_ = false;
+  std::vector<std::shared_ptr<UpstreamConnection>> all_;
+  std::vector<std::shared_ptr<UpstreamConnection>> idle_;  // most recently used last
+  std::deque<Waiting> waiting_;                            // for a connection
+  bool pump_posted_ = false;
+};
+
+// The pools of all hosts.
+class Upstreams {
+ public:
+  Upstreams(boost::asio::io_context& io, Limits& limits, AttemptEvents& events,
+            const UpstreamTimes& times);
+
+  void apply(const HostList& list);
+  void start(AttemptPtr attempt, std::string_view host);
+  void close_idle(std::string_view host);
+
+ private:
+  struct Member {
+    std::unique_ptr<UpstreamPool> pool;
+    bool gone = false;
+  };
+
+  bool free_descriptor();
+  void drop(Member& member);
+  void arm_tick();
+
+  boost::asio::io_context& io_;
+  Limits& limits_;
+  AttemptEvents& events_;
+  const UpstreamTimes times_;
+  std::map<std::string, Member, std::less<>> members_;
+  boost::asio::steady_timer tick_;
+};
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/policy/hash_ring.cc
@@ -0,0 +1,49 @@
+#include "policy/hash_ring.h"
+
+#include <cmath>
+
+namespace silverpin {
+namespace {
+
+// Shares vary by about 1/sqrt(nodes) around the mean: a tenth at 100.
+constexpr double kVirtualNodes = 100;
+constexpr double kLeastWeight = 0.1;
+constexpr double kMostWeight = 16;
+
+}  // namespace
+
+double bounded_weight(double weight) {
+  return std::isfinite(weight) ? std::clamp(weight, kLeastWeight, kMostWeight) : kLeastWeight;
+}
+
+std::uint64_t mix(std::uint64_t a, std::uint64_t b) {  // the finalizer of splitmix64
+  std::uint64_t x = a + 0x9e3779b97f4a7c15u * (b + 1);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+  return x ^ (x >> 31);
+}
+
+std::uint64_t stable_hash(std::string_view text) {  // FNV-1a, mixed to spread short texts
+  std::uint64_t hash = 0xcbf29ce484222325u;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
+  return mix(hash, text.size());
+}
+
+void HashRing::insert(const std::vector<Member>& members) {
+  const auto old_size = static_cast<std::ptrdiff_t>(points_.size());
+  for (const Member& m : members) {
+    const auto nodes =
+        static_cast<std::uint64_t>(std::lround(kVirtualNodes * bounded_weight(m.weight)));
+    const std::uint64_t base = stable_hash(m.id);
+    for (std::uint64_t i = 0; i < nodes; ++i) points_.push_back({mix(base, i), m.host});
+  }
+  std::sort(points_.begin() + old_size, points_.end());
+  std::inplace_merge(points_.begin(), points_.begin() + old_size, points_.end());
+  hosts_ += members.size();
+}
+
+void HashRing::erase(Host host) {
+  if (std::erase_if(points_, [host](const Point& p) { return p.host == host; }) > 0) --hosts_;
+}
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/policy/host_health.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <vector>
+
+#include "policy/origin_gate.h"
+
+namespace silverpin {
+
+// What the rules say of hosts that have just started.
+struct ColdRule {
+  double start_capacity = 1;  // the share of its capacity that a host has when it starts
+  Duration warm_after{0};     // at the latest; the share grows about evenly until then
+};
+
+// One host as this balancer sees it: outlier ejection and slow start.
+class HostHealth {
+ public:
+  void on_sent(Time now) { out_.push_back(now); }
+  void on_ended(Time sent) { erase_one(out_, sent); }
+  bool idle() const { return out_.empty(); }
+  // Its oldest attempt has been out for longer than `patience`: it is hung, or its queue is long.
+  bool stuck(Time now, Duration patience) const {
+    return !out_.empty() && now - out_.front() > patience;
+  }
+  // An answer came in time, or was slow to come: moves the share of its keys that the host keeps.
+  void on_answer(Time now, bool slow);
+  double share(Time now) const;
+  void on_success();
+  // Ejects the host for a while after a failure that says it is away or hung. `jitter`, in [0,1),
+  // keeps balancers that saw the same failure from coming back in step.
+  void on_failure(Time now, double jitter);
+  bool ejected(Time now) const { return now < ejected_until_; }
+
+  void on_start(Time started, double jitter);
+  double warmth(Time now, const ColdRule& rule) const;  // its share of full capacity, 1 once warm
+  // Slow start. `normal_rate` is the work (seconds a second) that this balancer gives a warm host
+  // of the same size; a cold one may get that times its warmth. The sum over any window is bounded.
+  bool may_take(Time now, const ColdRule& rule, double work, double normal_rate);
+  void take(double work) { budget_ -= work; }
+
+ private:
+  std::vector<Time> out_;  // when the attempts still out were sent, oldest first
+  double share_ = 1;
+  Time share_at_{0};
+  int failures_ = 0;
+  Time ejected_until_{0};
+  Time started_ = Time::min();
+  double budget_ = 0;  // seconds of work that may be sent while cold
+  double first_fill_ = 0;
+  Time budget_at_{0};
+};
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/policy/origin_gate.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace silverpin {
+
+using Duration = std::chrono::nanoseconds;
+using Time = std::chrono::nanoseconds;  // since an epoch of the caller's choosing
+
+inline double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+inline Duration from_seconds(double s) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
+}
+
+inline void erase_one(std::vector<Time>& times, Time time) {
+  const auto it = std::find(times.begin(), times.end(), time);
+  if (it != times.end()) times.erase(it);
+}
+
+// The load-adaptive PI controller of Amani et al., section V, which meters fetches from the origin.
+// Its output is the paper's normalised admitted rate: a share of the highest rate that could
+// arrive, which for fetches after a cache miss is the rate of reads, since each might miss.
+class OriginGate {
+ public:
+  OriginGate(Duration target, Time now);
+
+  void on_read(Time now);  // a read arrived that might come to need the origin
+  bool admit(Time now);    // a fetch asks to go; true lets it and spends its turn
+  void on_sent(Time now);  // it went out
+  void on_done(Time sent, Time now, bool failed);
+  void on_sample(Time now, double value);  // what on_done derives from a fetch
+  // It ended in a way that tells nothing of the origin.
+  void on_dropped(Time sent) { erase_one(out_, sent); }
+  void advance(Time now);  // ends the sampling periods that have passed
+
+  double fraction() const { return fraction_; }
+  bool wide_open() const { return fraction_ >= 1; }  // holds nothing back
+  Duration target() const { return from_seconds(target_); }
+
+ private:
+  struct Point {
+    double rate;
+    double time;
+  };
+
+  void end_period(Time now);
+  void control(double mean, double since);
+
+  const double target_;
+  double fraction_ = 1;
+  Point low_, high_;
+  double filtered_ = 0;
+  double integral_ = 0;
+
+  Time period_start_;
+  Time controlled_at_;
+  Time last_sent_;
+  double sum_ = 0;
+  int samples_ = 0;
+  int reads_ = 0;         // this period
+  double read_rate_ = 0;  // a second, smoothed
+  bool refused_ = false;  // since the last step
+  double tokens_;
+  Time tokens_at_;
+  std::vector<Time> out_;  // when the fetches still out were sent, oldest first
+};
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/policy/policy.cc
@@ -0,0 +1,525 @@
+#include "policy/policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace silverpin {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Half of the shortest aim is left for the cache's answer and the way.
+constexpr double kTargetShare = 0.5;
+// Work sent lately is summed with this decay; it only needs to span a few requests a host.
+constexpr double kWorkMemory = 10;
+// Retry budget: further attempts at caches may come to a tenth of the requests, as is usual, with a
+// few in hand for a quiet balancer.
+constexpr double kRetryShare = 0.1;
+constexpr double kRetryDepth = 5;
+// A key is hot when it alone asks for this share of what a host carries on average.
+constexpr double kHotShare = 0.5;
+// The fleet is strained when this share of the last answers (about as many as given) was slow.
+constexpr double kStrained = 0.1;
+constexpr double kStrainSamples = 32;
+// More attempts than this get no connection: it is not a few hosts that are away.
+constexpr double kShortOfConnections = 0.05;
+// A tenant's unused share is kept this long, so that an uneven stream is not taken for a surplus.
+constexpr double kQuotaSeconds = 5;
+constexpr double kLeastQuotaDepth = 3;
+// As many failures in a row make a zone count as cut off: with every second attempt failing for
+// other reasons, one run of them in 256.
+constexpr int kZoneFailures = 8;
+// Beyond this share of slow answers, of 1 s, it is not single hosts that are slow but the caches.
+constexpr Duration kMostSlow = milliseconds(500);
+constexpr int kMostShed = 3;  // ring points that may hand a key on
+constexpr Duration kDemandPeriod = std::chrono::seconds(15);
+constexpr Duration kFirstCallBackoff = milliseconds(250);
+constexpr Duration kResendBackoff = milliseconds(50);
+constexpr Duration kRetryAfter = milliseconds(500);  // one sampling period of the gate
+
+Duration origin_target(const Settings& settings) {
+  Duration shortest = Duration::max();
+  for (const RequestClass& c : settings.classes) shortest = std::min(shortest, c.aim);
+  return from_seconds(kTargetShare * std::min(seconds(shortest), 3600.0));
+}
+
+}  // namespace
+
+Policy::Policy(const Settings& settings, std::uint64_t seed, Time now, ActionSink& sink)
+    : settings_(settings),
+      sink_(sink),
+      random_(seed),
+      now_(now),
+      // Gates that sample in step across the fleet would all close and reopen together.
+      gate_(origin_target(settings), now - from_seconds(0.5 * uniform())),
+      cache_gate_(kMostSlow, now - from_seconds(0.5 * uniform())),
+      demand_since_(now),
+      cache_work_at_(now),
+      retry_budget_(kRetryDepth) {
+  // Full; the first request brings them down to their depth.
+  quotas_.assign(settings_.tenant_quotas.size(), {std::numeric_limits<double>::infinity(), now});
+  // Balancers that start together must not all call the list at once.
+  if (settings_.list_on_request)
+    timer(now + from_seconds(seconds(settings_.ask_within) / 10 * uniform()),
+          TimerKind::kSubscribe);
+}
+
+double Policy::uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+
+void Policy::timer(Time at, TimerKind kind, RequestId id) {
+  timers_.emplace(next_tag_, Timer{kind, id});
+  sink_.set_timer(at, next_tag_++);
+}
+
+// ---- the host list
+
+void Policy::on_hosts(Time now, ListKind kind, const std::vector<HostEntry>& entries) {
+  now_ = now;
+  if (kind == ListKind::kRefused) {
+    // Calling again at once, and in step with others, would keep the list service down.
+    const double most = seconds(settings_.ask_within) / 4;
+    const double base = seconds(kFirstCallBackoff) * std::pow(2.0, std::min(refused_calls_++, 10));
+    timer(now + from_seconds(std::min(base, most) * (0.5 + uniform() / 2)), TimerKind::kSubscribe);
+    return;
+  }
+  refused_calls_ = 0;
+  std::vector<bool> listed(hosts_.size(), false);
+  std::vector<HashRing::Member> joined;
+  for (const HostEntry& e : entries) {
+    const auto [it, is_new] =
+        host_index_.try_emplace(std::string(e.id), static_cast<HostIndex>(hosts_.size()));
+    const HostIndex index = it->second;
+    if (is_new) {
+      Host host;
+      host.id = e.id;
+      hosts_.push_back(std::move(host));
+      listed.push_back(false);
+    }
+    Host& host = hosts_[index];
+    listed[index] = true;
+    const bool was_on_ring = !host.origin && host.state != HostState::kGone;
+    host.origin = e.origin;
+    host.zone = e.zone;
+    host.cell = e.cell;
+    host.state = e.state;
+    if (e.started_at != host.started_at) {
+      host.started_at = e.started_at;
+      if (e.started_at) host.health.on_start(*e.started_at, uniform());
+    }
+    const bool on_ring = !host.origin && host.state != HostState::kGone;
+    if (on_ring && !was_on_ring) {
+      if (settings_.static_weights) host.weight = bounded_weight(e.weight);
+      joined.push_back({index, it->first, host.weight});
+    } else if (was_on_ring && !on_ring) {
+      ring_.erase(index);
+    }
+  }
+  ring_.insert(joined);
+  ring_weight_ = 0;
+  for (HostIndex i = 0; i < hosts_.size(); ++i) {
+    Host& host = hosts_[i];
+    if (kind == ListKind::kWhole && !listed[i] && host.state != HostState::kGone) {
+      if (!host.origin) ring_.erase(i);
+      host.state = HostState::kGone;
+    }
+    if (!host.origin && host.state != HostState::kGone) ring_weight_ += host.weight;
+  }
+}
+
+std::optional<Policy::HostIndex> Policy::origin() const {
+  for (HostIndex i = 0; i < hosts_.size(); ++i)
+    if (hosts_[i].origin && hosts_[i].state == HostState::kServing) return i;
+  return std::nullopt;
+}
+
+// ---- the four rules
+
+int Policy::count(const Active& r, Fate fate) {
+  return static_cast<int>(std::count_if(r.attempts.begin(), r.attempts.end(),
+                                        [fate](const Attempt& a) { return a.fate == fate; }));
+}
+
+// No effect twice: a second run of an unsafe request, or of a keyed one where no host remembers the
+// first, would book or charge again.
+bool Policy::repeat_allowed(const Active& r, const Host& host) const {
+  const RequestClass& c = class_of(r);
+  if (!settings_.second_copies && count(r, Fate::kOut) > 0) return false;
+  if (c.repeat == Repeat::kSafe) return true;
+  for (const Attempt& a : r.attempts) {
+    if (a.fate == Fate::kNeverRan || a.fate == Fate::kMissed) continue;
+    if (c.repeat == Repeat::kUnsafe) return false;
+    const Host& first = hosts_[a.host];
+    if (c.scope == Scope::kZone && first.zone != host.zone) return false;
+    if (c.scope == Scope::kCell && (first.cell != host.cell || first.zone != host.zone))
+      return false;
+    if (now_ >= a.sent_at + c.repeat_window) return false;
+  }
+  return true;
+}
+
+// A refusal tells the client that a retry does no harm.
+bool Policy::refusal_allowed(const Active& r) const {
+  const RequestClass& c = class_of(r);
+  if (c.repeat == Repeat::kSafe) return true;
+  if (c.repeat == Repeat::kKeyed && c.scope == Scope::kAll) return true;
+  return count(r, Fate::kOut) + count(r, Fate::kMayHaveRun) == 0;
+}
+
+bool Policy::send(Active& r, HostIndex index, Time until) {
+  Host& host = hosts_[index];
+  if (r.over || r.streaming || now_ >= r.deadline) return false;  // answered once
+  if (static_cast<int>(r.attempts.size()) >= settings_.max_attempts) return false;
+  if (host.state != HostState::kServing) return false;  // drains
+  if (!repeat_allowed(r, host)) return false;           // no effect twice
+  if (!may_take(r, index)) return false;                // cold hosts
+  host.health.take(r.work);
+  host.health.on_sent(now_);
+  r.attempts.push_back({index, now_});
+  if (host.origin) gate_.on_sent(now_);
+  sink_.send(r.id, host.id, std::min(until, r.deadline));
+  return true;
+}
+
+void Policy::finish(Active& r) {
+  if (r.over || r.streaming) return;
+  r.over = true;
+  if (refusal_allowed(r)) {
+    // Refused clients that come back in step would be the next overload.
+    const Duration wait = from_seconds(seconds(kRetryAfter) * (0.5 + uniform()));
+    sink_.refuse(r.id, std::min(wait, settings_.max_retry_after));
+  } else {
+    sink_.fail(r.id);
+  }
+}
+
+// Cold hosts. Pushed over, one falls and stays down. The measure is what this balancer gives hosts
+// of the same size; if each keeps to it, all together load a cold host like a warm one.
+bool Policy::may_take(const Active& r, HostIndex index) {
+  Host& host = hosts_[index];
+  if (host.origin) return true;
+  const double lately =
+      cache_work_ * std::exp(-seconds(now_ - cache_work_at_) / kWorkMemory) / kWorkMemory;
+  const double normal = ring_weight_ > 0 ? lately * host.weight / ring_weight_ : 0;
+  return host.health.may_take(now_, settings_.cold, r.work, normal);
+}
+
+// ---- the life of a request
+
+void Policy::on_request(Time now, const Request& q) {
+  now_ = now;
+  const RequestClass& c = settings_.classes[q.klass];
+  Active& r = active_[q.id];
+  r.id = q.id;
+  r.klass = q.klass;
+  r.key = q.key ? stable_hash(*q.key) : mix(q.id, 0);
+  r.write = q.write;
+  if (q.work) mean_work_ += 0.01 * (seconds(*q.work) - mean_work_);
+  r.work = q.work ? std::max(seconds(*q.work), 0.0) : mean_work_;
+  r.aim = now + c.aim;
+  r.deadline = now + q.budget;
+  timer(r.deadline, TimerKind::kDeadline, r.id);
+  retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryDepth);
+  // One tenant's burst would jam the hosts for all, for the little its surplus is worth. Where
+  // there is room it is served.
+  if (!within_share(q.tenant) && strain_ > kStrained) {
+    give_up(r);
+  } else if (q.write && settings_.look_aside) {
+    send_write(r);
+  } else {
+    gate_.on_read(now);
+    if (now - demand_since_ >= kDemandPeriod) {
+      past_demand_ = std::exchange(demand_, {});
+      demand_since_ = now;
+    }
+    ++demand_.by_key[r.key];
+    demand_.total += 1;
+    // Among hundreds of balancers each sees too little of any one host to judge it. Where most
+    // answers of all are slow, what none of the jammed hosts can answer in time must not reach
+    // them.
+    cache_gate_.on_read(now);
+    if (cache_gate_.admit(now)) {
+      ask_cache(r);
+    } else {
+      bypass(r);
+    }
+  }
+  erase_if_done(q.id);
+}
+
+// The ordinary path: the key's owner on the ring, or the next point where the owner is away,
+// ejected, still cold for this key, or has failed this request before.
+void Policy::ask_cache(Active& r, std::optional<HostIndex> stored_at) {
+  // Time-outs and full queues that each bring another attempt multiply the load that caused them,
+  // until the whole fleet is full. The next point of a key that is not hot would most likely miss,
+  // so a wide open origin is asked at once. A follower that asks again after a fetch is no retry.
+  const bool retry = !r.attempts.empty() && r.attempts.back().fate != Fate::kMissed;
+  const std::size_t points = replicas(r.key);
+  if (retry && (retry_budget_ < 1 || (points == 1 && gate_.wide_open()))) return bypass(r);
+  std::optional<HostIndex> choice, ejected;
+  std::size_t ejected_count = 0;
+  int shed = 0;
+  // A hot key overwhelms a single owner however many hosts there are, so its requests are spread
+  // over the next points, enough of them to bring each one's part down to an ordinary share.
+  auto skip = retry ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(points));
+  ring_.walk(r.key, [&](HostIndex i) {
+    Host& host = hosts_[i];
+    if (host.state != HostState::kServing || !repeat_allowed(r, host)) return false;
+    for (const Attempt& a : r.attempts)
+      if (a.host == i && a.fate != Fate::kMissed) return false;
+    // Slow start key by key: each key comes back once, as the host warms, and the rest stay where
+    // they are cached.
+    // A host too slow for its keys hands some on in the same manner: at every balancer the same
+    // ones, so that the next point has them cached.
+    const double rank = static_cast<double>(mix(r.key, stable_hash(host.id)) >> 11) * 0x1p-53;
+    if (rank >= host.health.warmth(now_, settings_.cold) || !may_take(r, i)) return false;
+    // All requests of a hot key going one way would leave a host jammed by it alone, or the key
+    // refused while other hosts idle: of those each host hands on a part.
+    if ((points > 1 ? uniform() : rank) >= host.health.share(now_))
+      return !choice && ++shed == kMostShed;
+    // What is stuck there shows a hung or swamped host long before its time-outs do: nothing more
+    // goes there until it answers or they end.
+    if (host.health.ejected(now_) || host.health.stuck(now_, gate_.target()) ||
+        zones_[host.zone].health.ejected(now_)) {
+      if (!ejected) ejected = i;
+      // With most hosts ejected it is the judgement that has failed, not the hosts.
+      return 2 * ++ejected_count > hosts_.size();
+    }
+    choice = i;
+    return stored_at ? i == *stored_at : skip-- == 0;
+  });
+  // Where one point after another is too slow for the key, the fleet is overloaded. Further points
+  // would miss and load the origin too; an early refusal costs the least.
+  if (!choice && shed == kMostShed) return bypass(r);
+  if (!choice) choice = ejected;
+  if (!choice) {
+    if (settings_.look_aside && !r.write) return fetch(r);
+    return give_up(r);
+  }
+  if (!send(r, *choice, r.deadline)) return give_up(r);
+  if (retry) retry_budget_ -= 1;
+  const double since = seconds(now_ - cache_work_at_);
+  cache_work_ = cache_work_ * std::exp(-since / kWorkMemory) + r.work;
+  cache_work_at_ = now_;
+  timer(now_ + patience(r), TimerKind::kSlow, r.id);
+}
+
+// How many hosts share the key's requests. One standard deviation is taken off the count and as
+// many requests as there are ordinary parts are added to the total, so that a chance repeat, or the
+// first one after a start, does not make a key hot.
+std::size_t Policy::replicas(std::uint64_t key) {
+  const auto seen = [key](const Demand& d) {
+    const auto it = d.by_key.find(key);
+    return it == d.by_key.end() ? 0 : it->second;
+  };
+  const double n = seen(demand_) + seen(past_demand_);
+  const double parts = static_cast<double>(hosts_.size()) / kHotShare;
+  const double share = (n - std::sqrt(n)) / (demand_.total + past_demand_.total + parts);
+  return static_cast<std::size_t>(std::max(1.0, std::ceil(share * parts)));
+}
+
+// Whether the request lies within its tenant's share, of which this balancer sees an even part.
+bool Policy::within_share(int tenant) {
+  if (tenant < 0 || tenant >= static_cast<int>(quotas_.size())) return true;
+  const double rate = settings_.tenant_quotas[tenant] / settings_.balancers;
+  Quota& q = quotas_[tenant];
+  q.tokens = std::min(q.tokens + rate * seconds(now_ - q.at),
+                      std::max(kLeastQuotaDepth, kQuotaSeconds * rate));
+  q.at = now_;
+  if (q.tokens < 1) return false;
+  q.tokens -= 1;
+  return true;
+}
+
+void Policy::judge(Host& host, bool slow) {
+  host.health.on_answer(now_, slow);
+  strain_ += (slow - strain_) / kStrainSamples;
+  cache_gate_.on_sample(now_, slow ? 1 : 0);
+}
+
+// How long a cache may take before it counts as slow: the origin's target, for the same reason, and
+// what the request itself needs, on a host of half the usual speed.
+Duration Policy::patience(const Active& r) const {
+  return gate_.target() + from_seconds(2 * r.work);
+}
+
+// After a miss. One fetch of a key is out at a time; the others wait for it and ask the cache
+// again.
+void Policy::fetch(Active& r) {
+  const auto it = fetches_.find(r.key);
+  if (it != fetches_.end() && it->second.leader != r.id) {
+    if (!r.waiting) it->second.followers.push_back(r.id);
+    r.waiting = true;
+    return;
+  }
+  if (!send_metered(r)) return give_up(r);
+  fetches_.try_emplace(r.key, Fetch{r.id, {}});
+}
+
+// A request for which the caches have no room. As long as the gate is wide open the origin has
+// some, and to refuse would waste it. Such a fetch is stored nowhere, so nothing waits for it.
+void Policy::bypass(Active& r) {
+  if (!settings_.look_aside || r.write || !gate_.wide_open() || !send_metered(r)) give_up(r);
+}
+
+bool Policy::send_metered(Active& r) {
+  const auto target = origin();
+  return target && gate_.admit(now_) && send(r, *target, r.deadline);
+}
+
+void Policy::settle_fetch(const Active& leader, bool stored) {
+  const auto it = fetches_.find(leader.key);
+  if (it == fetches_.end() || it->second.leader != leader.id) return;
+  std::optional<HostIndex> stored_at;
+  for (const Attempt& a : leader.attempts)
+    if (a.fate == Fate::kMissed && !stored_at) stored_at = a.host;
+  const std::vector<RequestId> followers = std::move(it->second.followers);
+  fetches_.erase(it);
+  for (const RequestId id : followers) {
+    const auto at = active_.find(id);
+    if (at == active_.end() || at->second.over) continue;
+    at->second.waiting = false;
+    if (stored) {
+      ask_cache(at->second, stored_at);
+    } else {
+      fetch(at->second);  // the first of them leads the next try
+    }
+    erase_if_done(id);
+  }
+}
+
+void Policy::send_write(Active& r) {
+  const auto target = origin();
+  if (!target || !send(r, *target, r.deadline)) give_up(r);
+}
+
+// Nothing more to try. An attempt still out may yet answer.
+void Policy::give_up(Active& r) {
+  if (count(r, Fate::kOut) == 0) finish(r);
+}
+
+void Policy::on_outcome(Time now, const Outcome& o) {
+  now_ = now;
+  const auto it = active_.find(o.id);
+  if (it == active_.end()) return;
+  Active& r = it->second;
+  if (o.attempt < 0 || o.attempt >= static_cast<int>(r.attempts.size())) return;
+  Attempt& a = r.attempts[o.attempt];
+  if (a.fate != Fate::kOut) return;
+  Host& host = hosts_[a.host];
+  host.health.on_ended(a.sent_at);
+  const bool never_ran = o.result == Result::kRejected || o.result == Result::kConnectFailed ||
+                         o.result == Result::kNotSent;
+  a.fate = o.result == Result::kMiss ? Fate::kMissed
+           : never_ran               ? Fate::kNeverRan
+                                     : Fate::kMayHaveRun;
+  const bool served = o.result == Result::kOk;
+  if (!host.origin) {
+    // Where a zone is cut off, to find it out host by host costs each balancer an attempt per host.
+    Zone& zone = zones_[host.zone];
+    if (o.result == Result::kConnectFailed || o.result == Result::kReset ||
+        o.result == Result::kTimeout) {
+      if (++zone.failures >= kZoneFailures) zone.health.on_failure(now, uniform());
+    } else if (served || o.result == Result::kMiss || o.result == Result::kRejected) {
+      zone.failures = 0;
+      zone.health.on_success();
+    }
+  }
+  if (host.origin) {
+    if (o.result == Result::kCancelled || o.result == Result::kNotSent) {
+      gate_.on_dropped(a.sent_at);
+    } else {
+      gate_.on_done(a.sent_at, now, !served);
+    }
+  } else if (served || o.result == Result::kMiss) {
+    host.health.on_success();
+    if (!a.slow) judge(host, false);
+  } else if (o.result == Result::kConnectFailed || o.result == Result::kReset) {
+    host.health.on_failure(now, uniform());
+  } else if (o.result == Result::kRejected && !a.slow) {
+    judge(host, true);  // full: slower still than slow
+  }
+  // Hosts take so many connections: idle ones of a large fleet's balancers would keep the rest out.
+  unconnected_ += ((o.result == Result::kConnectFailed) - unconnected_) / kStrainSamples;
+  if (unconnected_ > kShortOfConnections && !host.origin && host.health.idle())
+    sink_.close_idle(host.id);
+  const bool from_origin = host.origin;
+  if (o.over || served) r.over = true;
+  if (!r.over) {
+    if (o.result == Result::kMiss && settings_.look_aside && !r.write) {
+      fetch(r);
+    } else if (o.result == Result::kNotSent || now >= r.deadline) {
+      give_up(r);
+    } else if (from_origin && r.write) {
+      if (never_ran) {
+        timer(now + from_seconds(seconds(kResendBackoff) * std::pow(2.0, r.attempts.size()) *
+                                 (0.5 + uniform())),
+              TimerKind::kResend, r.id);
+      } else {
+        send_write(r);
+      }
+    } else if (from_origin) {
+      give_up(r);
+    } else {
+      ask_cache(r);
+    }
+  }
+  if (from_origin) settle_fetch(r, served);
+  erase_if_done(o.id);
+}
+
+void Policy::on_first_byte(Time now, RequestId id) {
+  now_ = now;
+  const auto it = active_.find(id);
+  if (it != active_.end()) it->second.streaming = true;
+}
+
+void Policy::on_withdrawn(Time now, RequestId id) {
+  now_ = now;
+  const auto it = active_.find(id);
+  if (it == active_.end()) return;
+  it->second.over = true;
+  erase_if_done(id);
+}
+
+void Policy::on_timer(Time now, std::uint64_t tag) {
+  now_ = now;
+  const auto it = timers_.find(tag);
+  if (it == timers_.end()) return;
+  const Timer t = it->second;
+  timers_.erase(it);
+  if (t.kind == TimerKind::kSubscribe) return sink_.subscribe();
+  const auto at = active_.find(t.id);
+  if (at == active_.end() || at->second.over) return;
+  Active& r = at->second;
+  switch (t.kind) {
+    case TimerKind::kDeadline:
+      finish(r);
+      break;
+    case TimerKind::kSlow: {
+      Attempt& last = r.attempts.back();
+      Host& host = hosts_[last.host];
+      if (host.origin || last.fate != Fate::kOut || last.slow || now - last.sent_at < patience(r))
+        break;
+      last.slow = true;
+      judge(host, true);
+      if (count(r, Fate::kOut) == 1 && now < r.aim && class_of(r).repeat == Repeat::kSafe &&
+          settings_.second_copies)
+        ask_cache(r);
+      break;
+    }
+    default:
+      if (count(r, Fate::kOut) == 0) send_write(r);
+  }
+  erase_if_done(t.id);
+}
+
+// A request stays known until its last attempt has ended: late outcomes still tell of the hosts.
+void Policy::erase_if_done(RequestId id) {
+  const auto it = active_.find(id);
+  if (it != active_.end() && it->second.over && count(it->second, Fate::kOut) == 0)
+    active_.erase(it);
+}
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/policy/policy.h
@@ -0,0 +1,226 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "policy/hash_ring.h"
+#include "policy/host_health.h"
+#include "policy/origin_gate.h"
+
+// The decisions of one balancer. Events go in, actions come out through the sink; nothing here
+// does I/O, reads a clock, starts a thread or shares state with another instance.
+namespace silverpin {
+
+using RequestId = std::uint64_t;
+
+enum class Repeat { kSafe, kKeyed, kUnsafe };
+enum class Scope { kAll, kZone, kCell };  // the hosts that discard a keyed request's repeats
+
+struct RequestClass {
+  Duration aim{0};       // full worth until then
+  Duration deadline{0};  // the client's patience over all its tries
+  Repeat repeat = Repeat::kUnsafe;
+  Scope scope = Scope::kAll;
+  Duration repeat_window{0};  // how long repeats of a keyed request are discarded
+};
+
+struct Settings {
+  int balancers = 1;
+  std::vector<RequestClass> classes;
+  std::vector<double> tenant_quotas;  // requests a second that count in full, over all balancers
+  bool look_aside = false;            // a miss comes back and the balancer fetches from the origin
+  bool list_on_request = false;       // the host list speaks only when asked
+  Duration ask_within{0};
+  bool static_weights = false;  // weights tell size, not load
+  bool second_copies = false;
+  int max_attempts = 1;
+  Duration max_retry_after{0};  // 0: clients hear no advice
+  ColdRule cold;
+};
+
+enum class HostState { kServing, kDraining, kGone };
+
+struct HostEntry {
+  std::string_view id;
+  std::optional<Time> started_at;
+  bool origin = false;
+  int zone = 0;
+  int cell = 0;
+  HostState state = HostState::kServing;
+  double weight = 1;
+};
+
+enum class ListKind { kChanges, kWhole, kRefused };
+
+struct Request {
+  RequestId id = 0;
+  int klass = 0;
+  int tenant = 0;
+  std::optional<std::string_view> key;
+  bool write = false;
+  std::optional<Duration> work;  // a rough hint
+  Duration budget{0};            // until the client gives this try up
+};
+
+enum class Result {
+  kOk,
+  kError,
+  kRejected,
+  kTimeout,
+  kConnectFailed,
+  kReset,
+  kCancelled,
+  kNotSent,
+  kMiss
+};
+
+struct Outcome {
+  RequestId id = 0;
+  int attempt = 0;
+  Result result = Result::kOk;
+  bool over = false;  // the request has had its final answer
+};
+
+class ActionSink {
+ public:
+  virtual ~ActionSink() = default;
+  virtual void send(RequestId id, std::string_view host, Time until) = 0;
+  virtual void refuse(RequestId id, Duration retry_after) = 0;
+  virtual void fail(RequestId id) = 0;
+  virtual void set_timer(Time at, std::uint64_t tag) = 0;
+  virtual void subscribe() = 0;
+  virtual void close_idle(std::string_view host) = 0;  // connections to it
+};
+
+class Policy {
+ public:
+  Policy(const Settings& settings, std::uint64_t seed, Time now, ActionSink& sink);
+
+  void on_hosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
+  void on_request(Time now, const Request& request);
+  void on_outcome(Time now, const Outcome& outcome);
+  void on_first_byte(Time now, RequestId id);
+  void on_withdrawn(Time now, RequestId id);
+  void on_timer(Time now, std::uint64_t tag);
+
+ private:
+  using HostIndex = HashRing::Host;
+
+  struct Host {
+    std::string id;
+    bool origin = false;
+    int zone = 0;
+    int cell = 0;
+    HostState state = HostState::kGone;
+    double weight = 1;
+    std::optional<Time> started_at;
+    HostHealth health;
+  };
+
+  enum class Fate { kOut, kNeverRan, kMayHaveRun, kMissed };
+
+  struct Attempt {
+    HostIndex host;
+    Time sent_at;
+    Fate fate = Fate::kOut;
+    bool slow = false;  // and counted as such while still out
+  };
+
+  struct Active {
+    RequestId id;
+    int klass;
+    std::uint64_t key;
+    bool write;
+    double work;
+    Time aim, deadline;
+    std::vector<Attempt> attempts;
+    bool over = false;       // had its final answer
+    bool streaming = false;  // its answer has begun
+    bool waiting = false;    // for a fetch of its key by another request here
+  };
+
+  enum class TimerKind { kDeadline, kSlow, kResend, kSubscribe };
+  struct Timer {
+    TimerKind kind;
+    RequestId id;
+  };
+
+  // The choke point: every attempt and every final answer passes these two.
+  bool send(Active& r, HostIndex host, Time until);
+  void finish(Active& r);
+
+  bool repeat_allowed(const Active& r, const Host& host) const;
+  bool refusal_allowed(const Active& r) const;
+  static int count(const Active& r, Fate fate);
+
+  // `stored_at`: where a fetch of the key has just been stored, if one has.
+  void ask_cache(Active& r, std::optional<HostIndex> stored_at = std::nullopt);
+  std::size_t replicas(std::uint64_t key);
+  bool within_share(int tenant);
+  void judge(Host& host, bool slow);
+  Duration patience(const Active& r) const;
+  void fetch(Active& r);
+  void bypass(Active& r);
+  bool send_metered(Active& r);  // to the origin, through its gate
+  void send_write(Active& r);
+  void give_up(Active& r);
+  void settle_fetch(const Active& leader, bool stored);
+  void erase_if_done(RequestId id);
+  bool may_take(const Active& r, HostIndex host);
+  std::optional<HostIndex> origin() const;
+
+  void timer(Time at, TimerKind kind, RequestId id = 0);
+  double uniform();  // in [0, 1)
+  const RequestClass& class_of(const Active& r) const { return settings_.classes[r.klass]; }
+
+  const Settings settings_;
+  ActionSink& sink_;
+  std::mt19937_64 random_;
+  Time now_;
+  OriginGate gate_;
+  OriginGate cache_gate_;  // the same controller over the share of slow cache answers
+  HashRing ring_;
+  double ring_weight_ = 0;  // of all hosts on it
+  std::vector<Host> hosts_;
+  std::unordered_map<std::string, HostIndex> host_index_;
+  std::unordered_map<RequestId, Active> active_;
+  struct Fetch {
+    RequestId leader;
+    std::vector<RequestId> followers;
+  };
+  std::unordered_map<std::uint64_t, Fetch> fetches_;  // by key
+  std::unordered_map<std::uint64_t, Timer> timers_;
+  // How often each key was asked for, in this period and the one before.
+  struct Demand {
+    std::unordered_map<std::uint64_t, int> by_key;
+    double total = 0;
+  };
+  Demand demand_, past_demand_;
+  Time demand_since_;
+  std::uint64_t next_tag_ = 1;
+  int refused_calls_ = 0;  // list calls refused in a row
+  double cache_work_ = 0;  // seconds of work sent to caches lately, decayed
+  Time cache_work_at_;
+  double retry_budget_;
+  double strain_ = 0;       // share of slow answers lately
+  double unconnected_ = 0;  // share of attempts that got no connection lately
+  struct Quota {
+    double tokens;
+    Time at;
+  };
+  std::vector<Quota> quotas_;
+  struct Zone {
+    int failures = 0;  // in a row, of attempts at caches there
+    HostHealth health;
+  };
+  std::map<int, Zone> zones_;
+  double mean_work_ = 0.05;  // of requests, for those without a hint
+};
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/settings/field_error.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <stdexcept>
+
+namespace silverpin {
+
+// Input that is not what it should be; what() names the field and the fault.
+struct FieldError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/sim/main.cc
@@ -0,0 +1,26 @@
+#include <cstdio>
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include "sim/wire.h"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  silverpin::sim::Wire wire;
+  std::string line;
+  for (unsigned long long number = 1; std::getline(std::cin, line); ++number) {
+    try {
+      std::cout << wire.handle(line) << '\n' << std::flush;
+    } catch (const std::exception& e) {
+      std::fprintf(stderr, "silverpin_simhost: line %llu: %s\n", number, e.what());
+      return 1;
+    }
+    if (!std::cout) {
+      std::fprintf(stderr, "silverpin_simhost: cannot write the reply\n");
+      return 1;
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/sim/wire.cc
@@ -0,0 +1,265 @@
+#include "sim/wire.h"
+
+#include <simdjson.h>
+
+#include <charconv>
+#include <cinttypes>
+#include <cstdio>
+#include <optional>
+#include <vector>
+
+#include "policy/policy.h"
+#include "settings/json.h"
+#include "settings/settings.h"
+
+namespace silverpin::sim {
+namespace {
+
+using namespace json;
+
+// ---- reading
+
+RequestId read_id(object o) {
+  const auto text = need<std::string_view>(o, "handle");
+  RequestId id = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id, 16);
+  if (text.size() != 16 || error != std::errc{} || end != text.data() + text.size())
+    bad("handle", "is not 16 hex digits");
+  return id;
+}
+
+// ---- writing
+
+void append_string(std::string& out, std::string_view text) {
+  out += '"';
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (static_cast<unsigned char>(c) < 0x20) {
+      char escaped[8];
+      std::snprintf(escaped, sizeof escaped, "\\u%04x", c);
+      out += escaped;
+    } else {
+      out += c;
+    }
+  }
+  out += '"';
+}
+
+class Decisions : public ActionSink {
+ public:
+  void send(RequestId id, std::string_view host, Time until) override {
+    begin("submitTo", id);
+    text_ += ",\"host\":";
+    append_string(text_, host);
+    end_with("tryUntil", until.count());
+  }
+  void refuse(RequestId id, Duration retry_after) override {
+    begin("overloadReply", id);
+    end_with("comeBack", retry_after.count());
+  }
+  void fail(RequestId id) override {
+    begin("dropRequest", id);
+    text_ += '}';
+  }
+  void set_timer(Time at, std::uint64_t tag) override {
+    begin("sleep");
+    text_ += ",\"time\":" + std::to_string(at.count());
+    end_with("tag", static_cast<std::int64_t>(tag));
+  }
+  void subscribe() override {
+    begin("keepInformed");
+    text_ += ",\"enable\":true}";
+  }
+  void close_idle(std::string_view host) override {
+    begin("hangUp");
+    text_ += ",\"host\":";
+    append_string(text_, host);
+    text_ += '}';
+  }
+
+  bool empty() const { return text_.empty(); }
+  std::string take() { return std::exchange(text_, {}); }
+
+ private:
+  void begin(std::string_view type) {
+    if (!text_.empty()) text_ += ',';
+    ((text_ += "{\"t\":\"") += type) += '"';
+  }
+  void begin(std::string_view type, RequestId id) {
+    begin(type);
+    char hex[17];
+    std::snprintf(hex, sizeof hex, "%016" PRIx64, id);
+    ((text_ += ",\"handle\":\"") += hex) += '"';
+  }
+  void end_with(std::string_view field, std::int64_t value) {
+    ((text_ += ",\"") += field) += "\":";
+    text_ += std::to_string(value) + "}";
+  }
+
+  std::string text_;
+};
+
+// ---- events
+
+Result read_result(std::int64_t status) {
+  switch (status) {
+    case 200:
+      return Result::kOk;
+    case 204:
+      return Result::kMiss;
+    case 408:
+      return Result::kTimeout;
+    case 409:
+      return Result::kNotSent;
+    case 429:
+      return Result::kRejected;
+    case 444:
+      return Result::kCancelled;
+    case 520:
+      return Result::kReset;
+    case 521:
+      return Result::kConnectFailed;
+    default:
+      return Result::kError;  // the one that promises least
+  }
+}
+
+HostState read_state(std::string_view word) {
+  if (word == "in_service") return HostState::kServing;
+  return word == "terminated" ? HostState::kGone : HostState::kDraining;
+}
+
+}  // namespace
+
+struct Wire::Instance {
+  Decisions decisions;
+  std::optional<SiteSettings> options;
+  std::unique_ptr<Policy> policy;  // null before the first provision and after exit
+
+  void on_event(Time now, object e);
+
+ private:
+  void provision(Time now, object e);
+  void fleet(Time now, object e);
+  void submit(Time now, object e);
+  void completed(Time now, object e);
+};
+
+struct Wire::Impl {
+  simdjson::dom::parser parser;
+};
+
+void Wire::Instance::provision(Time now, object e) {
+  options = read_settings(need<object>(e, "options"));
+  const element entropy = need<element>(e, "entropy");
+  std::uint64_t seed;
+  if (entropy.get(seed)) seed = static_cast<std::uint64_t>(as<std::int64_t>(entropy, "entropy"));
+  policy = std::make_unique<Policy>(options->policy, seed, now, decisions);
+}
+
+void Wire::Instance::fleet(Time now, object e) {
+  const auto kind = need<std::string_view>(e, "kind");
+  if (kind == "refused") return policy->on_hosts(now, ListKind::kRefused, {});
+  if (kind != "changes" && kind != "all" && kind != "remembered") bad("kind", "is unknown");
+  std::vector<HostEntry> entries;
+  for (const element row : need<array>(e, "rowsIn")) {
+    const auto r = as<object>(row, "rowsIn");
+    HostEntry entry;
+    entry.id = need<std::string_view>(r, "host");
+    const auto started = get_or<std::int64_t>(r, "startedAt", 0);
+    if (started != 0) entry.started_at = Time{started};
+    entry.origin = get_or<std::int64_t>(r, "hw", -2) == options->origin_kind;
+    entry.zone = small(get_or<std::int64_t>(r, "rackZone", 0), "rackZone");
+    entry.cell = small(get_or<std::int64_t>(r, "pack", 0), "pack");
+    entry.state = read_state(need<std::string_view>(r, "availability"));
+    entry.weight = get_or(r, "scale", 1.0);
+    entries.push_back(entry);
+  }
+  policy->on_hosts(now, kind == "changes" ? ListKind::kChanges : ListKind::kWhole, entries);
+}
+
+void Wire::Instance::submit(Time now, object e) {
+  constexpr std::int64_t kHintValid = 1, kWrite = 4;
+  Request q;
+  q.id = read_id(e);
+  q.klass = small(need<std::int64_t>(e, "priority"), "priority",
+                  static_cast<std::int64_t>(options->policy.classes.size()));
+  q.tenant = small(get_or<std::int64_t>(e, "clientGroup", 0), "clientGroup");
+  const auto bits = get_or<std::int64_t>(e, "stateBits", 0);
+  q.write = (bits & kWrite) != 0;
+  if (const auto key = find(e, "item")) q.key = as<std::string_view>(*key, "item");
+  if (const auto hint = find(e, "predicted"); hint && (bits & kHintValid) != 0)
+    q.work = Duration{as<std::int64_t>(*hint, "predicted")};
+  q.budget = Duration{need<std::int64_t>(e, "budget")};
+  policy->on_request(now, q);
+}
+
+void Wire::Instance::completed(Time now, object e) {
+  Outcome o;
+  o.id = read_id(e);
+  o.attempt = small(need<std::int64_t>(e, "sendNo"), "sendNo");
+  o.result = read_result(need<std::int64_t>(e, "status"));
+  o.over = need<bool>(e, "complete");
+  policy->on_outcome(now, o);
+}
+
+void Wire::Instance::on_event(Time now, object e) {
+  const auto type = need<std::string_view>(e, "t");
+  try {
+    if (type == "provision") return provision(now, e);
+    if (!policy) throw WireError("the instance was never provisioned");
+    if (type == "fleet") return fleet(now, e);
+    if (type == "submit") return submit(now, e);
+    if (type == "completed") return completed(now, e);
+    if (type == "ackFirst") return policy->on_first_byte(now, read_id(e));
+    if (type == "withdrawn") return policy->on_withdrawn(now, read_id(e));
+    if (type == "wakeup") {
+      const auto tag = need<std::int64_t>(e, "tag");
+      return policy->on_timer(now, static_cast<std::uint64_t>(tag));
+    }
+    if (type == "exit") {
+      policy.reset();
+      decisions.take();
+      return;
+    }
+    if (type != "pong" && type != "noteFrom") throw WireError("unknown event");
+  } catch (const WireError& error) {
+    throw WireError("event '" + std::string(type) + "': " + error.what());
+  }
+}
+
+Wire::Wire() : impl_(std::make_unique<Impl>()) {}
+Wire::~Wire() = default;
+
+std::string Wire::handle(std::string_view line) {
+  element root;
+  if (const auto error = impl_->parser.parse(line.data(), line.size()).get(root))
+    throw WireError(std::string("not JSON: ") + simdjson::error_message(error));
+  if (!root.is_object()) throw WireError("the batch is not an object");
+  const auto batch = as<object>(root, "batch");
+  const Time now{need<std::int64_t>(batch, "moment")};
+  std::string reply = "{\"balancers\":[";
+  bool first = true;
+  for (const element group : need<array>(batch, "balancers")) {
+    const auto g = as<object>(group, "balancers");
+    const auto who = need<std::int64_t>(g, "who");
+    auto& instance = instances_[who];
+    if (!instance) instance = std::make_unique<Instance>();
+    try {
+      for (const element e : need<array>(g, "events"))
+        instance->on_event(now, as<object>(e, "events"));
+    } catch (const WireError& error) {
+      throw WireError("instance " + std::to_string(who) + ": " + error.what());
+    }
+    if (instance->decisions.empty()) continue;
+    if (!first) reply += ',';
+    first = false;
+    reply += "{\"who\":" + std::to_string(who) + ",\"decisions\":[";
+    reply += instance->decisions.take() + "]}";
+  }
+  return reply + "]}";
+}
+
+}  // namespace silverpin::sim
--- /dev/null
+++ b/tests/fake_sink.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "policy/policy.h"
+
+namespace silverpin {
+
+// Records what a Policy does.
+struct FakeSink : ActionSink {
+  struct Sent {
+    RequestId id;
+    std::string host;
+    Time until;
+  };
+  struct Timer {
+    Time at;
+    std::uint64_t tag;
+  };
+
+  void send(RequestId id, std::string_view host, Time until) override {
+    sent.push_back({id, std::string(host), until});
+  }
+  void refuse(RequestId id, Duration) override { refused.push_back(id); }
+  void fail(RequestId id) override { failed.push_back(id); }
+  void set_timer(Time at, std::uint64_t tag) override { timers.push_back({at, tag}); }
+  void subscribe() override { ++subscribed; }
+  void close_idle(std::string_view host) override { closed.emplace_back(host); }
+
+  std::vector<Sent> sent;
+  std::vector<RequestId> refused, failed;
+  std::vector<Timer> timers;
+  std::vector<std::string> closed;
+  int subscribed = 0;
+};
+
+}  // namespace silverpin
--- /dev/null
+++ b/tests/policy_test.cc
@@ -0,0 +1,429 @@
+#include "policy/policy.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <utility>
+
+#include "fake_sink.h"
+
+namespace silverpin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Settings settings() {
+  Settings s;
+  s.classes = {{milliseconds(300), milliseconds(750), Repeat::kSafe, Scope::kAll, Duration{0}},
+               {seconds(1), seconds(5), Repeat::kKeyed, Scope::kAll, seconds(10)},
+               {seconds(1), seconds(5), Repeat::kUnsafe, Scope::kAll, Duration{0}}};
+  s.look_aside = true;
+  s.max_attempts = 6;
+  s.cold = {0.2, seconds(20)};
+  s.max_retry_after = seconds(1);
+  return s;
+}
+
+struct PolicyTest : ::testing::Test {
+  explicit PolicyTest(const Settings& s = settings()) : policy(s, 1, seconds(1), sink) {
+    policy.on_hosts(seconds(1), ListKind::kWhole, {entry("a"), entry("b"), origin()});
+  }
+  static HostEntry entry(std::string_view id) {
+    HostEntry e;
+    e.id = id;
+    return e;
+  }
+  static HostEntry origin() {
+    HostEntry e = entry("origin");
+    e.origin = true;
+    return e;
+  }
+  static Request request(RequestId id, int klass, bool write, std::string_view key = "k") {
+    Request q;
+    q.id = id;
+    q.klass = klass;
+    q.key = key;
+    q.write = write;
+    q.budget = klass == 0 ? milliseconds(700) : seconds(5);
+    return q;
+  }
+  FakeSink sink;
+  Policy policy;
+};
+
+TEST_F(PolicyTest, AMissIsFetchedFromTheOriginAndFollowersAskTheCacheAgain) {
+  policy.on_request(seconds(2), request(1, 0, false));
+  policy.on_request(seconds(2), request(2, 0, false));
+  const std::string owner = sink.sent[0].host;
+  EXPECT_EQ(sink.sent[1].host, owner);
+  policy.on_outcome(seconds(2), {1, 0, Result::kMiss, false});
+  policy.on_outcome(seconds(2), {2, 0, Result::kMiss, false});
+  ASSERT_EQ(sink.sent.size(), 3u);
+  EXPECT_EQ(sink.sent[2].host, "origin");
+  policy.on_outcome(seconds(2) + milliseconds(50), {1, 1, Result::kOk, true});
+  ASSERT_EQ(sink.sent.size(), 4u);
+  EXPECT_EQ(sink.sent[3].id, 2u);
+  EXPECT_EQ(sink.sent[3].host, owner);
+}
+
+TEST_F(PolicyTest, AnUnsafeWriteThatMayHaveRunIsNeitherResentNorRefused) {
+  policy.on_request(seconds(2), request(1, 2, true));
+  ASSERT_EQ(sink.sent.size(), 1u);
+  EXPECT_EQ(sink.sent[0].host, "origin");
+  policy.on_outcome(seconds(3), {1, 0, Result::kReset, false});
+  EXPECT_EQ(sink.sent.size(), 1u);
+  EXPECT_TRUE(sink.refused.empty());
+  EXPECT_EQ(sink.failed.size(), 1u);
+}
+
+TEST_F(PolicyTest, EveryRequestIsAnsweredAtItsDeadlineAndOnlyOnce) {
+  policy.on_request(seconds(2), request(1, 0, false));
+  for (const auto t : std::vector(sink.timers)) policy.on_timer(t.at, t.tag);
+  EXPECT_EQ(sink.refused.size(), 1u);
+  policy.on_outcome(seconds(3), {1, 0, Result::kTimeout, true});
+  EXPECT_EQ(sink.refused.size() + sink.failed.size(), 1u);
+}
+
+TEST_F(PolicyTest, NothingNewGoesToAHostThatDrainsOrIsGone) {
+  HostEntry a = entry("a");
+  a.state = HostState::kDraining;
+  policy.on_hosts(seconds(2), ListKind::kChanges, {a});
+  for (RequestId id = 1; id < 40; ++id)
+    policy.on_request(seconds(2), request(id, 0, false, std::string(id, 'x')));
+  for (const auto& s : sink.sent) EXPECT_EQ(s.host, "b");
+  policy.on_hosts(seconds(3), ListKind::kWhole, {});
+  const std::size_t before = sink.sent.size();
+  policy.on_request(seconds(3), request(99, 0, false));
+  EXPECT_EQ(sink.sent.size(), before);
+  ASSERT_EQ(sink.refused.size(), 1u);
+  EXPECT_EQ(sink.refused[0], 99u);
+}
+
+// Ten caches, of which each key's owner and the next points are found by asking.
+struct FleetTest : PolicyTest {
+  FleetTest() {
+    std::vector<HostEntry> entries = {origin()};
+    for (const std::string& name : ids) entries.push_back(entry(name));
+    policy.on_hosts(seconds(1), ListKind::kWhole, entries);
+  }
+  // Sends one request for `key` and returns where it went, or "" where it was refused.
+  std::string ask(Time now, std::string_view key) {
+    const std::size_t before = sink.sent.size();
+    policy.on_request(now, request(++id, 0, false, key));
+    return sink.sent.size() > before ? sink.sent.back().host : "";
+  }
+  void answer(Time now, Result result = Result::kOk) {
+    policy.on_outcome(now, {id, 0, result, result == Result::kOk});
+  }
+  void run_timers(Time now) {
+    const auto due = std::exchange(sink.timers, {});
+    for (const auto& t : due) {
+      if (t.at <= now) {
+        policy.on_timer(t.at, t.tag);
+      } else {
+        sink.timers.push_back(t);
+      }
+    }
+  }
+  // Lets the next request for `key` be slow until its deadline.
+  void be_slow(Time now, std::string_view key) {
+    ask(now, key);
+    run_timers(now + milliseconds(690));
+    policy.on_outcome(now + milliseconds(700), {id, 0, Result::kTimeout, false});
+  }
+  // Lets the next request for `key` find its host full.
+  void be_full(Time now, std::string_view key) {
+    ask(now, key);
+    policy.on_outcome(now, {id, 0, Result::kRejected, true});
+  }
+  // Forty keys that go to `owner`.
+  std::vector<std::string> owned_by(const std::string& owner) {
+    std::vector<std::string> owned;
+    for (int i = 0; owned.size() < 40; ++i) {
+      const std::string key = "k" + std::to_string(i);
+      if (ask(seconds(3), key) == owner) owned.push_back(key);
+      answer(seconds(3));
+    }
+    return owned;
+  }
+  // How many of them still do.
+  int kept(const std::vector<std::string>& owned, const std::string& owner, Time now) {
+    int n = 0;
+    for (const auto& key : owned) {
+      n += ask(now, key) == owner;
+      answer(now, Result::kNotSent);  // says nothing of its speed
+    }
+    return n;
+  }
+  const std::vector<std::string> ids = {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"};
+  RequestId id = 1000;
+};
+
+TEST_F(FleetTest, AHotKeyIsSpreadAndOthersStayWithTheirOwner) {
+  std::set<std::string> hot, cold;
+  for (int i = 0; i < 200; ++i) {
+    const Time now = seconds(2) + milliseconds(10 * i);
+    hot.insert(ask(now, "hot"));
+    answer(now);
+    ask(now, "other" + std::to_string(i));
+    answer(now);
+    if (i % 40 == 0) {
+      cold.insert(ask(now, "cold"));
+      answer(now);
+    }
+  }
+  EXPECT_GE(hot.size(), 5u);
+  EXPECT_EQ(cold.size(), 1u);
+}
+
+TEST_F(FleetTest, AHostWithAStuckAttemptIsPassedOverUntilItEnds) {
+  const std::string owner = ask(seconds(2), "k");
+  const RequestId stuck = id;
+  EXPECT_EQ(ask(seconds(2) + milliseconds(100), "k"), owner);
+  answer(seconds(2) + milliseconds(110));
+  EXPECT_NE(ask(seconds(2) + milliseconds(200), "k"), owner);
+  answer(seconds(2) + milliseconds(210));
+  policy.on_outcome(seconds(2) + milliseconds(220), {stuck, 0, Result::kOk, true});
+  EXPECT_EQ(ask(seconds(2) + milliseconds(230), "k"), owner);
+}
+
+TEST_F(FleetTest, ASlowHostHandsOnAShareOfItsKeysAndTakesThemBack) {
+  const std::string owner = ask(seconds(2), "k0");
+  answer(seconds(2));
+  const auto owned = owned_by(owner);
+  for (int i = 0; i < 2; ++i) {
+    be_slow(seconds(4 + i), owned[0]);
+    for (int n = 0; n < 10; ++n) {  // all others are fast
+      ask(seconds(5 + i), "o" + std::to_string(n));
+      answer(seconds(5 + i), sink.sent.back().host == owner ? Result::kNotSent : Result::kOk);
+    }
+  }
+  EXPECT_LT(kept(owned, owner, seconds(6)), 30);
+  EXPECT_EQ(kept(owned, owner, seconds(400)), 40);
+}
+
+TEST_F(FleetTest, AFullHostHandsOnAShareOfItsKeys) {
+  const std::string owner = ask(seconds(2), "k0");
+  answer(seconds(2));
+  const auto owned = owned_by(owner);
+  be_full(seconds(4), owned[0]);
+  EXPECT_LT(kept(owned, owner, seconds(5)), 30);
+}
+
+// Hundreds of caches in two zones.
+struct LargeFleetTest : FleetTest {
+  LargeFleetTest() {
+    std::vector<HostEntry> entries = {origin()};
+    for (int i = 0; i < 600; ++i) names.push_back((i % 2 ? "north" : "south") + std::to_string(i));
+    for (const std::string& name : names) {
+      entries.push_back(entry(name));
+      entries.back().zone = name[0] == 'n';
+    }
+    policy.on_hosts(seconds(1), ListKind::kWhole, entries);
+  }
+  std::vector<std::string> names;
+};
+
+TEST_F(LargeFleetTest, AZoneThatIsCutOffIsLeftAloneUntilOneOfItsHostsAnswers) {
+  const auto north_of_100 = [&](Time now, const std::string& prefix, Result result) {
+    int north = 0;
+    for (int i = 0; i < 100; ++i) {
+      const std::string host = ask(now, prefix + std::to_string(i));
+      north += host[0] == 'n';
+      policy.on_outcome(now, {id, 0, host[0] == 'n' ? result : Result::kOk, true});
+    }
+    return north;
+  };
+  RequestId pending = 0;
+  for (int i = 0; pending == 0; ++i) {
+    if (ask(seconds(2), "p" + std::to_string(i))[0] == 'n') pending = id;
+  }
+  EXPECT_EQ(north_of_100(seconds(2), "k", Result::kConnectFailed), 8);
+  EXPECT_EQ(north_of_100(seconds(2), "l", Result::kConnectFailed), 0);
+  policy.on_outcome(seconds(2), {pending, 0, Result::kOk, true});
+  EXPECT_GT(north_of_100(seconds(2), "m", Result::kOk), 30);
+}
+
+TEST_F(LargeFleetTest, WhereMostAnswersAreSlowThePartThatTheCachesMayGetIsMetered) {
+  Time now = seconds(2);
+  // No host is asked often enough to be judged by itself.
+  for (int i = 0; i < 120; ++i) be_slow(now += seconds(1), "k" + std::to_string(i));
+  const auto past_caches = [&](const std::string& prefix) {
+    int n = 0;
+    for (int i = 0; i < 60; ++i) {
+      const std::string host = ask(now += seconds(1), prefix + std::to_string(i));
+      n += host.empty() || host == "origin";
+      answer(now);
+    }
+    return n;
+  };
+  EXPECT_GT(past_caches("l"), 10);
+  past_caches("m");
+  EXPECT_EQ(past_caches("n"), 0);  // the caches have recovered
+}
+
+TEST_F(LargeFleetTest, IdleConnectionsAreClosedWhileManyAttemptsGetNone) {
+  Time now = seconds(2);
+  for (int i = 0; i < 20; ++i) {
+    ask(now, "k" + std::to_string(i));
+    answer(now);
+  }
+  EXPECT_TRUE(sink.closed.empty());
+  for (int i = 0; i < 4; ++i) {
+    ask(now, "l" + std::to_string(i));
+    policy.on_outcome(now, {id, 0, Result::kConnectFailed, true});
+  }
+  sink.closed.clear();
+  // Only the last answer of a host leaves its connection idle.
+  const std::string host = ask(now, "m");
+  EXPECT_EQ(ask(now, "m"), host);
+  answer(now);
+  EXPECT_TRUE(sink.closed.empty());
+  --id;
+  answer(now);
+  EXPECT_EQ(sink.closed, std::vector<std::string>{host});
+  for (int i = 0; i < 100; ++i) {
+    ask(now, "n" + std::to_string(i));
+    answer(now);
+  }
+  sink.closed.clear();
+  ask(now, "o");
+  answer(now);
+  EXPECT_TRUE(sink.closed.empty());
+}
+
+TEST_F(FleetTest, EachHostOfAHotKeyHandsOnAPartOfItsRequests) {
+  Time now = seconds(2);
+  for (int i = 0; i < 400; ++i) {
+    ask(now += milliseconds(5), "hot");
+    answer(now);
+  }
+  for (int i = 0; i < 40; ++i) be_full(now += milliseconds(5), "k" + std::to_string(i));
+  std::set<std::string> taking;
+  int refused = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::string host = ask(now += milliseconds(1), "hot");
+    if (host.empty()) {
+      ++refused;
+      continue;
+    }
+    taking.insert(host);
+    answer(now, Result::kNotSent);
+  }
+  EXPECT_GE(taking.size(), 9u);
+  EXPECT_GT(refused, 0);
+  EXPECT_LT(refused, 300);
+}
+
+TEST_F(FleetTest, WhereEveryHostIsFullTheOriginServesTheSurplusWhileItsGateIsOpen) {
+  Time now = seconds(2);
+  const auto ask_all = [&](const std::string& prefix) {
+    std::pair<int, int> refused_and_bypassed;
+    for (int i = 0; i < 100; ++i) {
+      const std::string host = ask(now += milliseconds(1), prefix + std::to_string(i));
+      refused_and_bypassed.first += host.empty();
+      refused_and_bypassed.second += host == "origin";
+      answer(now, Result::kNotSent);  // says nothing of its speed
+    }
+    return refused_and_bypassed;
+  };
+  for (int i = 0; i < 100; ++i) be_full(now += milliseconds(1), "k" + std::to_string(i));
+  const auto [refused, bypassed] = ask_all("q");
+  EXPECT_EQ(refused, 0);
+  EXPECT_GT(bypassed, 40);
+  // Now the origin is slow too: fetches that take two seconds close the gate.
+  for (int i = 0; i < 40; ++i) {
+    ask(now += milliseconds(1), "m" + std::to_string(i));
+    if (sink.sent.back().host == "origin") {
+      policy.on_outcome(now + seconds(2), {id, 0, Result::kOk, true});
+      now += seconds(2);
+    } else {
+      policy.on_outcome(now, {id, 0, Result::kRejected, true});
+    }
+  }
+  const auto [refused_then, bypassed_then] = ask_all("r");
+  EXPECT_GT(refused_then, 40);
+  EXPECT_EQ(bypassed_then, 0);
+}
+
+TEST_F(FleetTest, FurtherAttemptsGoToAnOpenOriginAndElseToCachesForATenthOfTheRequests) {
+  // Asks for 300 keys at hosts that fail, the origin apart; returns the further attempts by target.
+  const auto fail_all = [&](Time from, const std::string& prefix, Duration origin_takes) {
+    std::pair<int, int> caches_and_origin;
+    for (int i = 0; i < 300; ++i) {
+      const Time now = from + milliseconds(10 * i);
+      const std::size_t first = sink.sent.size();
+      ask(now, prefix + std::to_string(i));
+      for (std::size_t at = first; at < sink.sent.size(); ++at) {
+        const bool from_origin = sink.sent[at].host == "origin";
+        const int attempt = static_cast<int>(at - first);
+        if (attempt > 0) ++(from_origin ? caches_and_origin.second : caches_and_origin.first);
+        policy.on_outcome(now + (from_origin ? origin_takes : Duration{0}),
+                          {id, attempt, from_origin ? Result::kOk : Result::kError, from_origin});
+      }
+    }
+    return caches_and_origin;
+  };
+  const auto [caches, open_origin] = fail_all(seconds(2), "k", milliseconds(10));
+  EXPECT_EQ(caches, 0);
+  EXPECT_EQ(open_origin, 300);
+  fail_all(seconds(6), "l", seconds(2));  // closes the gate
+  const auto [budgeted, closed_origin] = fail_all(seconds(10), "m", seconds(2));
+  EXPECT_GT(budgeted, 20);
+  EXPECT_LE(budgeted, 36);
+  EXPECT_EQ(closed_origin, 0);
+}
+
+TEST_F(FleetTest, AHostThatHasJustStartedGetsAFewOfItsKeysAndLittleWork) {
+  std::vector<std::string> owners;
+  Time now = seconds(2);
+  for (int i = 0; i < 400; ++i) {
+    owners.push_back(ask(now += milliseconds(5), "k" + std::to_string(i)));
+    answer(now);
+  }
+  HostEntry a = entry("a");
+  a.started_at = now;
+  policy.on_hosts(now, ListKind::kChanges, {a});
+  int before = 0, after = 0, strays = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::string host = ask(now += milliseconds(5), "k" + std::to_string(i));
+    answer(now);
+    before += owners[i] == "a";
+    after += host == "a";
+    strays += host == "a" && owners[i] != "a";
+  }
+  EXPECT_GT(before, 20);
+  EXPECT_GT(after, 0);
+  EXPECT_LT(after, before / 2);
+  EXPECT_EQ(strays, 0);
+}
+
+TEST_F(FleetTest, WhatLiesOverATenantsShareIsRefusedUnderStrainOnly) {
+  Settings with_quota = settings();
+  with_quota.tenant_quotas = {1, 100};
+  Policy strict(with_quota, 1, seconds(1), sink);
+  std::vector<HostEntry> entries = {origin()};
+  for (const std::string& name : ids) entries.push_back(entry(name));
+  strict.on_hosts(seconds(1), ListKind::kWhole, entries);
+  const auto refused = [&](Time now, int tenant) {
+    const std::size_t before = sink.refused.size();
+    for (int i = 0; i < 20; ++i) {
+      const std::string key(static_cast<std::size_t>(i + 1), 'k');
+      Request q = request(++id, 0, false, key);
+      q.tenant = tenant;
+      strict.on_request(now, q);
+    }
+    return sink.refused.size() - before;
+  };
+  EXPECT_EQ(refused(seconds(2), 0), 0u);
+  int slow = 0;
+  for (const auto& t : std::exchange(sink.timers, {}))
+    if (t.at < seconds(2) + milliseconds(600) && slow++ < 5) strict.on_timer(t.at, t.tag);
+  EXPECT_GT(refused(seconds(3), 0), 15u);
+  EXPECT_LT(refused(seconds(3), 1), 15u);
+}
+
+}  // namespace
+}  // namespace silverpin
