Read the configuration again on SIGHUP and follow discovery

Cause: main() caught SIGTERM and SIGINT only, so the signal's default action ended the program. Ruled out: nothing was logged and the other node went on, so it was no fault of the parser.

Now SIGHUP is caught before anything else happens, the file is read again as a whole, and Discovery moves to the new address and asks for the whole list; what the old service had still to say is not heard. A bad file gets a line, and the configuration in force stays. Each connection to discovery now owns the buffers of its operations: giving up a call used to reuse them while an operation that the system had completed was still to run.

Tests: ReloadMovesToTheNewDiscovery and BadReloadKeepsTheOldConfiguration were seen to fail against the inherited program.

--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -256,6 +256,11 @@
   forget_finished();
 }
 
+void Balancer::reload(const Config& config) {
+  if (draining_since_) return;
+  discovery_.move(config.discovery);
+}
+
 // ---- the end
 
 void Balancer::drain() {
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -31,6 +31,9 @@
   Balancer(boost::asio::io_context& io, const Config& config, Limits& limits);
 
   Endpoint local() const { return listener_->local(); }
+  // Takes over what may change while requests are in work: where discovery is. All else in a
+  // configuration holds from a start to the end.
+  void reload(const Config& config);
   // Answers what has been taken, then stops the event loop.
   void drain();
 
--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -52,15 +52,33 @@
 
 void Discovery::stop() {
   running_ = false;
+  hang_up();
+}
+
+// Nothing of the call that is out, or of the pause before the next, will be heard any more.
+void Discovery::hang_up() {
   ++call_;
   timer_.cancel();
-  stream_.reset();
+  if (!link_) return;
+  error_code ignored;
+  link_->stream.socket().close(ignored);
+  link_.reset();
+}
+
+// The new service may count its versions in its own way, so the whole list is asked for. What the
+// old one had still to say must not be heard: it could put an old list over the new.
+void Discovery::move(const Endpoint& endpoint) {
+  hang_up();
+  endpoint_ = endpoint;
+  whole_next_ = true;
+  failures_ = 0;
+  if (running_) call();
 }
 
 void Discovery::call_after(Duration delay) {
   timer_.expires_after(delay);
-  timer_.async_wait([this](const error_code& e) {
-    if (!e && running_) call();
+  timer_.async_wait([this, after = call_](const error_code& e) {
+    if (!e && running_ && after == call_) call();
   });
 }
 
@@ -73,47 +91,49 @@
     target += "?index=" + std::to_string(seq_) + "&wait=" + std::to_string(wait.count());
     patience_ += wait;
   }
-  request_ = {http::verb::get, target, 11};
-  request_.set(http::field::host, "discovery");
   called_at_ = std::chrono::steady_clock::now();
-  if (stream_) return write(call);
-  stream_ = std::make_unique<beast::tcp_stream>(io_);
-  buffer_.clear();
-  stream_->expires_after(patience_);
-  stream_->async_connect(endpoint_, [this, call](const error_code& e) { on_connected(call, e); });
+  const bool fresh = !link_;
+  if (fresh) link_ = std::make_shared<Link>(io_);
+  link_->request = {http::verb::get, target, 11};
+  link_->request.set(http::field::host, "discovery");
+  if (!fresh) return write(call);
+  link_->stream.expires_after(patience_);
+  link_->stream.async_connect(
+      endpoint_, [this, call, link = link_](const error_code& e) { on_connected(call, e); });
 }
 
 void Discovery::on_connected(std::uint64_t call, const error_code& error) {
   if (call != call_) return;
   if (error) return fail(call);
   error_code ignored;
-  stream_->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  link_->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   write(call);
 }
 
 void Discovery::write(std::uint64_t call) {
-  parser_.emplace();
-  parser_->body_limit(kMaxList);
-  parser_->header_limit(64u << 10);
-  stream_->expires_after(patience_);
-  http::async_write(*stream_, request_, [this, call](const error_code& e, std::size_t) {
-    if (call != call_) return;
-    if (e) return fail(call);
-    http::async_read(
-        *stream_, buffer_, *parser_,
-        [this, call](const error_code& error, std::size_t) { on_answer(call, error); });
-  });
+  link_->parser.emplace();
+  link_->parser->body_limit(kMaxList);
+  link_->parser->header_limit(64u << 10);
+  link_->stream.expires_after(patience_);
+  http::async_write(
+      link_->stream, link_->request, [this, call, link = link_](const error_code& e, std::size_t) {
+        if (call != call_) return;
+        if (e) return fail(call);
+        http::async_read(
+            link->stream, link->buffer, *link->parser,
+            [this, call, link](const error_code& error, std::size_t) { on_answer(call, error); });
+      });
 }
 
 void Discovery::on_answer(std::uint64_t call, const error_code& error) {
   if (call != call_) return;
-  if (error || parser_->get().result() != http::status::ok) return fail(call);
-  const bool keep_alive = parser_->get().keep_alive();
-  if (!apply(parser_->get().body())) return fail(call);
-  if (!keep_alive) stream_.reset();
+  if (error || link_->parser->get().result() != http::status::ok) return fail(call);
+  const bool keep_alive = link_->parser->get().keep_alive();
+  if (!apply(link_->parser->get().body())) return fail(call);
+  if (call != call_ || !running_) return;
+  if (!keep_alive) link_.reset();
   failures_ = 0;
   whole_next_ = false;
-  if (!running_) return;
   const auto took = std::chrono::steady_clock::now() - called_at_;
   call_after(news_ || took > kPause ? Duration{0} : Duration{kPause});
 }
@@ -141,9 +161,7 @@
 
 void Discovery::fail(std::uint64_t call) {
   if (call != call_) return;
-  ++call_;
-  stream_.reset();
-  buffer_.clear();
+  hang_up();
   if (asked_) {
     running_ = false;
     return handlers_.on_refused();
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -28,26 +28,36 @@
   void start();      // lists are pushed
   void subscribe();  // discovery is asked
   void stop();
+  // From now on the service at `endpoint` is listened to, and no longer the one before.
+  void move(const Endpoint& endpoint);
 
  private:
+  // A connection and all that its operations refer to. Their handlers own it: what the system has
+  // already completed when a call is given up must find its buffers in place.
+  struct Link {
+    explicit Link(boost::asio::io_context& io) : stream(io) {}
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::request<boost::beast::http::empty_body> request;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+  };
+
   void call();
   void on_connected(std::uint64_t call, const boost::system::error_code& error);
   void write(std::uint64_t call);
   void on_answer(std::uint64_t call, const boost::system::error_code& error);
+  void hang_up();
   bool apply(const std::string& body);
   void fail(std::uint64_t call);
   void call_after(Duration delay);
 
-  const Endpoint endpoint_;
+  Endpoint endpoint_;
   const SiteSettings& site_;
   const Handlers handlers_;
   const bool asked_;
-  std::unique_ptr<boost::beast::tcp_stream> stream_;
+  std::shared_ptr<Link> link_;
   boost::asio::io_context& io_;
   boost::asio::steady_timer timer_;
-  boost::beast::flat_buffer buffer_;
-  boost::beast::http::request<boost::beast::http::empty_body> request_;
-  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
   simdjson::dom::parser json_;
   std::uint64_t seq_;
   std::uint64_t call_ = 0;  // tells late completions of a call that was given up
--- /dev/null
+++ b/tests/program_test.cc
@@ -0,0 +1,156 @@
+// The built program: what it does at its start, on signals and on new configurations.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "node_harness.h"
+
+namespace silverpin::node {
+namespace {
+
+class ProgramTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    char dir[] = "/tmp/silverpin-test-XXXXXX";
+    ASSERT_NE(::mkdtemp(dir), nullptr);
+    dir_ = dir;
+  }
+  void TearDown() override {
+    if (pid_ > 0 && !exited()) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    std::filesystem::remove_all(dir_);
+  }
+
+  void write_config(const std::string& text) {
+    std::ofstream(dir_ + "/new.json") << text;
+    std::filesystem::rename(dir_ + "/new.json", dir_ + "/config.json");
+  }
+  static std::string config_text(const FakeDiscovery& discovery) {
+    return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" +
+           discovery.server.dial() +
+           "\",\"seed\":\"1f\",\"limits\":{\"memory_mb\":32,\"sockets\":256},\"settings\":" +
+           test_settings() + "}";
+  }
+  void launch() {
+    int pipe[2];
+    ASSERT_EQ(::pipe(pipe), 0);
+    const std::string variable = "ROUTER_CONFIG=" + dir_ + "/config.json";
+    char* const env[] = {const_cast<char*>(variable.c_str()), nullptr};
+    char* const args[] = {const_cast<char*>(SILVERPIN_PROGRAM), nullptr};
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::dup2(pipe[1], 2);
+      ::close(pipe[0]);
+      ::close(pipe[1]);
+      ::execve(SILVERPIN_PROGRAM, args, env);
+      ::_exit(127);
+    }
+    ASSERT_GT(pid_, 0);
+    ::close(pipe[1]);
+    err_.assign(pipe[0]);
+    read_log();
+  }
+  void read_log() {
+    err_.async_read_some(asio::buffer(chunk_), [this](auto e, auto n) {
+      if (e) return;
+      log_.append(chunk_, n);
+      read_log();
+    });
+  }
+  bool logged(const std::string& text) const { return log_.find(text) != std::string::npos; }
+  bool exited() {
+    if (status_) return true;
+    int status = 0;
+    if (::waitpid(pid_, &status, WNOHANG) == pid_) status_ = status;
+    return status_.has_value();
+  }
+  ::testing::AssertionResult wait(const std::function<bool()>& done) {
+    if (run_until(io_, done)) return ::testing::AssertionSuccess();
+    return ::testing::AssertionFailure() << "it never came to that; its log: " << log_;
+  }
+  std::shared_ptr<Peer> client() {
+    const std::string mark = "listening on 127.0.0.1:";
+    const auto at = log_.find(mark);
+    const auto port = std::strtoul(log_.c_str() + at + mark.size(), nullptr, 10);
+    return Peer::dial(
+        io_, Endpoint(asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)));
+  }
+
+  asio::io_context io_{1};
+  std::string dir_, log_;
+  pid_t pid_ = 0;
+  std::optional<int> status_;
+  asio::posix::stream_descriptor err_{io_};
+  char chunk_[1024];
+};
+
+// A reload must not end the program, and from then on the new discovery counts.
+TEST_F(ProgramTest, ReloadMovesToTheNewDiscovery) {
+  FakeDiscovery first(io_), second(io_);
+  FakeCache cache(io_, [](const auto&, const auto& id) { return FakeCache::value(id, "v1"); });
+  second.hosts = host_entry("h1", cache.server.dial());
+  write_config(config_text(first));
+  launch();
+  ASSERT_TRUE(wait([&] { return first.calls > 1 && logged("listening"); }));
+  write_config(config_text(second));
+  ::kill(pid_, SIGHUP);
+  ASSERT_TRUE(wait([&] { return second.calls > 1; }));
+  auto c = client();
+  c->send("mg k v O1 Pc=read,t=acme,d=5000\r\n");
+  ASSERT_TRUE(wait([&] { return c->in == "VA 2 O1\r\nv1\r\n"; }));
+  const int before = first.calls;
+  ASSERT_TRUE(wait([&] { return second.calls > 5; }));
+  EXPECT_EQ(first.calls, before) << "the old discovery is still asked";
+  EXPECT_FALSE(exited());
+}
+
+// A slip in the new file leaves the old configuration in force, and a line says so.
+TEST_F(ProgramTest, BadReloadKeepsTheOldConfiguration) {
+  FakeDiscovery discovery(io_);
+  write_config(config_text(discovery));
+  launch();
+  ASSERT_TRUE(wait([&] { return discovery.calls > 1 && logged("listening"); }));
+  for (const std::string& text : {std::string("{"), std::string("[]"), std::string(),
+                                  std::string("{\"listen\":\"127.0.0.1:0\",\"discovery\":7}")}) {
+    log_.clear();
+    write_config(text);
+    ::kill(pid_, SIGHUP);
+    ASSERT_TRUE(wait([&] { return logged("not reloaded: "); })) << text;
+  }
+  const int before = discovery.calls;
+  ASSERT_TRUE(wait([&] { return discovery.calls > before + 2; }));
+  EXPECT_FALSE(exited());
+}
+
+TEST_F(ProgramTest, BadConfigurationAtTheStartEndsWithOneLine) {
+  write_config("{\"name\":\"n0\"}");
+  launch();
+  ASSERT_TRUE(wait([&] { return exited(); }));
+  EXPECT_TRUE(WIFEXITED(*status_) && WEXITSTATUS(*status_) != 0);
+  ASSERT_TRUE(wait([&] { return log_.ends_with('\n'); }));
+  EXPECT_EQ(std::count(log_.begin(), log_.end(), '\n'), 1) << log_;
+}
+
+TEST_F(ProgramTest, TermAnswersAndExits) {
+  FakeDiscovery discovery(io_);
+  write_config(config_text(discovery));
+  launch();
+  ASSERT_TRUE(wait([&] { return logged("listening"); }));
+  auto c = client();
+  c->send("mn\r\n");
+  ASSERT_TRUE(wait([&] { return c->in == "MN\r\n"; }));
+  ::kill(pid_, SIGTERM);
+  ASSERT_TRUE(wait([&] { return exited(); }));
+  EXPECT_TRUE(WIFEXITED(*status_) && WEXITSTATUS(*status_) == 0);
+}
+
+}  // namespace
+}  // namespace silverpin::node
