Give faulty and silent clients one answer and an end

By reading: half lines were kept for 10 s and silent connections for good (ClientSession::tick); each answer was one write; a session read 64 KiB and a body of up to 64 KiB outside the byte budget, which times a few hundred is more than a small limit; a request with the id of an open one was passed on; make_room() drove out served clients before those that were being turned away.

Now commands are read strictly; a fault is the last that is read, is answered once, a quarter of a second later, and closes; every state without an open request has an end below 3 s (10 s where the client was served before); bodies and read-ahead are paid for; answers that are ready together go out together, 32 commands a turn; an open id is taken once; a host's CLIENT_ERROR fails one request only. Values hold 64 KiB as the protocol says, so the relay of longer ones, which nothing reaches any more, is gone.

Tests in client_session_test.cc: six of the seven were seen to fail without the change (the pipelining one guards what already held).

--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -33,12 +33,8 @@
   virtual Time now() const = 0;
   // Whether the request still waits for its answer. After it nothing more may go out.
   virtual bool wanted(const Attempt& attempt) const = 0;
-  // `value`: the value or the receipt, if the result is kOk and none of it was relayed.
+  // `value`: the value or the receipt, if the result is kOk.
   virtual void on_end(const AttemptPtr& attempt, Result result, std::string value) = 0;
-  // A long value begins. False: nobody waits for it.
-  virtual bool on_relay(const AttemptPtr& attempt, std::size_t length) = 0;
-  // False: the client's window is full, and resume() follows on the connection.
-  virtual bool on_relay_data(const AttemptPtr& attempt, std::string_view data) = 0;
 };
 
 }  // namespace silverpin::node
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -108,6 +108,9 @@
 
 std::string_view Balancer::submit(const std::shared_ptr<ClientSession>& session, std::uint64_t slot,
                                   std::shared_ptr<const memcache::Command> command) {
+  // Hosts tell requests apart by the clients' ids. Two with one id would get each other's answers,
+  // be it a mistake or an attempt to steal one.
+  if (ids_.count(command->id) > 0) return "id in use";
   Request q;
   q.klass = index_of(site_.classes, command->prop("c"));
   if (q.klass < 0) return "unknown class";
@@ -119,7 +122,9 @@
   if (const auto d = command->prop("d"); !d.empty()) {
     const auto ms = memcache::parse_number(d);
     if (!ms) return "bad time";
-    q.budget = milliseconds(std::min<std::uint64_t>(*ms, 3'600'000));
+    // No client waits longer than its class does; a larger figure would keep timers for hours.
+    const Duration asked = milliseconds(std::min<std::uint64_t>(*ms, 3'600'000));
+    q.budget = klass.deadline > Duration{0} ? std::min(asked, klass.deadline) : asked;
   }
   if (const auto h = command->prop("h"); !h.empty()) {
     const auto us = memcache::parse_number(h);
@@ -143,6 +148,7 @@
   call.command = std::move(command);
   call.unsafe = klass.repeat == Repeat::kUnsafe;
   by_slot_.emplace(std::pair(session.get(), slot), q.id);
+  ids_.insert(call.command->id);
   policy_.on_request(now(), q);
   forget_finished();
   return {};
@@ -153,10 +159,8 @@
   if (it == by_slot_.end()) return;
   const RequestId id = it->second;
   Call& call = calls_.at(id);
-  const AttemptPtr relaying = std::exchange(call.relaying, nullptr);
   end_call(id, call);
   policy_.on_withdrawn(now(), id);
-  if (relaying) on_end(relaying, Result::kCancelled, {});
   forget_finished();
 }
 
@@ -184,7 +188,9 @@
 void Balancer::forget_finished() {
   for (const RequestId id : std::exchange(finished_, {})) {
     const auto it = calls_.find(id);
-    if (it != calls_.end() && it->second.out == 0) calls_.erase(it);
+    if (it == calls_.end() || it->second.out > 0) continue;
+    ids_.erase(it->second.command->id);
+    calls_.erase(it);
   }
 }
 
@@ -203,14 +209,7 @@
   const RequestId id = attempt->request;
   Call& call = calls_.at(id);
   --call.out;
-  if (call.relaying == attempt) {
-    call.relaying = nullptr;
-    const auto session = call.session;
-    const auto slot = call.slot;
-    end_call(id, call);
-    if (result == Result::kOk) session->relay(slot, "\r\n");
-    session->end_relay(slot, result == Result::kOk);
-  } else if (result == Result::kOk && !call.over && !call.relaying) {
+  if (result == Result::kOk && !call.over) {
     const auto& command = *call.command;
     if (command.kind == memcache::Command::Kind::kGet) {
       std::string answer = "VA " + std::to_string(value.size()) + " O" + command.id + "\r\n";
@@ -225,25 +224,6 @@
   forget_finished();
 }
 
-bool Balancer::on_relay(const AttemptPtr& attempt, std::size_t length) {
-  Call& call = calls_.at(attempt->request);
-  if (call.over || call.relaying) return false;
-  call.relaying = attempt;
-  attempt->timer->cancel();  // the rest may take as long as host and client need
-  std::weak_ptr<UpstreamConnection> source = attempt->connection;
-  call.session->begin_relay(
-      call.slot, "VA " + std::to_string(length) + " O" + call.command->id + "\r\n", [source] {
-        if (const auto connection = source.lock()) connection->resume();
-      });
-  policy_.on_first_byte(now(), attempt->request);
-  return true;
-}
-
-bool Balancer::on_relay_data(const AttemptPtr& attempt, std::string_view data) {
-  const Call& call = calls_.at(attempt->request);
-  return !call.session || call.session->relay(call.slot, data);
-}
-
 // ---- the host list
 
 void Balancer::on_list(const HostList& list) {
@@ -279,8 +259,7 @@
     if (since >= kDrainAnswer) {
       // Those whose deadline lies beyond the end; a failure promises nothing.
       std::vector<RequestId> left;
-      for (const auto& [slot, id] : by_slot_)
-        if (!calls_.at(id).relaying) left.push_back(id);
+      for (const auto& [slot, id] : by_slot_) left.push_back(id);
       for (const RequestId id : left) {
         fail(id);
         policy_.on_withdrawn(now(), id);
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <queue>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "node/attempt.h"
@@ -45,8 +46,7 @@
     bool unsafe = false;
     bool over = false;  // had its final answer, or the client has gone
     int attempts = 0;
-    int out = 0;          // of them
-    AttemptPtr relaying;  // whose value is being passed on
+    int out = 0;  // of them
   };
 
   // ActionSink
@@ -61,8 +61,6 @@
   Time now() const override { return clock_.now(); }
   bool wanted(const Attempt& attempt) const override;
   void on_end(const AttemptPtr& attempt, Result result, std::string value) override;
-  bool on_relay(const AttemptPtr& attempt, std::size_t length) override;
-  bool on_relay_data(const AttemptPtr& attempt, std::string_view data) override;
 
   // RequestHandler
   std::string_view submit(const std::shared_ptr<ClientSession>& session, std::uint64_t slot,
@@ -94,6 +92,7 @@
   Discovery discovery_;
   std::unordered_map<RequestId, Call> calls_;
   std::map<std::pair<ClientSession*, std::uint64_t>, RequestId> by_slot_;  // those not over
+  std::unordered_set<std::string_view> ids_;  // the clients' own, of `calls_`, which hold the text
   std::vector<RequestId> finished_;
   RequestId next_id_ = 1;
 
--- a/src/node/cache_connection.cc
+++ b/src/node/cache_connection.cc
@@ -24,10 +24,7 @@
   const auto& command = *current()->command;
   if (!head.id.empty() && head.id != command.id) return false;
   const bool set = command.kind == memcache::Command::Kind::kSet;
-  if (head.kind == AnswerHead::Kind::kValue) {
-    begin_value(head.length);
-    return !set;
-  }
+  if (head.kind == AnswerHead::Kind::kValue) return !set;
   return head.kind != AnswerHead::Kind::kStored || set;
 }
 
--- a/src/node/client_listener.cc
+++ b/src/node/client_listener.cc
@@ -1,7 +1,6 @@
 #include "node/client_listener.h"
 
-#include <algorithm>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace silverpin::node {
@@ -14,9 +13,11 @@
 constexpr int kBacklog = 4096;
 // Accepted at one go before others get their turn.
 constexpr int kAcceptBatch = 64;
-// A client that comes to ask does so at once, and may take 2 s to write its command.
+// A client that comes to ask does so at once, and may take a while to write its command.
 constexpr Duration kSpeaks = std::chrono::milliseconds(300);
-constexpr Duration kWrites = std::chrono::milliseconds(2500);
+constexpr Duration kWrites = std::chrono::milliseconds(1000);
+// A client that is busy asks again sooner than this.
+constexpr Duration kComesBack = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -59,34 +60,41 @@
   arm_accept();
 }
 
-// In a crowd most connections never ask for anything. First to go are those that have had time to
-// speak, then those that stopped within a command; clients that were served and come back must not
-// be driven out by them.
+// In a crowd most connections never ask for anything. First to go are those that are being turned
+// away or have had time to speak; clients that were served and come back must not be driven out by
+// them. Those that have begun a command go only where nothing else is left: slow writers are honest
+// more often than not.
 bool ClientListener::make_room() {
   const Time now = handler_.now();
+  constexpr int kKeeps = 6;  // in work, or has just begun its command
   const auto rank = [now](const ClientSession& s) {
     const Duration age = now - s.since();
     switch (s.rest()) {
+      case ClientSession::Rest::kFaulty:
+        return 0;
       case ClientSession::Rest::kSilent:
-        return age > kSpeaks ? 0 : 3;
-      case ClientSession::Rest::kPartial:
-        return age > kWrites ? 1 : 4;
+        return age > kSpeaks ? 1 : 4;
       case ClientSession::Rest::kServed:
-        return 2;
+        return age > kComesBack ? 2 : 3;
+      case ClientSession::Rest::kPartial:
+        return age > kWrites ? 5 : kKeeps;
       default:
-        return 4;  // in work, or writing its command: it keeps its place
+        return kKeeps;
     }
   };
-  std::vector<std::tuple<int, Time, std::shared_ptr<ClientSession>>> candidates;
-  for (const auto& s : sessions_)
-    if (const int r = rank(*s); r < 4) candidates.emplace_back(r, s->since(), s);
-  std::sort(candidates.begin(), candidates.end());
-  for (const auto& [r, since, session] : candidates) {
-    if (session->has_input()) continue;  // it has just spoken
-    session->close();
-    return true;
+  std::shared_ptr<ClientSession> best;
+  std::pair<int, Time> best_rank{kKeeps, Time::max()};
+  for (const auto& s : sessions_) {
+    const std::pair<int, Time> r{rank(*s), s->since()};
+    const bool speaking =
+        r.first > 0 && r.first < 5;  // for those, input means that they just spoke
+    if (r < best_rank && r.first < kKeeps && !(speaking && s->has_input())) {
+      best_rank = r;
+      best = s;
+    }
   }
-  return false;
+  if (best) best->close();
+  return best != nullptr;
 }
 
 void ClientListener::on_session_closed(const std::shared_ptr<ClientSession>& session) {
--- a/src/node/client_session.cc
+++ b/src/node/client_session.cc
@@ -13,16 +13,34 @@
 using memcache::ClientError;
 using memcache::Command;
 
-constexpr std::size_t kReadSize = 64u << 10;
+constexpr std::size_t kReadSize = 16u << 10;
 // Requests that a client may have in work at once, and what it may leave unread before it can begin
 // another.
 constexpr std::size_t kMostPipelined = 256;
 constexpr std::size_t kMostUnread = 256u << 10;
-// A command may take 2 s to write; one that takes this long is not coming.
-constexpr Duration kWriteCommand = std::chrono::seconds(10);
+// Commands taken at one go before other clients get their turn.
+constexpr int kMostPerTurn = 32;
+
+// Every state of a connection in which no request is open has an end. Connections that say nothing,
+// stop within a command or trickle would otherwise add up until none is left for others. A command
+// may take 2 s to write; a slower client has to come again.
+constexpr Duration kFirstByte = std::chrono::milliseconds(2100);
+constexpr Duration kFirstCommand = std::chrono::milliseconds(2600);  // all of it
+constexpr Duration kWriteCommand = std::chrono::milliseconds(2500);
+constexpr Duration kIdle = std::chrono::seconds(10);
 // A client that takes nothing of its answer for so long is gone.
-constexpr Duration kReadAnswer = std::chrono::seconds(30);
+constexpr Duration kReadAnswer = std::chrono::seconds(5);
+
+// Who sends what makes no sense mostly comes again at once. Held for a moment, such a client costs
+// a few connections a second in place of all that the core can accept. An honest client with a slip
+// in a command hears of it this much later.
+constexpr Duration kHoldFault = std::chrono::milliseconds(250);
 constexpr Duration kLinger = std::chrono::seconds(1);
+// After a fault so much is read and forgotten on each tick; the rest waits in the kernel and costs
+// no work.
+constexpr int kDiscardReads = 4;
+// In a drain a new client has so long to begin.
+constexpr Duration kDrainSpeaks = std::chrono::milliseconds(300);
 
 struct HeldCommand {
   Command command;
@@ -37,7 +55,9 @@
       handler_(handler),
       descriptor_(limits.clients, 1),
       body_(limits.bytes),
-      since_(handler.now()) {}
+      buffered_(limits.bytes),
+      born_(handler.now()),
+      since_(born_) {}
 
 void ClientSession::start() {
   error_code error;
@@ -50,7 +70,7 @@
 // ---- reading
 
 void ClientSession::arm_read() {
-  if (reading_ || closed_ || (blocked_ && !lingering_)) return;
+  if (reading_ || closed_ || blocked_ || pump_posted_ || !fault_.empty()) return;
   reading_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](const error_code& e) {
@@ -61,13 +81,16 @@
 
 void ClientSession::on_readable() {
   static std::array<char, kReadSize> scratch;  // one thread reads one connection at a time
+  if (!limits_.bytes.room_for(kReadSize)) {
+    blocked_ = true;  // the tick looks again
+    return;
+  }
   error_code error;
   const auto n = socket_.read_some(asio::buffer(scratch), error);
   if (error == asio::error::would_block || error == asio::error::try_again ||
       error == asio::error::interrupted)
     return arm_read();
   if (error) return close();
-  if (no_more_) return arm_read();  // what follows a fatal error is read and forgotten
   if (reader_.between_commands()) since_ = handler_.now();
   reader_.feed({scratch.data(), n});
   pump();
@@ -75,54 +98,73 @@
 
 void ClientSession::pump() {
   blocked_ = false;
-  while (!closed_ && !no_more_) {
+  pumping_ = true;
+  for (int taken = 0; fault_.empty(); ++taken) {
     if (!may_begin() || !reserve_body()) {
       blocked_ = true;
-      return;
+      break;
+    }
+    if (taken == kMostPerTurn) {
+      pump_soon();
+      break;
     }
     auto item = reader_.next();
     if (!item) {
-      if (!reserve_body()) {
-        blocked_ = true;
-        return;
-      }
+      blocked_ = !reserve_body();
       break;
     }
     since_ = handler_.now();
     if (const auto* error = std::get_if<ClientError>(&*item)) {
-      reply_error(*error);
-      continue;
+      // Where one command makes no sense, what comes next may be the rest of it: a body that was
+      // meant as one must not be run. So nothing more is read, and this is the last answer.
+      fault_ = "CLIENT_ERROR " + std::string(error->reason) + "\r\n";
+      break;
     }
     Command& command = std::get<Command>(*item);
-    const auto slot = next_slot_++;
-    slots_.push_back({slot, {}, 0, false, false, {}, Lease(limits_.bytes)});
     if (command.kind == Command::Kind::kNoop) {
-      answer(slot, "MN\r\n");
+      answer(new_slot(), "MN\r\n");
       continue;
     }
     auto held = std::make_shared<HeldCommand>(
         HeldCommand{std::move(command), std::exchange(body_, Lease(limits_.bytes))});
     held->body.resize(held->command.body.size());
+    const auto slot = new_slot();
     const auto reason = handler_.submit(shared_from_this(), slot,
                                         std::shared_ptr<const Command>(held, &held->command));
-    if (!reason.empty()) answer(slot, "CLIENT_ERROR " + std::string(reason) + "\r\n");
+    if (!reason.empty()) {
+      slots_.pop_back();
+      --next_slot_;
+      fault_ = "CLIENT_ERROR " + std::string(reason) + "\r\n";
+    }
+  }
+  pumping_ = false;
+  if (!fault_.empty()) {
+    fault_at_ = handler_.now() + kHoldFault;
+    reader_ = {};
+    body_.resize(0);
   }
+  buffered_.resize(reader_.buffered());
+  flush();
   arm_read();
 }
 
+std::uint64_t ClientSession::new_slot() {
+  slots_.push_back({next_slot_, {}, 0, false, Lease(limits_.bytes)});
+  return next_slot_++;
+}
+
 bool ClientSession::may_begin() const {
   if (slots_.empty()) return true;
   return slots_.size() < kMostPipelined && unwritten_ < kMostUnread && !limits_.bytes_short();
 }
 
-// A long body is read only once the memory for all of it is set aside: many half-read ones would
+// A body is read only once the memory for all of it is set aside: many half-read ones would
 // otherwise fill it, and none could go on.
 bool ClientSession::reserve_body() {
   const auto length = reader_.body_length();
-  if (length <= kWholeValue || body_.size() > 0) return true;
+  if (length <= kSmallBody || body_.size() > 0) return true;
   if (!limits_.bytes.room_for(length)) return false;
   body_.resize(length);
-  since_ = handler_.now();
   return true;
 }
 
@@ -135,13 +177,6 @@
   });
 }
 
-void ClientSession::reply_error(const ClientError& error) {
-  if (error.fatal) no_more_ = true;
-  const auto slot = next_slot_++;
-  slots_.push_back({slot, {}, 0, false, false, {}, Lease(limits_.bytes)});
-  answer(slot, "CLIENT_ERROR " + std::string(error.reason) + "\r\n");
-}
-
 // ---- writing
 
 ClientSession::Slot* ClientSession::find(std::uint64_t slot) {
@@ -152,44 +187,17 @@
 void ClientSession::answer(std::uint64_t slot, std::string text) {
   Slot* s = find(slot);
   if (!s || s->complete) return;
+  if (unwritten_ == 0) wrote_ = handler_.now();
   s->out = std::move(text);
   s->bytes.resize(s->out.size());
   s->complete = true;
   unwritten_ += s->out.size();
-  flush();
-}
-
-void ClientSession::begin_relay(std::uint64_t slot, std::string head,
-                                std::function<void()> on_room) {
-  Slot* s = find(slot);
-  if (!s) return;
-  s->on_room = std::move(on_room);
-  relay(slot, head);
-}
-
-bool ClientSession::relay(std::uint64_t slot, std::string_view data) {
-  Slot* s = find(slot);
-  if (!s) return true;
-  s->out += data;
-  s->bytes.resize(s->out.size());
-  unwritten_ += data.size();
-  flush();
-  s = find(slot);
-  return !s || s->out.size() - s->written < kRelayWindow;
-}
-
-void ClientSession::end_relay(std::uint64_t slot, bool whole) {
-  Slot* s = find(slot);
-  if (!s) return;
-  s->on_room = nullptr;
-  s->complete = true;
-  s->broken = !whole;
-  flush();
+  if (!pumping_) flush();
 }
 
 void ClientSession::flush() {
   if (writing_ || closed_) return;
-  while (!slots_.empty()) {
+  while (!slots_.empty() && slots_.front().complete) {
     Slot& s = slots_.front();
     while (s.written < s.out.size()) {
       error_code error;
@@ -198,48 +206,37 @@
       s.written += n;
       unwritten_ -= n;
       if (n > 0) wrote_ = handler_.now();
-      if (error == asio::error::would_block || error == asio::error::try_again) {
-        if (s.on_room && s.out.size() - s.written < kRelayWindow / 2) s.on_room();
-        return arm_write();
-      }
+      if (error == asio::error::would_block || error == asio::error::try_again) return arm_write();
       if (error && error != asio::error::interrupted) return close_soon();
     }
-    s.out.clear();
-    s.written = 0;
-    s.bytes.resize(0);
-    if (s.on_room) s.on_room();
-    // A value that its host broke off must not look whole, nor be followed by another answer.
-    if (s.broken) return close_soon();
-    if (!s.complete) return;
     slots_.pop_front();
     served_ = true;
     since_ = handler_.now();
     if (blocked_) pump_soon();
   }
-  on_all_written();
+  if (slots_.empty()) on_all_written();
 }
 
 void ClientSession::arm_write() {
   writing_ = true;
-  if (unwritten_ > 0 && wrote_ == Time{0}) wrote_ = handler_.now();
   socket_.async_wait(asio::ip::tcp::socket::wait_write,
                      [self = shared_from_this()](const error_code& e) {
                        self->writing_ = false;
-                       if (e || self->closed_) return;
-                       // The part that was taken is dropped, so that a relay's buffer stays small.
-                       if (!self->slots_.empty()) {
-                         Slot& s = self->slots_.front();
-                         s.out.erase(0, std::exchange(s.written, 0));
-                         s.bytes.resize(s.out.size());
-                       }
-                       self->flush();
+                       if (!e && !self->closed_) self->flush();
                      });
 }
 
 void ClientSession::on_all_written() {
   if (lingering_) return;
-  if (no_more_) return linger();
-  if (draining_ && !blocked_ && reader_.between_commands() && !has_input()) close_soon();
+  if (fault_sent_) return linger();
+  if (!fault_.empty()) {
+    if (handler_.now() < fault_at_) return;  // the tick comes back to it
+    fault_sent_ = true;
+    return answer(new_slot(), fault_);
+  }
+  if (draining_ && !blocked_ && !pump_posted_ && reader_.between_commands() && !has_input() &&
+      (served_ || handler_.now() - born_ > kDrainSpeaks))
+    close_soon();
 }
 
 // Closing with input unread would reset the connection, and the client might lose the last answer.
@@ -248,13 +245,22 @@
   since_ = handler_.now();
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  arm_read();
+}
+
+void ClientSession::discard() {
+  static std::array<char, kReadSize> scratch;
+  for (int i = 0; i < kDiscardReads; ++i) {
+    error_code error;
+    socket_.read_some(asio::buffer(scratch), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) return;
+    if (error && error != asio::error::interrupted) return close();
+  }
 }
 
 // ---- ends
 
 ClientSession::Rest ClientSession::rest() const {
-  if (lingering_) return Rest::kSilent;
+  if (!fault_.empty() && slots_.empty()) return Rest::kFaulty;
   if (!slots_.empty() || blocked_ || pump_posted_) return Rest::kBusy;
   if (!reader_.between_commands()) return Rest::kPartial;
   return served_ ? Rest::kServed : Rest::kSilent;
@@ -270,17 +276,27 @@
   if (!closed_ && slots_.empty()) on_all_written();
 }
 
+bool ClientSession::overdue(Time now) const {
+  if (unwritten_ > 0) return writing_ && now - wrote_ > kReadAnswer;
+  if (!slots_.empty()) return false;  // in work: the request has an end of its own
+  if (!served_ && now - born_ > kFirstCommand) return true;
+  if (blocked_ || !reader_.between_commands()) return now - since_ > kWriteCommand;
+  return now - since_ > (served_ ? kIdle : kFirstByte);
+}
+
 void ClientSession::tick(Time now) {
   if (closed_) return;
   if (lingering_) {
+    discard();
     if (now - since_ > kLinger) close();
     return;
   }
   if (blocked_) pump();  // memory may have come free
   if (closed_) return;
-  if (!slots_.empty() && unwritten_ > 0 && writing_ && now - wrote_ > kReadAnswer) return close();
-  if (rest() == Rest::kPartial && now - since_ > kWriteCommand) return close();
-  if (draining_ && slots_.empty()) on_all_written();
+  // One that has just spoken is heard first.
+  if (overdue(now) && (rest() == Rest::kPartial || unwritten_ > 0 || blocked_ || !has_input()))
+    return close();
+  if (slots_.empty()) on_all_written();
 }
 
 void ClientSession::close_soon() {
@@ -293,10 +309,12 @@
   error_code ignored;
   socket_.close(ignored);
   descriptor_ = Lease();
+  reader_ = {};
+  body_.resize(0);
+  buffered_.resize(0);
   unwritten_ = 0;
   const auto self = shared_from_this();
   for (Slot& s : slots_) {
-    s.on_room = nullptr;
     if (!s.complete) handler_.withdraw(*this, s.number);
   }
   slots_.clear();
--- a/src/node/client_session.h
+++ b/src/node/client_session.h
@@ -2,7 +2,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -34,11 +33,9 @@
 
   void start();
   void answer(std::uint64_t slot, std::string text);
-  void begin_relay(std::uint64_t slot, std::string head, std::function<void()> on_room);
-  bool relay(std::uint64_t slot, std::string_view data);  // false: the window is full
-  void end_relay(std::uint64_t slot, bool whole);
 
-  enum class Rest { kSilent, kPartial, kServed, kBusy };
+  // kFaulty: it has sent what makes no sense, and is being turned away.
+  enum class Rest { kFaulty, kSilent, kPartial, kServed, kBusy };
   // What it is doing, for who must go when descriptors run short.
   Rest rest() const;
   Time since() const { return since_; }
@@ -53,23 +50,23 @@
     std::string out;
     std::size_t written = 0;
     bool complete = false;
-    bool broken = false;  // the relay ended early: what is missing must show
-    std::function<void()> on_room;
     Lease bytes;
   };
 
   Slot* find(std::uint64_t slot);
+  std::uint64_t new_slot();
   void pump();
   void pump_soon();
   bool reserve_body();
   bool may_begin() const;
-  void reply_error(const memcache::ClientError& error);
   void arm_read();
   void arm_write();
   void on_readable();
   void flush();
   void on_all_written();
   void linger();
+  void discard();
+  bool overdue(Time now) const;
   void close_soon();
 
   boost::asio::ip::tcp::socket socket_;
@@ -77,19 +74,24 @@
   RequestHandler& handler_;
   Lease descriptor_;
   memcache::CommandReader reader_;
-  Lease body_;
+  Lease body_;      // the one that is being read
+  Lease buffered_;  // what has been read and not taken yet
   std::deque<Slot> slots_;
   std::uint64_t next_slot_ = 1;
   std::size_t unwritten_ = 0;
   bool reading_ = false, writing_ = false, pump_posted_ = false;
+  bool pumping_ = false;  // answers wait, to go out together
   bool blocked_ = false;  // may not begin another request now
-  bool no_more_ = false;  // reads no further command, after a fatal error
+  std::string fault_;     // reads no further command, and sends this at the end
+  bool fault_sent_ = false;
   bool draining_ = false;
   bool lingering_ = false;  // all is written; waits for the client to close
   bool closed_ = false;
   bool served_ = false;  // has had an answer
-  Time since_{0};        // it last went over to what it is doing
-  Time wrote_{0};        // last time that the client took something
+  const Time born_;
+  Time since_{0};  // it last went over to what it is doing
+  Time wrote_{0};  // last time that the client took something, or had taken all
+  Time fault_at_{0};
 };
 
 }  // namespace silverpin::node
--- a/src/node/limits.h
+++ b/src/node/limits.h
@@ -6,11 +6,11 @@
 // The budgets of descriptors and bytes. One thread uses them; leases give back what they took.
 namespace silverpin::node {
 
-// Values up to this length are collected whole, so that a break can still be retried. Longer ones,
-// and bodies beyond it, are paid for from the byte budget ahead.
+// Room for the longest value. Values are collected whole, so that one that breaks off or makes no
+// sense can still be asked for elsewhere, and nothing of it ever reaches a client.
 inline constexpr std::size_t kWholeValue = 64u << 10;
-// A relay stops reading from its host while this much waits for the client.
-inline constexpr std::size_t kRelayWindow = 64u << 10;
+// Bodies beyond this are paid for from the byte budget ahead.
+inline constexpr std::size_t kSmallBody = 4u << 10;
 
 class Budget {
  public:
--- a/src/node/memcache.cc
+++ b/src/node/memcache.cc
@@ -8,6 +8,8 @@
 namespace silverpin::memcache {
 namespace {
 
+constexpr std::size_t kMaxProps = 32;
+
 std::vector<std::string_view> split(std::string_view text, char by) {
   std::vector<std::string_view> parts;
   while (!text.empty()) {
@@ -44,6 +46,18 @@
          });
 }
 
+// Names and values, each name once: where one stands twice, two readers might take different ones.
+bool are_props(std::string_view text) {
+  const auto items = split(text, ',');
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    const auto name = items[i].substr(0, items[i].find('='));
+    if (name.empty() || name.size() + 1 >= items[i].size()) return false;  // no name, or no value
+    for (std::size_t j = 0; j < i; ++j)
+      if (items[j].substr(0, items[j].find('=')) == name) return false;
+  }
+  return items.size() <= kMaxProps;
+}
+
 }  // namespace
 
 bool is_token(std::string_view text, std::size_t longest) {
@@ -95,7 +109,7 @@
   const std::string_view rest = std::string_view(in_).substr(at_);
   const auto end = rest.substr(0, kMaxLine).find('\n');
   if (end == std::string_view::npos) {
-    if (rest.size() >= kMaxLine) return ClientError{"line too long", true};
+    if (rest.size() >= kMaxLine) return ClientError{"line too long"};
     return std::nullopt;
   }
   std::string_view line = rest.substr(0, end);
@@ -106,44 +120,47 @@
   return item;
 }
 
+// Strict on purpose: a line that a host reads otherwise than we do could break off what else waits
+// on the connection to it, or be run as something that no client asked for.
 std::optional<CommandReader::Item> CommandReader::begin(std::string_view line) {
   if (std::any_of(line.begin(), line.end(), is_control))
     return ClientError{"control character in the line"};
   const auto words = split(line, ' ');
   if (words.empty()) return ClientError{"empty line"};
   Command c;
-  if (words[0] == "mn") return c;
+  if (words[0] == "mn" && words.size() == 1) return c;
   const bool set = words[0] == "ms";
   if (!set && words[0] != "mg") return ClientError{"unknown command"};
   c.kind = set ? Command::Kind::kSet : Command::Kind::kGet;
-  const std::size_t flags_at = set ? 3 : 2;
-  std::string_view fault;
+  if (words.size() < 2 || !is_token(words[1], kMaxKey)) return ClientError{"bad key"};
+  c.key = words[1];
   std::size_t length = 0;
   if (set) {
-    // Without a length the body cannot be told from the next command.
     const auto n = words.size() > 2 ? parse_number(words[2]) : std::nullopt;
-    if (!n) return ClientError{"bad length", true};
-    if (*n > kMaxValue) return ClientError{"value too large", true};
+    if (!n) return ClientError{"bad length"};
+    if (*n > kMaxValue) return ClientError{"value too large"};
     length = static_cast<std::size_t>(*n);
   }
-  if (words.size() < 2 || !is_token(words[1], kMaxKey)) {
-    fault = "bad key";
-  } else {
-    c.key = words[1];
-  }
-  for (std::size_t i = flags_at; i < words.size(); ++i) {
-    if (words[i][0] == 'O') c.id = words[i].substr(1);
-    if (words[i][0] == 'P') c.props = words[i].substr(1);
-  }
-  if (fault.empty() && !is_id(c.id)) fault = "bad id";
-  if (!set) {
-    if (!fault.empty()) return ClientError{fault};
-    c.line = line;
-    return c;
+  bool value = false;
+  for (std::size_t i = set ? 3 : 2; i < words.size(); ++i) {
+    const auto word = words[i];
+    if (word[0] == 'O' && c.id.empty()) {
+      c.id = word.substr(1);
+      if (!is_id(c.id)) return ClientError{"bad id"};
+    } else if (word[0] == 'P' && c.props.empty()) {
+      c.props = word.substr(1);
+      if (!are_props(c.props)) return ClientError{"bad properties"};
+    } else if (word == "v" && !set && !value) {
+      value = true;
+    } else {
+      return ClientError{"bad flag"};
+    }
   }
+  if (c.id.empty()) return ClientError{"bad id"};
+  if (!set && !value) return ClientError{"no value asked for"};
   c.line = line;
+  if (!set) return c;
   command_ = std::move(c);
-  body_fault_ = fault;
   body_length_ = length;
   body_left_ = length;
   return std::nullopt;
@@ -151,7 +168,7 @@
 
 std::optional<CommandReader::Item> CommandReader::take_body() {
   const auto n = std::min(*body_left_, in_.size() - at_);
-  if (body_fault_.empty()) command_.body.append(in_, at_, n);
+  command_.body.append(in_, at_, n);
   at_ += n;
   *body_left_ -= n;
   if (*body_left_ > 0 || in_.size() - at_ < 2) return std::nullopt;
@@ -159,8 +176,7 @@
   at_ += 2;
   body_left_.reset();
   Command c = std::exchange(command_, {});
-  if (!ended) return ClientError{"bad data chunk", true};
-  if (!body_fault_.empty()) return ClientError{body_fault_};
+  if (!ended) return ClientError{"bad data chunk"};
   return c;
 }
 
@@ -175,6 +191,9 @@
     head.kind = busy ? AnswerHead::Kind::kBusy : AnswerHead::Kind::kFailed;
     return head;
   }
+  // A host that can't use one command says so and has kept its place in the stream: to break the
+  // connection, and to hold it against the host, would make others pay for that command.
+  if (line.starts_with("CLIENT_ERROR ") || line == "ERROR") return head;
   const auto words = split(line, ' ');
   if (words.empty()) return std::nullopt;
   std::size_t flags_at = 1;
--- a/src/node/memcache.h
+++ b/src/node/memcache.h
@@ -16,7 +16,7 @@
 inline constexpr std::size_t kMaxLine = 4096;
 inline constexpr std::size_t kMaxKey = 250;
 inline constexpr std::size_t kMaxId = 32;
-inline constexpr std::size_t kMaxValue = 4u << 20;
+inline constexpr std::size_t kMaxValue = 64u << 10;  // as the protocol has it
 
 struct Command {
   enum class Kind { kGet, kSet, kNoop };
@@ -33,10 +33,9 @@
   std::string encode(std::chrono::milliseconds left) const;
 };
 
-// What a client has sent wrongly. After a fatal one the stream can no longer be framed.
+// What a client has sent wrongly. What follows it may be the rest of it, and is not read.
 struct ClientError {
   std::string_view reason;
-  bool fatal = false;
 };
 
 class CommandReader {
@@ -45,7 +44,8 @@
   // The next command or error, or nothing until more has come.
   std::optional<std::variant<Command, ClientError>> next();
 
-  std::size_t buffered() const { return in_.size() - at_ + command_.body.size(); }
+  // Read ahead of the commands taken; a body under way is not counted.
+  std::size_t buffered() const { return in_.size(); }
   bool between_commands() const { return !body_left_ && in_.size() == at_; }
   // How long the body under way will be; 0 if there is none.
   std::size_t body_length() const { return body_left_ ? body_length_ : 0; }
@@ -63,7 +63,6 @@
   Command command_;     // whose body is under way
   std::size_t body_length_ = 0;
   std::optional<std::size_t> body_left_;  // without the line end behind it
-  std::string_view body_fault_;           // the body is skipped and this is answered
 };
 
 // An answer's first line.
--- a/src/node/origin_connection.cc
+++ b/src/node/origin_connection.cc
@@ -106,8 +106,6 @@
   served_ = parser_->get().result_int() == 200;
   length_.reset();
   if (length) length_ = static_cast<std::size_t>(*length);
-  const bool get = current()->command->kind == memcache::Command::Kind::kGet;
-  if (served_ && get && length_) begin_value(*length_);
 }
 
 bool OriginConnection::on_body(std::string_view piece) {
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -14,9 +14,6 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadSize = 64u << 10;
-// A relay whose host has said nothing for so long will not be finished: the client has been waiting
-// for its next byte and must learn that there is none.
-constexpr Duration kRelayStall = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -141,7 +138,7 @@
 // ---- reading
 
 void UpstreamConnection::arm_read() {
-  if (reading_ || closed_ || !up_ || window_full_ || memory_full_) return;
+  if (reading_ || closed_ || !up_ || memory_full_) return;
   reading_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](const error_code& e) {
@@ -177,20 +174,8 @@
   owner_.on_idle(shared_from_this());
 }
 
-void UpstreamConnection::begin_value(std::size_t length) {
-  if (length > kWholeValue && !current()->ended) long_value_ = length;
-}
-
 bool UpstreamConnection::take_value(std::string_view piece, std::optional<std::size_t> length) {
   if (current()->ended) return true;  // given up: read and forgotten
-  if (long_value_ && !relaying_) {
-    if (!events_.on_relay(current(), *long_value_)) return complete(Result::kOk), false;
-    relaying_ = true;
-  }
-  if (relaying_) {
-    if (!events_.on_relay_data(current(), piece)) window_full_ = true;
-    return true;
-  }
   if (value_.size() + piece.size() > memcache::kMaxValue) return false;
   if (length && value_.empty()) value_.reserve(*length);
   value_ += piece;
@@ -201,9 +186,6 @@
 bool UpstreamConnection::complete(Result result, std::string receipt) {
   Outgoing out = std::move(queue_.front());
   queue_.pop_front();
-  relaying_ = false;
-  long_value_.reset();
-  window_full_ = false;
   std::string value = std::exchange(value_, {});
   bytes_.resize(0);
   if (!out.sent()) {
@@ -215,20 +197,12 @@
   return keep_open_;
 }
 
-void UpstreamConnection::resume() {
-  if (!window_full_) return;
-  window_full_ = false;
-  last_read_ = events_.now();
-  arm_read();
-}
-
 void UpstreamConnection::tick() {
   if (closed_) return;
   if (memory_full_ && limits_.bytes.room_for(kWholeValue)) {
     memory_full_ = false;
     arm_read();
   }
-  if (relaying_ && !window_full_ && events_.now() - last_read_ > kRelayStall) fail();
 }
 
 // ---- ends
@@ -254,7 +228,7 @@
     ++it;
   }
   if (queue_.empty()) return;  // it goes on connecting, for the next attempt
-  if (!others || (relaying_ && current() == attempt)) fail();
+  if (!others) fail();
 }
 
 void UpstreamConnection::close() {
--- a/src/node/upstream_connection.h
+++ b/src/node/upstream_connection.h
@@ -33,9 +33,8 @@
   void start(AttemptPtr attempt);
   // The attempt has been given up; the connection ends unless others wait on it.
   void abandon(const AttemptPtr& attempt);
-  void resume();  // the relay's client has room again
-  void tick();    // now and then: waits for memory, stuck relays
-  void close();   // if idle
+  void tick();   // now and then: waits for memory
+  void close();  // if idle
 
   bool idle() const { return up_ && !closed_ && queue_.empty(); }
   bool connecting() const { return !up_ && !closed_; }
@@ -69,7 +68,6 @@
   bool expecting() const { return !queue_.empty() && queue_.front().begun; }
   // A piece of the current answer's value; `length`: the whole, if it is known.
   bool take_value(std::string_view piece, std::optional<std::size_t> length);
-  void begin_value(std::size_t length);
   // The current answer is complete. False: the connection cannot go on.
   bool complete(Result result, std::string receipt = {});
   bool keep_open_ = true;
@@ -82,7 +80,6 @@
   void arm_write();
   void on_readable();
   void fail();
-  void fail_soon();
   void settle();
   void end(Outgoing& out, Result result, std::string value = {});
 
@@ -97,10 +94,7 @@
   bool closed_ = false;
   bool reading_ = false;  // a wait for input is out
   bool writing_ = false;
-  bool window_full_ = false;
   bool memory_full_ = false;
-  std::optional<std::size_t> long_value_;  // the current answer's, if it is to be relayed
-  bool relaying_ = false;
   std::deque<Outgoing> queue_;
   std::string value_;  // collected so far
   Time idle_since_{0};
--- /dev/null
+++ b/tests/client_session_test.cc
@@ -0,0 +1,139 @@
+// Clients of every kind at a real balancer.
+#include <algorithm>
+
+#include "node_harness.h"
+
+namespace silverpin::node {
+namespace {
+
+class ClientSessionTest : public NodeTest {
+ protected:
+  void SetUp() override {
+    discovery.hosts = host_entry("h1", cache.server.dial());
+    begin();
+  }
+  FakeCache cache{io, [this](const auto&, const auto& id) {
+                    return silent_ ? std::string() : FakeCache::value(id, "val-" + id);
+                  }};
+  bool silent_ = false;  // the cache leaves commands unanswered
+};
+
+// What makes no sense gets one error and a close, and never reaches a host. Before, some of it was
+// passed on, and hosts broke off what else waited on the connection.
+TEST_F(ClientSessionTest, FaultsGetOneErrorAndAClose) {
+  const std::string read = " v O1 Pc=read,t=acme,d=500\r\n";
+  for (const std::string& text :
+       {std::string("frob k\r\n"), std::string("\r\n"), std::string("\x01\xff\x02\r\n"),
+        std::string(5000, 'k'), "mg k v\r\n" + std::string(),
+        "mg k v O1 Pc=nosuch,t=acme,d=5\r\n" + std::string(),
+        std::string("mg k v O1 Pc=read,t=acme,d=\r\n"),
+        std::string("mg k v O1 Pc=read,t=acme,d=-4\r\n"),
+        std::string("mg k v O1 Pc=read,t=acme,d=x\r\n"),
+        std::string("mg k v O1 Pc=read,c=book,d=5\r\n"),
+        std::string("mg k v q O1 Pc=read,t=acme,d=5\r\n"),
+        std::string("mg k O1 Pc=read,t=acme,d=5\r\n"),
+        std::string(300, 'k').insert(0, "mg ") + read,
+        std::string("ms k -4 O1 Pc=book,d=5\r\nabcd\r\n"),
+        std::string("ms k 60000000 O1 Pc=book,d=5\r\n"),
+        std::string("ms k 99999999999999999999 O1\r\n"),
+        std::string("ms k 2 O1 Pc=book,t=acme,d=5\r\nabcdef\r\n")}) {
+    auto c = client();
+    c->send(text);
+    ASSERT_TRUE(wait([&] { return c->closed; })) << text.substr(0, 80);
+    EXPECT_TRUE(c->in.starts_with("CLIENT_ERROR ")) << text.substr(0, 80) << " got " << c->in;
+    EXPECT_EQ(std::count(c->in.begin(), c->in.end(), '\n'), 1) << c->in;
+  }
+  EXPECT_TRUE(cache.ids.empty());
+}
+
+// What follows a fault may be the rest of it, and is not run; what came before it is answered.
+TEST_F(ClientSessionTest, NothingBehindAFaultIsRun) {
+  auto c = client();
+  c->send(get("k", "1") + "mg k v O2 P=\r\n" + get("k", "3"));
+  ASSERT_TRUE(wait([&] { return c->closed; }));
+  EXPECT_TRUE(c->in.starts_with("VA 5 O1\r\nval-1\r\nCLIENT_ERROR ")) << c->in;
+  EXPECT_EQ(cache.ids, std::vector<std::string>{"1"});
+}
+
+// An open request's answer must not go to another client that names its id.
+TEST_F(ClientSessionTest, AnOpenIdIsTakenOnce) {
+  silent_ = true;
+  auto first = client(), second = client();
+  first->send(get("k", "7"));
+  ASSERT_TRUE(wait([&] { return cache.ids.size() == 1; }));
+  second->send(get("k", "7"));
+  ASSERT_TRUE(wait([&] { return second->closed; }));
+  EXPECT_TRUE(second->in.starts_with("CLIENT_ERROR ")) << second->in;
+  cache.server.peers.at(0)->send(FakeCache::value("7", "mine"));
+  ASSERT_TRUE(wait([&] { return first->in == "VA 4 O7\r\nmine\r\n"; }));
+  // It is free again.
+  silent_ = false;
+  first->send(get("k", "7"));
+  ASSERT_TRUE(wait([&] { return first->in.ends_with("val-7\r\n"); }));
+}
+
+// Connections on which no request is open have an end, also such that say nothing or stop within a
+// command. Before, silent ones stayed until descriptors ran out.
+TEST_F(ClientSessionTest, SilentAndHalfSpokenConnectionsEnd) {
+  std::vector<std::shared_ptr<Peer>> crowd;
+  for (const std::string& text : {std::string(), std::string("m"), get("k", "1").substr(0, 20),
+                                  std::string("ms k 50 O1 Pc=book,t=acme,d=5\r\nabc")}) {
+    crowd.push_back(client());
+    crowd.back()->send(text);
+  }
+  ASSERT_TRUE(wait([&] {
+    return std::all_of(crowd.begin(), crowd.end(), [](const auto& c) { return c->closed; });
+  }));
+  EXPECT_EQ(limits->clients.used(), 0u);
+}
+
+// Half-sent bodies are paid for like all else that is held: many of them must not fill the memory.
+TEST_F(ClientSessionTest, HalfBodiesStayWithinTheBudget) {
+  constexpr std::size_t kBody = 60'000;
+  std::vector<std::shared_ptr<Peer>> crowd;
+  std::size_t most = 0;
+  for (int i = 0; i < 20; ++i) {
+    crowd.push_back(client());
+    crowd.back()->send("ms k " + std::to_string(kBody) + " O" + std::to_string(i) +
+                       " Pc=book,t=acme,d=500\r\n" + std::string(kBody / 2, 'b'));
+  }
+  ASSERT_TRUE(wait([&] { return (most = limits->bytes.used()) >= 20 * kBody; }));
+  ASSERT_TRUE(wait([&] {
+    most = std::max(most, limits->bytes.used());
+    return limits->clients.used() == 0;
+  }));
+  EXPECT_LE(most, limits->bytes.most());
+  EXPECT_EQ(limits->bytes.used(), 0u);
+}
+
+// Many commands at once are all answered, in their order.
+TEST_F(ClientSessionTest, ManyCommandsAtOnceAreAnsweredInOrder) {
+  auto c = client();
+  std::string text, expected;
+  for (int i = 1; i <= 300; ++i) {
+    const std::string id = std::to_string(i);
+    text += get("k", id) + "mn\r\n";
+    expected += FakeCache::value(id, "val-" + id) + "MN\r\n";
+  }
+  c->send(text);
+  ASSERT_TRUE(wait([&] { return c->in.size() >= expected.size(); }));
+  EXPECT_EQ(c->in, expected);
+}
+
+// A host that can't use one command says so; the next on that connection is answered as ever.
+TEST_F(ClientSessionTest, AHostsComplaintSpoilsNoOtherRequest) {
+  silent_ = true;
+  auto a = client();
+  a->send(get("k", "1"));
+  ASSERT_TRUE(wait([&] { return cache.ids.size() == 1; }));
+  silent_ = false;
+  cache.server.peers.at(0)->send("CLIENT_ERROR bad request\r\n");
+  ASSERT_TRUE(wait([&] { return !a->in.empty(); }));
+  a->in.clear();
+  a->send(get("k", "2"));
+  ASSERT_TRUE(wait([&] { return a->in == "VA 5 O2\r\nval-2\r\n"; }));
+  EXPECT_EQ(cache.server.peers.size(), 1u) << "the connection was given up";
+}
+
+}  // namespace
+}  // namespace silverpin::node
