Treat unreadable answers as errors, and forget hosts that are gone

Seen by reading, then by test: bytes behind an answer without a line's end stayed in the reader (CacheConnection) and spoilt the next answer on that connection; an answer that stopped half way was waited for until the client's deadline; a body without a length from the origin was served when the connection broke; a spoilt answer counted as a reset and ejected a healthy host; a read whose origin fetch broke off was refused at once; the module's host table grew with every new id (Policy::on_hosts); a drain answered up to 3.4 s after SIGTERM while the kill may come 0.7 s after the longest deadline; a drain closed connections as they were accepted.

Now a connection with a rest behind its answer closes, a stalled answer ends after 250 ms without a byte, unreadable answers are errors, three errors in a row eject (also hosts that fail everything fast), one more fetch is tried within the retry budget and the gate, places of gone hosts are used again, drains follow the deadlines and hear new clients. A list may hold 512 KiB.

Tests: upstream_test.cc, ADrainHearsNewClients, GoneHostsAreForgotten, ErrorsInARowEjectAndOneGoodAnswerBreaksTheRow.

--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -12,13 +12,20 @@
 // Connections are retired at this part of the time after which hosts close them.
 constexpr int kRetirePart = 3;
 
-// At a planned restart new connections come for up to 0.4 s, and the kill no sooner than 3.7 s
-// after the signal, whatever the deadlines are.
+// At a planned restart new connections come for up to 0.4 s, and the kill no sooner after the
+// signal than the longest deadline, of 3 s at most, and 0.7 s more.
 constexpr milliseconds kDrainAccept{600};
-constexpr milliseconds kDrainAnswer{3400};
-constexpr milliseconds kDrainExit{3550};
+constexpr milliseconds kLongestDeadline{3000};
+constexpr milliseconds kDrainAnswer{400};  // behind that deadline
+constexpr milliseconds kDrainExit{550};
 constexpr milliseconds kDrainTick{10};
 
+Duration longest_deadline(const SiteSettings& site) {
+  Duration longest{0};
+  for (const RequestClass& c : site.policy.classes) longest = std::max(longest, c.deadline);
+  return longest > Duration{0} ? std::min<Duration>(longest, kLongestDeadline) : kLongestDeadline;
+}
+
 UpstreamTimes times_of(const SiteSettings& site) {
   constexpr Duration kConnect = std::chrono::seconds(1), kIdle = std::chrono::seconds(15);
   return {site.connect_timeout > Duration{0} ? site.connect_timeout : kConnect,
@@ -46,7 +53,8 @@
                     policy_.on_hosts(now(), ListKind::kRefused, {});
                     forget_finished();
                   }}),
-      drain_timer_(io) {
+      drain_timer_(io),
+      longest_deadline_(longest_deadline(site_)) {
   if (config.known) on_list(*config.known);
   listener_.reset(new ClientListener(io, config.listen, limits_, *this));
   if (!site_.policy.list_on_request) discovery_.start();
@@ -140,7 +148,8 @@
   }
   // What is taken while draining must be answered before the end.
   if (draining_since_)
-    q.budget = std::max(Duration{0}, std::min(q.budget, *draining_since_ + kDrainAnswer - now()));
+    q.budget = std::max(Duration{0}, std::min(q.budget, *draining_since_ + longest_deadline_ +
+                                                            kDrainAnswer - now()));
   q.id = next_id_++;
   Call& call = calls_[q.id];
   call.session = session;
@@ -256,7 +265,7 @@
     if (e) return;
     const Duration since = now() - *draining_since_;
     if (since >= kDrainAccept) listener_->stop();
-    if (since >= kDrainAnswer) {
+    if (since >= longest_deadline_ + kDrainAnswer) {
       // Those whose deadline lies beyond the end; a failure promises nothing.
       std::vector<RequestId> left;
       for (const auto& [slot, id] : by_slot_) left.push_back(id);
@@ -266,7 +275,8 @@
       }
       forget_finished();
     }
-    if (since >= kDrainExit || (since >= kDrainAccept && listener_->sessions() == 0)) {
+    if (since >= longest_deadline_ + kDrainExit ||
+        (since >= kDrainAccept && listener_->sessions() == 0)) {
       discovery_.stop();
       io_.stop();
       return;
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -97,6 +97,7 @@
   RequestId next_id_ = 1;
 
   boost::asio::steady_timer drain_timer_;
+  const Duration longest_deadline_;
   std::optional<Time> draining_since_;
   std::unique_ptr<ClientListener> listener_;
 };
--- a/src/node/cache_connection.h
+++ b/src/node/cache_connection.h
@@ -12,6 +12,7 @@
   bool can_pipeline() const override { return true; }
   void encode(Outgoing& out) override;
   bool on_bytes(std::string_view bytes) override;
+  bool between_answers() const override { return reader_.between_answers(); }
   bool on_head(const memcache::AnswerHead& head);
 
   memcache::AnswerReader reader_;
--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -14,7 +14,8 @@
 using boost::system::error_code;
 using std::chrono::milliseconds;
 
-constexpr std::uint64_t kMaxList = 8u << 20;
+// Some thirty times the list of the largest fleet planned. Its parser takes over ten times as much.
+constexpr std::uint64_t kMaxList = 512u << 10;
 // A watch that has fallen silent looks like one with no news until its wait is over. Where a call
 // costs nothing the wait is short, so that a drain is heard of well within its grace all the same.
 constexpr milliseconds kPushedWait{1000};
--- a/src/node/origin_connection.cc
+++ b/src/node/origin_connection.cc
@@ -132,18 +132,17 @@
   return unparsed_.size() <= kMaxUnparsed;
 }
 
-// A body without a length ends with the connection.
-void OriginConnection::on_eof() {
-  if (!expecting() || !parser_ || !parser_->got_some()) return;
-  error_code error;
-  parser_->put_eof(error);
-  if (!error && parser_->is_done()) finish();
+bool OriginConnection::between_answers() const {
+  return unparsed_.empty() && (!parser_ || !parser_->got_some() || parser_->is_done());
 }
 
 bool OriginConnection::finish() {
   const auto& response = parser_->get();
   const auto status = response.result_int();
   if (status / 100 == 1) return new_parser(), true;  // the answer proper is still to come
+  // Where the origin says whose answer it is, it must be this request's.
+  if (const auto id = response["X-Trace-Id"]; !id.empty() && id != current()->command->id)
+    return false;
   if (!response.keep_alive()) keep_open_ = false;
   if (status == 200) {
     if (current()->command->kind == memcache::Command::Kind::kGet) return complete(Result::kOk);
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -14,6 +14,7 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadSize = 64u << 10;
+constexpr Duration kStalledAnswer = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -154,12 +155,14 @@
   if (error == asio::error::would_block || error == asio::error::try_again ||
       error == asio::error::interrupted)
     return arm_read();
-  if (error) {
-    if (error == asio::error::eof) on_eof();
-    return fail();
-  }
+  if (error) return fail();
   last_read_ = events_.now();
-  if (queue_.empty() || !on_bytes(std::string_view(scratch.data(), n))) return fail();
+  // An answer that can't be read is an error, not a sign that the host is away, as a reset is.
+  if (queue_.empty() || !on_bytes(std::string_view(scratch.data(), n))) return fail(Result::kError);
+  // Bytes behind the last answer belong to nothing: the next answer would be read as their rest.
+  // A peer that splits its noise over packets is caught before the next attempt, by alive().
+  if (queue_.empty() && !between_answers()) return fail();
+  partial_since_ = between_answers() ? std::optional<Time>() : partial_since_.value_or(last_read_);
   // Values are collected within the byte budget; what is over it waits in the kernel.
   memory_full_ = !value_.empty() && !limits_.bytes.room_for(kWholeValue);
   settle();
@@ -201,8 +204,14 @@
   if (closed_) return;
   if (memory_full_ && limits_.bytes.room_for(kWholeValue)) {
     memory_full_ = false;
+    last_read_ = events_.now();  // the wait was ours
     arm_read();
   }
+  // An answer that began and stays unfinished is not whole, and whoever waits for the rest waits in
+  // vain: a length that does not fit, a line without an end, a peer that died in mid-answer. Hosts
+  // write an answer at one go, so this is far above what a pause in the host or the network takes.
+  if (partial_since_ && !memory_full_ && events_.now() - last_read_ > kStalledAnswer)
+    fail(Result::kError);
 }
 
 // ---- ends
@@ -235,7 +244,7 @@
   if (!closed_ && queue_.empty()) fail();
 }
 
-void UpstreamConnection::fail() {
+void UpstreamConnection::fail(Result begun) {
   if (closed_) return;
   closed_ = true;
   error_code ignored;
@@ -243,7 +252,7 @@
   socket_.close(ignored);
   descriptor_ = Lease();
   bytes_.resize(0);
-  for (Outgoing& out : queue_) end(out, out.sent() ? Result::kReset : Result::kConnectFailed);
+  for (Outgoing& out : queue_) end(out, out.sent() ? begun : Result::kConnectFailed);
   queue_.clear();
   owner_.on_closed(shared_from_this());
 }
--- a/src/node/upstream_connection.h
+++ b/src/node/upstream_connection.h
@@ -61,7 +61,8 @@
   virtual void encode(Outgoing& out) = 0;
   // False: what came makes no sense and the connection ends.
   virtual bool on_bytes(std::string_view bytes) = 0;
-  virtual void on_eof() {}
+  // Whether nothing of a further answer has come yet.
+  virtual bool between_answers() const = 0;
 
   Time now() const { return events_.now(); }
   const AttemptPtr& current() const { return queue_.front().attempt; }
@@ -79,7 +80,8 @@
   void arm_read();
   void arm_write();
   void on_readable();
-  void fail();
+  // `begun`: what becomes of attempts that were sent.
+  void fail(Result begun = Result::kReset);
   void settle();
   void end(Outgoing& out, Result result, std::string value = {});
 
@@ -99,6 +101,7 @@
   std::string value_;  // collected so far
   Time idle_since_{0};
   Time last_read_{0};
+  std::optional<Time> partial_since_;  // an answer has begun and not ended
 };
 
 }  // namespace silverpin::node
--- a/src/policy/host_health.cc
+++ b/src/policy/host_health.cc
@@ -8,6 +8,8 @@
 
 constexpr Duration kFirstEjection = std::chrono::seconds(1);
 constexpr Duration kLongestEjection = std::chrono::seconds(8);
+// With one answer in ten failing by chance, so many in a row come once in a thousand.
+constexpr int kErrorsInARow = 3;
 
 // The share falls by half with each slow answer and rises again with each fast one and with time,
 // since a host that is sent nothing would never show that it has recovered.
@@ -34,9 +36,14 @@
 
 void HostHealth::on_success() {
   failures_ = 0;
+  errors_ = 0;
   ejected_until_ = Time{0};
 }
 
+void HostHealth::on_error(Time now, double jitter) {
+  if (++errors_ >= kErrorsInARow) on_failure(now, jitter);
+}
+
 void HostHealth::on_failure(Time now, double jitter) {
   if (now < ejected_until_) return;  // an attempt sent before the ejection: nothing new
   failures_ = std::min(failures_ + 1, 8);
@@ -46,6 +53,7 @@
 
 void HostHealth::on_start(Time started, double jitter) {
   on_success();
+  share_ = 1;  // what the old process was too slow for says nothing of the new one
   started_ = started;
   // Many balancers each with a whole request to spare would together swamp a cold host at once:
   // each begins with a random part of one.
--- a/src/policy/host_health.h
+++ b/src/policy/host_health.h
@@ -29,6 +29,8 @@
   // Ejects the host for a while after a failure that says it is away or hung. `jitter`, in [0,1),
   // keeps balancers that saw the same failure from coming back in step.
   void on_failure(Time now, double jitter);
+  // An answer that says it failed, or could not be read; some in a row eject the host.
+  void on_error(Time now, double jitter);
   bool ejected(Time now) const { return now < ejected_until_; }
 
   void on_start(Time started, double jitter);
@@ -43,6 +45,7 @@
   double share_ = 1;
   Time share_at_{0};
   int failures_ = 0;
+  int errors_ = 0;  // in a row
   Time ejected_until_{0};
   Time started_ = Time::min();
   double budget_ = 0;  // seconds of work that may be sent while cold
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -88,14 +88,17 @@
   std::vector<bool> listed(hosts_.size(), false);
   std::vector<HashRing::Member> joined;
   for (const HostEntry& e : entries) {
-    const auto [it, is_new] =
-        host_index_.try_emplace(std::string(e.id), static_cast<HostIndex>(hosts_.size()));
+    const auto place = free_.empty() ? static_cast<HostIndex>(hosts_.size()) : free_.back();
+    const auto [it, is_new] = host_index_.try_emplace(std::string(e.id), place);
     const HostIndex index = it->second;
     if (is_new) {
-      Host host;
-      host.id = e.id;
-      hosts_.push_back(std::move(host));
-      listed.push_back(false);
+      if (free_.empty()) {
+        hosts_.emplace_back();
+        listed.push_back(false);
+      } else {
+        free_.pop_back();
+      }
+      hosts_[index].id = e.id;
     }
     Host& host = hosts_[index];
     listed[index] = true;
@@ -125,9 +128,20 @@
       host.state = HostState::kGone;
     }
     if (!host.origin && host.state != HostState::kGone) ring_weight_ += host.weight;
+    forget_if_gone(i);
   }
 }
 
+// In a fleet whose hosts are always new the table would grow for as long as the balancer runs. A
+// host that comes back under its id is told from its start like any other.
+void Policy::forget_if_gone(HostIndex index) {
+  Host& host = hosts_[index];
+  if (host.state != HostState::kGone || host.held > 0 || host.id.empty()) return;
+  host_index_.erase(host.id);
+  host = Host{};
+  free_.push_back(index);
+}
+
 std::optional<Policy::HostIndex> Policy::origin() const {
   for (HostIndex i = 0; i < hosts_.size(); ++i)
     if (hosts_[i].origin && hosts_[i].state == HostState::kServing) return i;
@@ -174,6 +188,7 @@
   if (host.state != HostState::kServing) return false;  // drains
   if (!repeat_allowed(r, host)) return false;           // no effect twice
   if (!may_take(r, index)) return false;                // cold hosts
+  ++host.held;
   host.health.take(r.work);
   host.health.on_sent(now_);
   r.attempts.push_back({index, now_});
@@ -439,12 +454,17 @@
     host.health.on_failure(now, uniform());
   } else if (o.result == Result::kRejected && !a.slow) {
     judge(host, true);  // full: slower still than slow
+  } else if (o.result == Result::kError) {
+    // One error now and then is the network's or the request's. A host that answers little else,
+    // and at once, would draw in and fail all its keys: no time-out and no queue ever shows it.
+    host.health.on_error(now, uniform());
   }
   // Hosts take so many connections: idle ones of a large fleet's balancers would keep the rest out.
   unconnected_ += ((o.result == Result::kConnectFailed) - unconnected_) / kStrainSamples;
   if (unconnected_ > kShortOfConnections && !host.origin && host.health.idle())
     sink_.close_idle(host.id);
   const bool from_origin = host.origin;
+  bool again = false;  // the fetch goes on
   if (o.over || served) r.over = true;
   if (!r.over) {
     if (o.result == Result::kMiss && settings_.look_aside && !r.write) {
@@ -460,12 +480,16 @@
         send_write(r);
       }
     } else if (from_origin) {
-      give_up(r);
+      // An answer that came spoilt or broke off says nothing against a further fetch, within the
+      // budget that keeps retries from adding up, and past the gate like every other.
+      again = (o.result == Result::kError || o.result == Result::kReset) && retry_budget_ >= 1;
+      if (again) retry_budget_ -= 1;
+      if (!again || !send_metered(r)) again = false, give_up(r);
     } else {
       ask_cache(r);
     }
   }
-  if (from_origin) settle_fetch(r, served);
+  if (from_origin && !again) settle_fetch(r, served);
   erase_if_done(o.id);
 }
 
@@ -518,8 +542,13 @@
 // A request stays known until its last attempt has ended: late outcomes still tell of the hosts.
 void Policy::erase_if_done(RequestId id) {
   const auto it = active_.find(id);
-  if (it != active_.end() && it->second.over && count(it->second, Fate::kOut) == 0)
-    active_.erase(it);
+  if (it == active_.end() || !it->second.over || count(it->second, Fate::kOut) > 0) return;
+  const auto attempts = std::move(it->second.attempts);
+  active_.erase(it);
+  for (const Attempt& a : attempts) {
+    --hosts_[a.host].held;
+    forget_if_gone(a.host);
+  }
 }
 
 }  // namespace silverpin
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -109,6 +109,8 @@
   void on_withdrawn(Time now, RequestId id);
   void on_timer(Time now, std::uint64_t tag);
 
+  std::size_t host_places() const { return hosts_.size(); }
+
  private:
   using HostIndex = HashRing::Host;
 
@@ -121,6 +123,7 @@
     double weight = 1;
     std::optional<Time> started_at;
     HostHealth health;
+    int held = 0;  // attempts of active requests that name it
   };
 
   enum class Fate { kOut, kNeverRan, kMayHaveRun, kMissed };
@@ -174,6 +177,7 @@
   void erase_if_done(RequestId id);
   bool may_take(const Active& r, HostIndex host);
   std::optional<HostIndex> origin() const;
+  void forget_if_gone(HostIndex index);
 
   void timer(Time at, TimerKind kind, RequestId id = 0);
   double uniform();  // in [0, 1)
@@ -188,6 +192,7 @@
   HashRing ring_;
   double ring_weight_ = 0;  // of all hosts on it
   std::vector<Host> hosts_;
+  std::vector<HostIndex> free_;  // places of forgotten hosts, for new ones
   std::unordered_map<std::string, HostIndex> host_index_;
   std::unordered_map<RequestId, Active> active_;
   struct Fetch {
--- a/tests/client_session_test.cc
+++ b/tests/client_session_test.cc
@@ -120,6 +120,20 @@
   EXPECT_EQ(c->in, expected);
 }
 
+// While draining, a client that has just connected is about to ask: it is heard. Those that were
+// served before are closed between requests.
+TEST_F(ClientSessionTest, ADrainHearsNewClients) {
+  auto old = client();
+  old->send(get("k", "1"));
+  ASSERT_TRUE(wait([&] { return !old->in.empty(); }));
+  balancer->drain();
+  auto fresh = client();
+  ASSERT_TRUE(wait([&] { return old->closed && limits->clients.used() == 1; }));
+  fresh->send(get("k", "2"));
+  ASSERT_TRUE(wait([&] { return fresh->closed; }));
+  EXPECT_EQ(fresh->in, FakeCache::value("2", "val-2"));
+}
+
 // A host that can't use one command says so; the next on that connection is answered as ever.
 TEST_F(ClientSessionTest, AHostsComplaintSpoilsNoOtherRequest) {
   silent_ = true;
--- a/tests/host_health_test.cc
+++ b/tests/host_health_test.cc
@@ -22,6 +22,18 @@
   EXPECT_FALSE(h.ejected(t + from_seconds(11.1)));
 }
 
+TEST(HostHealth, ErrorsInARowEjectAndOneGoodAnswerBreaksTheRow) {
+  HostHealth h;
+  const Time t = seconds(100);
+  for (int i = 0; i < 20; ++i) {
+    h.on_error(t, 0.5);
+    EXPECT_FALSE(h.ejected(t));
+    h.on_success();
+  }
+  for (int i = 0; i < 3; ++i) h.on_error(t, 0.5);
+  EXPECT_TRUE(h.ejected(t + from_seconds(0.9)));
+}
+
 TEST(HostHealth, AColdHostGetsAtMostItsShareOverAnyWindow) {
   const ColdRule rule{0.2, seconds(10)};
   const double normal = 0.5;  // seconds of work a second
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -53,6 +53,24 @@
   Policy policy;
 };
 
+// Hosts that are always new must not make the table of hosts grow; one that a request still names
+// stays until that has ended.
+TEST_F(PolicyTest, GoneHostsAreForgotten) {
+  policy.on_request(seconds(2), request(1, 0, false));
+  for (int i = 0; i < 1000; ++i) {
+    const std::string id = "new-" + std::to_string(i);
+    policy.on_hosts(seconds(2), ListKind::kWhole, {entry(id), origin()});
+  }
+  EXPECT_LE(policy.host_places(), 6u);
+  // The late outcome is still that of the old host: a miss there leads to the origin.
+  policy.on_outcome(seconds(2), {1, 0, Result::kMiss, false});
+  ASSERT_EQ(sink.sent.size(), 2u);
+  EXPECT_EQ(sink.sent[1].host, "origin");
+  policy.on_outcome(seconds(2), {1, 1, Result::kOk, false});
+  policy.on_request(seconds(2), request(2, 0, false));
+  EXPECT_EQ(sink.sent.at(2).host, "new-999");
+}
+
 TEST_F(PolicyTest, AMissIsFetchedFromTheOriginAndFollowersAskTheCacheAgain) {
   policy.on_request(seconds(2), request(1, 0, false));
   policy.on_request(seconds(2), request(2, 0, false));
--- /dev/null
+++ b/tests/upstream_test.cc
@@ -0,0 +1,138 @@
+// Cache hosts and origins of every kind behind a real balancer.
+#include <algorithm>
+
+#include "node_harness.h"
+
+namespace silverpin::node {
+namespace {
+
+class UpstreamTest : public NodeTest {
+ protected:
+  static std::string put(const std::string& id) {
+    return "ms k 2 O" + id + " Pc=book,t=acme,d=5000\r\nab\r\n";
+  }
+  // An origin that sends `answer` for every request.
+  static std::function<void(Peer&)> origin(std::function<std::string(const std::string&)> answer) {
+    return [answer](Peer& p) {
+      for (auto end = p.in.find("\r\n\r\n"); end != std::string::npos;
+           end = p.in.find("\r\n\r\n")) {
+        const std::string head = p.in.substr(0, end);
+        p.in.erase(0, end + 4);
+        p.send(answer(head));
+      }
+    };
+  }
+  static std::string http(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+};
+
+// A good answer with noise behind it, cut off without a line's end: the noise must not become the
+// start of the next answer on that connection.
+TEST_F(UpstreamTest, NoiseBehindAnAnswerSpoilsNoOther) {
+  FakeCache cache(io, [](const auto&, const auto& id) {
+    return FakeCache::value(id, "val-" + id) + (id == "1" ? "noise" : "");
+  });
+  discovery.hosts = host_entry("h1", cache.server.dial());
+  begin();
+  auto c = client();
+  c->send(get("k", "1"));
+  ASSERT_TRUE(wait([&] { return c->in == FakeCache::value("1", "val-1"); }));
+  c->in.clear();
+  c->send(get("k", "2"));
+  ASSERT_TRUE(wait([&] { return !c->in.empty(); }));
+  EXPECT_EQ(c->in, FakeCache::value("2", "val-2"));
+  EXPECT_EQ(cache.ids.size(), 2u) << "the second went out more than once";
+}
+
+// Answers that can't be read fail their attempt; the host is not taken for one that is away, and
+// reads are served by another host.
+class SpoiltAnswerTest : public UpstreamTest, public ::testing::WithParamInterface<std::string> {};
+
+TEST_P(SpoiltAnswerTest, IsAskedForElsewhere) {
+  int answers = 0;
+  const auto answer = [&](const auto&, const auto& id) {
+    return ++answers == 1 ? GetParam() : FakeCache::value(id, "good");
+  };
+  FakeCache a(io, answer), b(io, answer);
+  Server store(io, origin([&](const auto&) { return http("good"); }));
+  discovery.hosts = host_entry("a", a.server.dial()) + "," + host_entry("b", b.server.dial()) +
+                    "," + host_entry("o", store.dial(), "origin");
+  begin();
+  auto c = client();
+  c->send(get("k", "1"));
+  ASSERT_TRUE(wait([&] { return !c->in.empty(); }));
+  EXPECT_EQ(c->in, FakeCache::value("1", "good"));
+  // The next request of the key goes to its owner as before.
+  c->in.clear();
+  c->send(get("k", "2"));
+  ASSERT_TRUE(wait([&] { return c->in == FakeCache::value("2", "good"); }));
+  EXPECT_EQ(std::max(a.ids.size(), b.ids.size()), 2u) << "one spoilt answer ejected its host";
+  EXPECT_EQ(std::min(a.ids.size(), b.ids.size()), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, SpoiltAnswerTest,
+                         ::testing::Values("\x01\x02noise\r\n", std::string(5000, 'x'),
+                                           "VA 3000000000 O1\r\nabc", "VA 3 Oother\r\nabc\r\n",
+                                           "VA -1 O1\r\n", "VA 5 O1\r\nab", "VA 2 O1\r\nabcdef\r\n",
+                                           "VA 2"));
+
+// The origin's answer has a whole body of a stated length or is none: a break must not pass for
+// its end. A read is asked for again; a write that may have run is failed and not sent twice.
+TEST_F(UpstreamTest, ABodyThatBreaksOffIsNotServed) {
+  int gets = 0, puts = 0;
+  FakeCache cache(io, [](const auto&, const auto& id) { return "EN O" + id + "\r\n"; });
+  Server store(io, [&](Peer& p) {
+    const auto end = p.in.find("\r\n\r\n");
+    if (end == std::string::npos) return;
+    const bool set = p.in.starts_with("PUT");
+    p.in.clear();
+    if (set || ++gets == 1) {
+      puts += set;
+      p.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+      p.close();
+    } else {
+      p.send(http("whole"));
+    }
+  });
+  discovery.hosts =
+      host_entry("h1", cache.server.dial()) + "," + host_entry("o", store.dial(), "origin");
+  begin();
+  auto c = client();
+  c->send(get("k", "1"));
+  ASSERT_TRUE(wait([&] { return !c->in.empty(); }));
+  EXPECT_EQ(c->in, FakeCache::value("1", "whole"));
+  EXPECT_EQ(gets, 2);
+  c->in.clear();
+  c->send(put("2"));
+  ASSERT_TRUE(wait([&] { return !c->in.empty(); }));
+  EXPECT_EQ(c->in, "SERVER_ERROR failed\r\n");
+  run_for(io, std::chrono::milliseconds(100));
+  EXPECT_EQ(puts, 1);
+}
+
+// 1xx ahead, chunks and a second copy behind are legal or harmless: the answer is served once.
+TEST_F(UpstreamTest, GoodAnswersWithMoreAroundThemAreServed) {
+  FakeCache cache(io, [](const auto&, const auto& id) { return "EN O" + id + " Lx=,=,7\r\n"; });
+  Server store(io, origin([](const std::string& head) {
+                 if (head.find("X-Trace-Id: 1") != std::string::npos)
+                   return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\n" +
+                          http("one");
+                 return http("two") + http("two");
+               }));
+  discovery.hosts =
+      host_entry("h1", cache.server.dial()) + "," + host_entry("o", store.dial(), "origin");
+  begin();
+  auto c = client();
+  c->send(get("k", "1"));
+  ASSERT_TRUE(wait([&] { return c->in == FakeCache::value("1", "one"); }));
+  c->in.clear();
+  c->send(get("k", "2"));
+  ASSERT_TRUE(wait([&] { return c->in == FakeCache::value("2", "two"); }));
+  c->in.clear();
+  c->send(get("k", "3"));
+  ASSERT_TRUE(wait([&] { return c->in == FakeCache::value("3", "two"); }));
+}
+
+}  // namespace
+}  // namespace silverpin::node
