Close connections that asked once where descriptors run short

Clients connect, ask, and hold the connection for 1 to 2 s, besides a crowd that says nothing; as clients are held to a third of the descriptors, the others never get here. Ruled out: the accept queue (empty at each look), the policy (it saw no request), the restarts (31% before the first of them). tick() let a served connection stay until the table was full, and then closed silent ones only.

Now, with a third of the clients' descriptors in use, a connection that has asked once and not come back within 0.1 s is closed; one that came back before is left alone.

--- a/src/node/client_session.cc
+++ b/src/node/client_session.cc
@@ -28,6 +28,11 @@
 constexpr Duration kFirstCommand = std::chrono::milliseconds(2600);  // all of it
 constexpr Duration kWriteCommand = std::chrono::milliseconds(2500);
 constexpr Duration kIdle = std::chrono::seconds(10);
+// Where descriptors run short, a client that has asked once and not come back keeps a place that
+// others need, and may itself be held to so many connections: those ends are waited for by requests
+// that never get here. A client that comes back later than this has to connect again; one that has
+// come back before is left alone.
+constexpr Duration kIdleShort = std::chrono::milliseconds(100);
 // A client that takes nothing of its answer for so long is gone.
 constexpr Duration kReadAnswer = std::chrono::seconds(5);
 
@@ -211,6 +216,7 @@
     }
     slots_.pop_front();
     served_ = true;
+    ++answered_;
     since_ = handler_.now();
     if (blocked_) pump_soon();
   }
@@ -281,6 +287,7 @@
   if (!slots_.empty()) return false;  // in work: the request has an end of its own
   if (!served_ && now - born_ > kFirstCommand) return true;
   if (blocked_ || !reader_.between_commands()) return now - since_ > kWriteCommand;
+  if (answered_ == 1 && limits_.clients_short()) return now - since_ > kIdleShort;
   return now - since_ > (served_ ? kIdle : kFirstByte);
 }
 
--- a/src/node/client_session.h
+++ b/src/node/client_session.h
@@ -88,6 +88,7 @@
   bool lingering_ = false;  // all is written; waits for the client to close
   bool closed_ = false;
   bool served_ = false;  // has had an answer
+  std::uint64_t answered_ = 0;
   const Time born_;
   Time since_{0};  // it last went over to what it is doing
   Time wrote_{0};  // last time that the client took something, or had taken all
--- a/src/node/limits.h
+++ b/src/node/limits.h
@@ -71,6 +71,8 @@
   Budget bytes;  // bodies, values and what waits for clients to read it
   // Beyond it only clients that have nothing in work may begin a request.
   bool bytes_short() const { return bytes.used() > bytes.most() / 2; }
+  // Beyond it connections that are not likely to be used again go early.
+  bool clients_short() const { return clients.used() > clients.most() / 3; }
 };
 
 }  // namespace silverpin::node
--- a/tests/client_session_test.cc
+++ b/tests/client_session_test.cc
@@ -134,6 +134,28 @@
   EXPECT_EQ(fresh->in, FakeCache::value("2", "val-2"));
 }
 
+// Where descriptors run short, clients that asked once and stay make room for others; those that
+// came back keep their connection.
+TEST_F(ClientSessionTest, OnceAskedConnectionsGoWhereDescriptorsRunShort) {
+  auto regular = client();
+  for (const char* id : {"1", "2"}) {
+    regular->in.clear();
+    regular->send(get("k", id));
+    ASSERT_TRUE(wait([&] { return !regular->in.empty(); }));
+  }
+  std::vector<std::shared_ptr<Peer>> crowd;
+  while (!limits->clients_short()) {
+    crowd.push_back(client());
+    crowd.back()->send(get("k", "c" + std::to_string(crowd.size())));
+    ASSERT_TRUE(wait([&] { return !crowd.back()->in.empty() || crowd.back()->closed; }));
+  }
+  ASSERT_TRUE(wait([&] {
+    return std::any_of(crowd.begin(), crowd.end(), [](const auto& c) { return c->closed; });
+  }));
+  for (const auto& c : crowd) EXPECT_TRUE(c->in.starts_with("VA "));
+  EXPECT_FALSE(regular->closed);
+}
+
 // A host that can't use one command says so; the next on that connection is answered as ever.
 TEST_F(ClientSessionTest, AHostsComplaintSpoilsNoOtherRequest) {
   silent_ = true;
