Give clients' connections back one by one over a drain

Need: at SIGTERM every connection was closed at its next moment between requests, though clients go on using them; each then needed another balancer at once, and where balancers restart in turn the one before may not be in use again. Change: connections leave at times spread evenly over the second half of the longest deadline, the last 0.2 s before its end, so that the last request has 0.6 s until the drain's end. Late comers are spread too; those that never asked leave as before.

--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -19,6 +19,10 @@
 constexpr milliseconds kDrainAnswer{400};  // behind that deadline
 constexpr milliseconds kDrainExit{550};
 constexpr milliseconds kDrainTick{10};
+// Connections in use are given back from this part of the longest deadline on, and the last so long
+// before it, that its last request has time for an answer: this and kDrainAnswer.
+constexpr int kGiveBackPart = 2;
+constexpr milliseconds kGiveBackLast{200};
 
 Duration longest_deadline(const SiteSettings& site) {
   Duration longest{0};
@@ -255,7 +259,10 @@
 void Balancer::drain() {
   if (draining_since_) return;
   draining_since_ = now();
-  listener_->drain();
+  const Time last =
+      *draining_since_ + std::max<Duration>(longest_deadline_ - kGiveBackLast, kDrainAccept);
+  listener_->drain(std::min<Time>(*draining_since_ + longest_deadline_ / kGiveBackPart, last),
+                   last);
   arm_drain();
 }
 
--- a/src/node/client_listener.cc
+++ b/src/node/client_listener.cc
@@ -55,7 +55,7 @@
     auto session = std::make_shared<ClientSession>(std::move(socket), limits_, handler_);
     sessions_.insert(session);
     session->start();
-    if (draining_) session->drain();
+    if (give_back_) give_back(*session);
   }
   arm_accept();
 }
@@ -113,10 +113,22 @@
   });
 }
 
-void ClientListener::drain() {
-  draining_ = true;
+// Clients go on using what they have, and each that loses it needs another balancer at that moment.
+// Given back all at once, they would come down together on the ones left, or find none: where
+// balancers restart in turn, the one before may not be in use again yet.
+void ClientListener::give_back(ClientSession& session) {
+  // The golden ratio's multiples, less their whole parts, fill the time evenly for any number.
+  give_back_->part += 0.6180339887498949;
+  if (give_back_->part >= 1) give_back_->part -= 1;
+  const auto length = static_cast<double>((give_back_->last - give_back_->first).count());
+  session.drain(give_back_->first +
+                Duration(static_cast<Duration::rep>(length * give_back_->part)));
+}
+
+void ClientListener::drain(Time first, Time last) {
+  give_back_ = GiveBack{first, last};
   const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
-  for (const auto& session : all) session->drain();
+  for (const auto& session : all) give_back(*session);
 }
 
 void ClientListener::stop() {
--- a/src/node/client_listener.h
+++ b/src/node/client_listener.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 #include "node/client_session.h"
@@ -21,8 +22,9 @@
   void on_session_closed(const std::shared_ptr<ClientSession>& session);
   std::size_t sessions() const { return sessions_.size(); }
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
-  // Closes clients between requests from now on; goes on accepting until stop().
-  void drain();
+  // Goes on accepting until stop(), and gives the connections back between requests: spread evenly
+  // from `first` to `last`, those that come later too.
+  void drain(Time first, Time last);
   void stop();
   void close_all();
 
@@ -31,6 +33,7 @@
   void on_acceptable();
   bool make_room();
   void arm_tick();
+  void give_back(ClientSession& session);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -39,7 +42,11 @@
   std::unordered_set<std::shared_ptr<ClientSession>> sessions_;
   boost::asio::steady_timer tick_;
   bool accepting_ = false;
-  bool draining_ = false;
+  struct GiveBack {
+    Time first, last;
+    double part = 0;  // of the time between them, for the connection that was counted last
+  };
+  std::optional<GiveBack> give_back_;  // set in a drain
 };
 
 }  // namespace silverpin::node
--- a/src/node/client_session.cc
+++ b/src/node/client_session.cc
@@ -240,9 +240,9 @@
     fault_sent_ = true;
     return answer(new_slot(), fault_);
   }
-  if (draining_ && !blocked_ && !pump_posted_ && reader_.between_commands() && !has_input() &&
-      (served_ || handler_.now() - born_ > kDrainSpeaks))
-    close_soon();
+  if (!leave_at_ || blocked_ || pump_posted_ || !reader_.between_commands() || has_input()) return;
+  const Time now = handler_.now();
+  if (served_ ? now >= *leave_at_ : now - born_ > kDrainSpeaks) close_soon();
 }
 
 // Closing with input unread would reset the connection, and the client might lose the last answer.
@@ -277,8 +277,8 @@
   return !closed_ && socket_.available(error) > 0 && !error;
 }
 
-void ClientSession::drain() {
-  draining_ = true;
+void ClientSession::drain(Time leave_at) {
+  leave_at_ = leave_at;
   if (!closed_ && slots_.empty()) on_all_written();
 }
 
--- a/src/node/client_session.h
+++ b/src/node/client_session.h
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "node/limits.h"
@@ -41,7 +42,9 @@
   Time since() const { return since_; }
   bool has_input();  // bytes have come that were not read yet
   void close();      // at once
-  void drain();      // closes at the next moment between requests
+  // Closes at the first moment between requests from `leave_at` on; one that never asked for
+  // anything, soon.
+  void drain(Time leave_at);
   void tick(Time now);
 
  private:
@@ -84,8 +87,8 @@
   bool blocked_ = false;  // may not begin another request now
   std::string fault_;     // reads no further command, and sends this at the end
   bool fault_sent_ = false;
-  bool draining_ = false;
-  bool lingering_ = false;  // all is written; waits for the client to close
+  std::optional<Time> leave_at_;  // set in a drain
+  bool lingering_ = false;        // all is written; waits for the client to close
   bool closed_ = false;
   bool served_ = false;  // has had an answer
   std::uint64_t answered_ = 0;
