--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "node/memcache.h"
+#include "proto/memcache.h"
 #include "policy/policy.h"
 
 namespace silverpin::node {
--- a/src/node/client_session.h
+++ b/src/node/client_session.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "node/limits.h"
-#include "node/memcache.h"
+#include "proto/memcache.h"
 #include "policy/policy.h"
 
 namespace silverpin::node {
--- a/src/node/host_list.cc
+++ b/src/node/host_list.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "node/memcache.h"
+#include "proto/memcache.h"
 #include "settings/json.h"
 
 namespace silverpin::node {
--- a/src/node/memcache.cc
+++ b/src/proto/memcache.cc
@@ -1,4 +1,4 @@
-#include "node/memcache.h"
+#include "proto/memcache.h"
 
 #include <algorithm>
 #include <charconv>
@@ -189,6 +189,7 @@
     const auto words = split(line, ' ');
     const bool busy = words.size() >= 2 && words[0] == "SERVER_ERROR" && words[1] == "busy";
     head.kind = busy ? AnswerHead::Kind::kBusy : AnswerHead::Kind::kFailed;
+    if (busy && words.size() > 2) head.retry_after_ms = parse_number(words[2]).value_or(0);
     return head;
   }
   // A host that can't use one command says so and has kept its place in the stream: to break the
--- a/src/node/memcache.h
+++ b/src/proto/memcache.h
@@ -73,6 +73,7 @@
   std::size_t length = 0;  // of the value
   std::string id;          // empty for those that carry none
   std::string receipt;
+  std::uint64_t retry_after_ms = 0;  // of a busy one; 0: it says none
 };
 
 class AnswerReader {
--- /dev/null
+++ b/src/rig/auditor.cc
@@ -0,0 +1,240 @@
+#include "rig/auditor.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+
+namespace silverpin::rig {
+namespace {
+
+std::string at(Time t) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f s", seconds(t));
+  return text;
+}
+
+std::uint64_t hash_of(std::string_view text) {
+  return std::max<std::uint64_t>(1, std::hash<std::string_view>()(text));
+}
+
+}  // namespace
+
+Auditor::Auditor(const Scenario& scenario) : scenario_(scenario) {}
+
+void Auditor::breach(int rule, std::string what, std::string story) {
+  ++counts_[rule];
+  if (breaches_.size() < kMostKept) breaches_.push_back({rule, std::move(what), std::move(story)});
+}
+
+void Auditor::breach(int rule, RequestNumber r, std::string what) {
+  breach(rule, std::move(what), story(r));
+}
+
+// ---- clients
+
+RequestNumber Auditor::on_sent(Time now, int klass, int balancer, std::uint64_t effect,
+                               Time deadline, std::string_view key, double work) {
+  records_.push_back(
+      {klass, balancer, effect, now, deadline, std::string(key), work, {}, kNever, {}});
+  ++totals_.tries;
+  return static_cast<RequestNumber>(records_.size() - 1);
+}
+
+void Auditor::on_moved(Time, RequestNumber r, int balancer) {
+  Record& record = records_[r];
+  if (!record.attempts.empty())
+    return breach(1, r, "the connection was closed without an answer to a request that was read");
+  record.balancer = balancer;
+}
+
+void Auditor::on_reply(Time now, RequestNumber r, Reply reply, std::string_view text) {
+  Record& record = records_[r];
+  const bool again = record.replied != kNever;
+  if (again) return breach(1, r, "a second answer, at " + at(now));
+  record.replied = now;
+  const ClassSpec& klass = scenario_.classes[static_cast<std::size_t>(record.klass)];
+  switch (reply) {
+    case Reply::kServed: {
+      record.end = "served";
+      ++totals_.served;
+      const bool made =
+          std::any_of(record.attempts.begin(), record.attempts.end(),
+                      [hash = hash_of(text)](const Attempt& a) { return a.made == hash; });
+      if (!made && !clients_only_)
+        breach(1, r,
+               "served with what no host made for it: '" + std::string(text.substr(0, 60)) + "'");
+      break;
+    }
+    case Reply::kRefused: {
+      record.end = "refused";
+      // A keyed request's repeats are discarded everywhere here, so its refusal does no harm.
+      const bool proven = std::all_of(record.attempts.begin(), record.attempts.end(),
+                                      [](const Attempt& a) { return a.never_ran; });
+      if (klass.effect == Effect::kUnsafe && !proven)
+        breach(2, r, "refused, though an attempt may have run");
+      break;
+    }
+    case Reply::kFailed:
+      record.end = "failed";
+  }
+  if (now > record.deadline + scenario_.rules.answer_slack)
+    breach(1, r, "answered " + at(now - record.deadline) + " behind the client's time");
+}
+
+void Auditor::on_stray(Time now, RequestNumber last, std::string_view bytes) {
+  breach(1, last,
+         "at " + at(now) + " bytes behind the final answer, or none that can be read: '" +
+             std::string(bytes.substr(0, 60)) + "'");
+}
+
+void Auditor::on_lost(Time now, RequestNumber r, std::string_view how) {
+  Record& record = records_[r];
+  if (record.replied != kNever) return;
+  record.replied = now;
+  record.end = "lost: " + std::string(how);
+  breach(1, r, "no final answer: " + std::string(how));
+}
+
+void Auditor::on_excused(Time now, RequestNumber r, std::string_view why) {
+  Record& record = records_[r];
+  if (record.replied != kNever) return;
+  record.replied = now;
+  record.end = why;
+  ++totals_.excused;
+}
+
+// ---- hosts
+
+int Auditor::add_host(const std::string& name) {
+  hosts_.push_back(name);
+  return static_cast<int>(hosts_.size()) - 1;
+}
+
+int Auditor::on_arrived(Time now, RequestNumber r, int host) {
+  Record& record = records_[r];
+  const ClassSpec& klass = scenario_.classes[static_cast<std::size_t>(record.klass)];
+  const int number = static_cast<int>(record.attempts.size());
+  record.attempts.push_back({host, now, kNever, kNever, false, 0, {}});
+  ++totals_.attempts;
+  if (klass.effect == Effect::kUnsafe) {
+    const auto earlier = std::find_if(record.attempts.begin(), record.attempts.end() - 1,
+                                      [](const Attempt& a) { return !a.never_ran; });
+    if (earlier != record.attempts.end() - 1)
+      breach(2, r, "an unsafe request was sent again while an earlier attempt may have run");
+  } else if (klass.effect == Effect::kKeyed) {
+    const auto first = first_may_have_run_.find(record.effect);
+    if (first != first_may_have_run_.end() && now > first->second + klass.window)
+      breach(2, r,
+             "a keyed request was sent again " + at(now - first->second) +
+                 " behind an attempt that may have run; repeats are discarded for " +
+                 at(klass.window));
+  }
+  const auto told = drained_.find({record.balancer, host});
+  if (told != drained_.end() && now > told->second + scenario_.rules.drain_grace)
+    breach(3, r,
+           "sent to " + hosts_[static_cast<std::size_t>(host)] + " " + at(now - told->second) +
+               " after balancer " + std::to_string(record.balancer) + " was told of its drain");
+  return number;
+}
+
+void Auditor::on_forged(Time now, int host, std::string_view line) {
+  breach(1, "a host was sent what no client had sent",
+         hosts_[static_cast<std::size_t>(host)] + " got, at " + at(now) + ": '" +
+             std::string(line.substr(0, 200)) + "'\n");
+}
+
+void Auditor::on_begun(Time now, RequestNumber r, int attempt, bool discarded_repeat) {
+  Record& record = records_[r];
+  record.attempts[static_cast<std::size_t>(attempt)].begun = now;
+  ++totals_.runs;
+  if (discarded_repeat) {
+    ++totals_.repeats_discarded;
+    return;
+  }
+  const ClassSpec& klass = scenario_.classes[static_cast<std::size_t>(record.klass)];
+  if (klass.effect == Effect::kSafe) return;
+  first_may_have_run_.emplace(record.effect,
+                              record.attempts[static_cast<std::size_t>(attempt)].arrived);
+  if (++effective_runs_[record.effect] > 1) breach(2, r, "its effect happened twice");
+}
+
+void Auditor::on_never_ran(Time now, RequestNumber r, int attempt, std::string_view answer) {
+  Attempt& a = records_[r].attempts[static_cast<std::size_t>(attempt)];
+  a.never_ran = true;
+  ++totals_.never_ran;
+  a.ended = now;
+  a.end = answer;
+}
+
+void Auditor::on_made(Time now, RequestNumber r, int attempt, std::string_view text) {
+  Attempt& a = records_[r].attempts[static_cast<std::size_t>(attempt)];
+  a.made = hash_of(text);
+  a.ended = now;
+  a.end = "answered";
+}
+
+void Auditor::on_ended(Time now, RequestNumber r, int attempt, std::string_view how) {
+  Attempt& a = records_[r].attempts[static_cast<std::size_t>(attempt)];
+  if (a.ended != kNever) return;
+  a.ended = now;
+  a.end = how;
+}
+
+void Auditor::on_pushed_over(Time now, int host, const std::map<int, double>& by_balancer) {
+  double all = 0, told = 0;
+  std::string story = "host " + hosts_[static_cast<std::size_t>(host)] + " fell over at " +
+                      at(now) + ", sent in the time before:\n";
+  for (const auto& [balancer, work] : by_balancer) {
+    all += work;
+    const auto start = started_.find({balancer, host});
+    if (start != started_.end()) told += work;
+    story += "  " + at(from_seconds(work)) + " of work by balancer " + std::to_string(balancer) +
+             (start == started_.end() ? ", which was not told of its start"
+                                      : ", told of its start at " + at(start->second)) +
+             "\n";
+  }
+  if (told * 3 >= all * 2)
+    breach(4, "the cold host " + hosts_[static_cast<std::size_t>(host)] + " was pushed over",
+           story);
+}
+
+// ---- discovery
+
+void Auditor::on_told(Time now, int balancer, int host, bool wants_nothing_new) {
+  if (wants_nothing_new) {
+    drained_.emplace(std::pair(balancer, host), now);
+  } else {
+    drained_.erase({balancer, host});
+  }
+}
+
+void Auditor::on_told_start(Time now, int balancer, int host) {
+  started_.emplace(std::pair(balancer, host), now);
+}
+
+void Auditor::on_balancer_start(int balancer) {
+  std::erase_if(drained_, [balancer](const auto& d) { return d.first.first == balancer; });
+  std::erase_if(started_, [balancer](const auto& s) { return s.first.first == balancer; });
+}
+
+std::string Auditor::story(RequestNumber r) const {
+  if (!known(r)) return {};
+  const Record& record = records_[r];
+  const ClassSpec& klass = scenario_.classes[static_cast<std::size_t>(record.klass)];
+  std::string text = "request " + std::to_string(r) + " (" + klass.name + ", key " + record.key +
+                     ", effect " + std::to_string(record.effect) + ") sent to balancer " +
+                     std::to_string(record.balancer) + " at " + at(record.sent) + ", time until " +
+                     at(record.deadline) + "\n";
+  for (const Attempt& a : record.attempts) {
+    text += "  reached " + hosts_[static_cast<std::size_t>(a.host)] + " at " + at(a.arrived);
+    if (a.begun != kNever) text += ", begun " + at(a.begun);
+    if (a.never_ran) text += ", never ran";
+    text += a.ended == kNever ? ", still out" : ", " + a.end + " at " + at(a.ended);
+    text += "\n";
+  }
+  text += record.replied == kNever ? "  no answer so far\n"
+                                   : "  " + record.end + " at " + at(record.replied) + "\n";
+  return text;
+}
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/src/rig/balancer_process.cc
@@ -0,0 +1,199 @@
+#include "rig/balancer_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace silverpin::rig {
+namespace {
+
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr Duration kLook = std::chrono::milliseconds(20);
+const std::string kListening = "listening on 127.0.0.1:";
+
+std::string read_file(const std::string& file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+bool read_process(pid_t pid, double& cpu_seconds, double& memory_mb, int& descriptors) {
+  const std::string folder = "/proc/" + (pid == 0 ? "self" : std::to_string(pid));
+  const std::string stat = read_file(folder + "/stat");
+  const auto close = stat.rfind(')');
+  if (close == std::string::npos) return false;
+  std::istringstream fields(stat.substr(close + 1));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) fields >> skipped;
+  double user = 0, system = 0;
+  fields >> user >> system;
+  cpu_seconds = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  double pages = 0, resident = 0;
+  std::istringstream(read_file(folder + "/statm")) >> pages >> resident;
+  memory_mb = resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1 << 20);
+  std::error_code error;
+  descriptors = 0;
+  for (auto it = std::filesystem::directory_iterator(folder + "/fd", error);
+       !error && it != std::filesystem::directory_iterator(); it.increment(error))
+    ++descriptors;
+  return true;
+}
+
+BalancerProcess::BalancerProcess(Context& context, std::string program, std::string folder,
+                                 int number,
+                                 std::function<std::string(const std::string&)> configuration)
+    : context_(context),
+      program_(std::move(program)),
+      folder_(std::move(folder)),
+      configuration_(std::move(configuration)),
+      address_(asio::ip::make_address("127.0.0.1"), 0) {
+  figures_.name = "n" + std::to_string(number);
+}
+
+BalancerProcess::~BalancerProcess() {
+  ++life_;
+  if (!running()) return;
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, nullptr, 0);
+}
+
+void BalancerProcess::write_configuration() {
+  const std::string file = folder_ + "/" + name() + ".json";
+  std::ofstream(file + ".new") << configuration_(address_.address().to_string() + ":" +
+                                                 std::to_string(address_.port()));
+  std::filesystem::rename(file + ".new", file);
+}
+
+void BalancerProcess::start(std::function<void()> ready) {
+  write_configuration();
+  const std::string log = folder_ + "/" + name() + ".log";
+  log_from_ = read_file(log).size();
+  const std::string variable = "ROUTER_CONFIG=" + folder_ + "/" + name() + ".json";
+  std::string program = program_;
+  std::string env = variable;
+  char* const args[] = {program.data(), nullptr};
+  char* const environment[] = {env.data(), nullptr};
+  pid_ = ::fork();
+  if (pid_ < 0) throw std::runtime_error("cannot start another process");
+  if (pid_ == 0) {
+    const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    if (out >= 0) {
+      ::dup2(out, 1);
+      ::dup2(out, 2);
+    }
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the rig, however that ends
+    // The rig's sockets are not the balancer's.
+    for (int fd = 3; fd < 65'536; ++fd) ::close(fd);
+    ::execve(program.c_str(), args, environment);
+    ::_exit(127);
+  }
+  ++figures_.starts;
+  exit_expected_ = false;
+  cpu_before_ = 0;
+  sampled_at_ = context_.now();
+  await_listening(++life_, std::move(ready));
+}
+
+void BalancerProcess::await_listening(int life, std::function<void()> ready) {
+  context_.after(kLook, [this, life, ready = std::move(ready)]() mutable {
+    if (life != life_ || !running()) return;
+    const std::string log = read_file(folder_ + "/" + name() + ".log");
+    const auto at = log.find(kListening, log_from_);
+    if (at == std::string::npos || log.find('\n', at) == std::string::npos)
+      return await_listening(life, std::move(ready));
+    const auto port = std::strtoul(log.c_str() + at + kListening.size(), nullptr, 10);
+    address_.port(static_cast<std::uint16_t>(port));
+    await_answer(life, std::move(ready));
+  });
+}
+
+// It is in use once it has answered `mn`, as on the platform.
+void BalancerProcess::await_answer(int life, std::function<void()> ready) {
+  struct Ask {
+    explicit Ask(asio::io_context& io) : socket(io) {}
+    tcp::socket socket;
+    std::array<char, 4> answer;
+  };
+  const auto ask = std::make_shared<Ask>(context_.io);
+  ask->socket.async_connect(
+      address_, [this, life, ask, ready = std::move(ready)](const error_code& e) mutable {
+        if (life != life_) return;
+        if (e) return await_listening(life, std::move(ready));
+        asio::async_write(ask->socket, asio::buffer("mn\r\n", 4),
+                          [ask](const error_code&, std::size_t) {});
+        asio::async_read(
+            ask->socket, asio::buffer(ask->answer),
+            [this, life, ask, ready = std::move(ready)](const error_code& error, std::size_t) {
+              if (life != life_) return;
+              if (error || std::string_view(ask->answer.data(), 4) != "MN\r\n")
+                return await_listening(life, ready);
+              ready();
+            });
+      });
+}
+
+void BalancerProcess::signal(int number) {
+  if (!running()) return;
+  if (number == SIGKILL) exit_expected_ = true;
+  ::kill(pid_, number);
+}
+
+void BalancerProcess::reload() {
+  write_configuration();
+  signal(SIGHUP);
+}
+
+bool BalancerProcess::running() {
+  if (pid_ <= 0) return false;
+  int status = 0;
+  if (::waitpid(pid_, &status, WNOHANG) != pid_) return true;
+  pid_ = 0;
+  if (!exit_expected_ || (WIFEXITED(status) && WEXITSTATUS(status) != 0)) {
+    char at[32];
+    std::snprintf(at, sizeof at, " at %.1f s", seconds(context_.now()));
+    figures_.crashes.push_back((WIFSIGNALED(status)
+                                    ? "ended by signal " + std::to_string(WTERMSIG(status))
+                                    : "exit code " + std::to_string(WEXITSTATUS(status))) +
+                               at);
+  }
+  return false;
+}
+
+void BalancerProcess::sample() {
+  if (!running()) return;
+  ProcessSample s;
+  double cpu = 0;
+  if (!read_process(pid_, cpu, s.memory_mb, s.descriptors)) return;
+  s.at = context_.now();
+  s.cpu = (cpu - cpu_before_) / std::max(1e-3, seconds(s.at - sampled_at_));
+  cpu_before_ = cpu;
+  sampled_at_ = s.at;
+  figures_.samples.push_back(s);
+}
+
+std::string BalancerProcess::last_log_lines() const {
+  const std::string log = read_file(folder_ + "/" + name() + ".log");
+  std::size_t from = log.size();
+  for (int lines = 0; from > 0 && lines < 6; --from)
+    if (log[from - 1] == '\n' && from != log.size()) ++lines;
+  return log.substr(from);
+}
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/src/rig/balancer_process.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "rig/context.h"
+#include "rig/report.h"
+
+namespace silverpin::rig {
+
+// One balancer as a process of its own, which ends with this object. Its log and configuration stay
+// in the run's folder.
+class BalancerProcess {
+ public:
+  // `configuration`: of its next start; called each time.
+  BalancerProcess(Context& context, std::string program, std::string folder, int number,
+                  std::function<std::string(const std::string& listen)> configuration);
+  ~BalancerProcess();
+  BalancerProcess(const BalancerProcess&) = delete;
+  BalancerProcess& operator=(const BalancerProcess&) = delete;
+
+  // Calls `ready` once it has answered on its address. Throws std::runtime_error if it cannot be
+  // started at all.
+  void start(std::function<void()> ready);
+  void signal(int number);
+  void reload();  // writes the configuration anew, then SIGHUP
+  // From now on its exit is no crash.
+  void expect_exit() { exit_expected_ = true; }
+  bool running();  // reaps it
+  void sample();
+  const asio::ip::tcp::endpoint& address() const { return address_; }
+  std::string last_log_lines() const;
+  const BalancerFigures& figures() const { return figures_; }
+  const std::string& name() const { return figures_.name; }
+
+ private:
+  void write_configuration();
+  void await_listening(int life, std::function<void()> ready);
+  void await_answer(int life, std::function<void()> ready);
+
+  Context& context_;
+  const std::string program_, folder_;
+  std::function<std::string(const std::string&)> configuration_;
+  BalancerFigures figures_;
+  pid_t pid_ = 0;
+  int life_ = 0;
+  bool exit_expected_ = false;
+  std::size_t log_from_ = 0;
+  asio::ip::tcp::endpoint address_;
+  double cpu_before_ = 0;
+  Time sampled_at_{0};
+};
+
+// Of any process of this machine's; pid 0: this one. False if it has gone.
+bool read_process(pid_t pid, double& cpu_seconds, double& memory_mb, int& descriptors);
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/src/rig/discovery_server.cc
@@ -0,0 +1,157 @@
+#include "rig/discovery_server.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace silverpin::rig {
+namespace {
+
+using boost::system::error_code;
+
+constexpr Duration kToldAnyway = std::chrono::seconds(6);
+constexpr Duration kOldAddress = std::chrono::milliseconds(1500);
+constexpr std::uint64_t kLongestWait = 60'000;
+
+std::optional<std::uint64_t> query(std::string_view target, std::string_view name) {
+  const auto at = target.find(name);
+  if (at == std::string_view::npos) return std::nullopt;
+  std::uint64_t value = 0;
+  const char* begin = target.data() + at + name.size();
+  const auto [end, error] = std::from_chars(begin, target.data() + target.size(), value);
+  if (error != std::errc{}) return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+DiscoveryServer::DiscoveryServer(Context& context, int balancers, std::uint64_t seed)
+    : context_(context), random_(seed), outlets_(static_cast<std::size_t>(balancers)) {
+  for (int b = 0; b < balancers; ++b) open(b);
+}
+
+DiscoveryServer::~DiscoveryServer() = default;
+
+void DiscoveryServer::open(int balancer) {
+  outlets_[static_cast<std::size_t>(balancer)].http = std::make_unique<HttpServer>(
+      context_, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), 64,
+      [this, balancer](const HttpServer::SessionPtr& s) { serve(balancer, s); });
+}
+
+std::string DiscoveryServer::dial(int balancer) const {
+  return outlets_[static_cast<std::size_t>(balancer)].http->dial();
+}
+
+void DiscoveryServer::move(int balancer) {
+  Outlet& outlet = outlets_[static_cast<std::size_t>(balancer)];
+  outlet.http->stop_accepting();
+  outlet.old.push_back(std::move(outlet.http));
+  HttpServer* old = outlet.old.back().get();
+  context_.after(kOldAddress, [old] { old->close_all(); });
+  open(balancer);
+}
+
+void DiscoveryServer::add(const Entry& entry) { entries_[entry.host] = {entry, ++seq_}; }
+
+// Changes of one host come through in their order.
+void DiscoveryServer::change(const Entry& entry) {
+  const Range& d = context_.scenario.discovery.delay_ms;
+  const Time now = context_.now();
+  Time& due = due_[entry.host];
+  due = std::max(due, now + from_seconds(1e-3 * d.draw(random_)));
+  context_.at(due, [this, entry] { publish(entry); });
+  context_.after(kToldAnyway, [this, entry] {
+    const Entry& listed = entries_[entry.host].entry;
+    if (listed.health != entry.health || listed.born_ms != entry.born_ms) return;  // overtaken
+    for (std::size_t b = 0; b < outlets_.size(); ++b) told(static_cast<int>(b), entry);
+  });
+}
+
+void DiscoveryServer::publish(const Entry& entry) {
+  entries_[entry.host] = {entry, ++seq_};
+  if (down_) return;
+  for (std::size_t b = 0; b < outlets_.size(); ++b)
+    for (const auto& watch : std::exchange(outlets_[b].watches, {}))
+      answer(static_cast<int>(b), watch->session, false, watch->index);
+}
+
+void DiscoveryServer::set_down(bool down) {
+  down_ = down;
+  if (!down) return;
+  for (Outlet& outlet : outlets_)
+    for (const auto& watch : std::exchange(outlet.watches, {})) watch->session->close();
+}
+
+void DiscoveryServer::serve(int balancer, const HttpServer::SessionPtr& session) {
+  const std::string target(session->request().target());
+  if (!target.starts_with("/discovery/hosts")) return session->respond(404, "", "");
+  if (down_) return session->respond(503, "", "");
+  const auto index = query(target, "index=");
+  if (!index) return answer(balancer, session, true, 0);
+  const auto wait = std::min(query(target, "wait=").value_or(0), kLongestWait);
+  if (*index < seq_ || wait == 0) return answer(balancer, session, false, *index);
+  auto watch = std::make_shared<Watch>();
+  watch->session = session;
+  watch->index = *index;
+  watch->timer = std::make_unique<asio::steady_timer>(context_.io, std::chrono::milliseconds(wait));
+  watch->timer->async_wait([this, balancer, w = std::weak_ptr(watch)](const error_code& e) {
+    const auto over = w.lock();
+    if (e || !over) return;
+    std::erase(outlets_[static_cast<std::size_t>(balancer)].watches, over);
+    if (!down_) answer(balancer, over->session, false, over->index);
+  });
+  outlets_[static_cast<std::size_t>(balancer)].watches.push_back(std::move(watch));
+}
+
+void DiscoveryServer::answer(int balancer, const HttpServer::SessionPtr& session, bool whole,
+                             std::uint64_t since) {
+  std::string body = "{\"seq\":" + std::to_string(seq_) +
+                     ",\"whole\":" + (whole ? "true" : "false") + ",\"hosts\":[";
+  std::vector<Entry> telling;
+  bool first = true;
+  for (const auto& [host, listed] : entries_) {
+    if (!whole && listed.seq <= since) continue;
+    telling.push_back(listed.entry);
+    if (whole && listed.entry.health == Health::kGone) continue;
+    body += (first ? "" : ",") + json(listed.entry);
+    first = false;
+  }
+  session->respond(200, "Content-Type: application/json\r\n", body + "]}",
+                   [this, balancer, telling = std::move(telling)] {
+                     for (const Entry& entry : telling) told(balancer, entry);
+                   });
+}
+
+// What has been overtaken by a later change of the same host in the meantime says no more than that
+// one did, and a drain stays told until the host is listed as ready again.
+void DiscoveryServer::told(int balancer, const Entry& entry) {
+  const auto it = entries_.find(entry.host);
+  if (it != entries_.end() && it->second.entry.audit_id != entry.audit_id) return;
+  const Time now = context_.now();
+  context_.auditor.on_told(now, balancer, entry.audit_id, entry.health != Health::kReady);
+  if (entry.born_ms > 0) context_.auditor.on_told_start(now, balancer, entry.audit_id);
+}
+
+void DiscoveryServer::forget(int balancer) { context_.auditor.on_balancer_start(balancer); }
+
+std::string DiscoveryServer::json(const Entry& e) {
+  const char* health = e.health == Health::kReady      ? "ready"
+                       : e.health == Health::kDraining ? "draining"
+                                                       : "gone";
+  return "{\"host\":\"" + e.host + "\",\"dial\":\"" + e.dial + "\",\"site\":\"" + e.zone +
+         "\",\"class\":\"" + e.kind + "\",\"block\":0,\"health\":\"" + health +
+         "\",\"share\":1.0,\"born_ms\":" + std::to_string(e.born_ms) + "}";
+}
+
+std::string DiscoveryServer::whole_list() const {
+  std::string text = "{\"seq\":" + std::to_string(seq_) + ",\"whole\":true,\"hosts\":[";
+  bool first = true;
+  for (const auto& [host, listed] : entries_) {
+    if (listed.entry.health == Health::kGone) continue;
+    text += (first ? "" : ",") + json(listed.entry);
+    first = false;
+  }
+  return text + "]}";
+}
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/src/rig/engine.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "rig/context.h"
+#include "rig/host_model.h"
+
+namespace silverpin::rig {
+
+// Drives a host model in real time on the event loop, and tells of each job what becomes of it.
+class Engine {
+ public:
+  explicit Engine(Context& context) : context_(context), timer_(context.io) {}
+
+  // A new process. Jobs of the one before end without a word.
+  void start(const HostSpec& spec, bool cold);
+  void stop();
+  bool running() const { return model_ != nullptr; }
+
+  struct Work {
+    std::function<void(Time)> begun, done;
+  };
+  // 0: turned away, or the host has just fallen over (then fallen() holds).
+  Job submit(double work, int source, Work handlers);
+  void cancel(Job job);
+  void freeze();
+  void thaw();
+  void set_slowness(double factor);
+  bool fallen() const { return model_ && model_->fallen(); }
+  const HostModel* model() const { return model_.get(); }
+  double done_before() const { return done_before_; }  // seconds of work by earlier processes
+
+ private:
+  void step();
+  void arm();
+
+  Context& context_;
+  asio::steady_timer timer_;
+  std::unique_ptr<HostModel> model_;
+  std::unordered_map<Job, Work> jobs_;
+  Job next_job_ = 1;
+  Time armed_ = kNever;
+  double done_before_ = 0;
+};
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/src/rig/main.cc
@@ -0,0 +1,110 @@
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "rig/rehearsal.h"
+#include "rig/report.h"
+
+namespace {
+
+using namespace silverpin::rig;
+
+long raise_descriptor_limit() {
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  return static_cast<long>(limit.rlim_cur);
+}
+
+int report(const std::string& folder) {
+  std::ifstream in(folder + "/report.json");
+  if (!in) throw std::runtime_error(folder + "/report.json: cannot be read");
+  std::ostringstream json;
+  json << in.rdbuf();
+  std::printf("%s", report_text(json.str()).c_str());
+  std::ofstream(folder + "/report.html") << report_html(json.str());
+  return report_verdict(json.str());
+}
+
+std::string beside_this_program(const char* name) {
+  std::error_code error;
+  const auto self = std::filesystem::read_symlink("/proc/self/exe", error);
+  return (error ? std::filesystem::path("build") : self.parent_path()) / name;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{
+      "Rehearses a day for silverpin on one machine: emulated hosts, clients, troubles, "
+      "and a judge of the four rules. All on loopback addresses."};
+  app.require_subcommand(1);
+  std::string file, folder;
+  RehearsalOptions options;
+  std::vector<std::string> balancers;
+  bool quiet = false;
+  const auto add = [&](const char* name, const char* what) {
+    CLI::App* sub = app.add_subcommand(name, what);
+    sub->add_option("SCENARIO", file, "a scenario's TOML file")->required();
+    return sub;
+  };
+  const auto add_run = [&](const char* name, const char* what) {
+    CLI::App* sub = add(name, what);
+    sub->add_option("--out", options.folder, "folder for report and logs (rehearsals/NAME)");
+    sub->add_flag("--quiet", quiet, "no progress line");
+    return sub;
+  };
+  CLI::App* check = add("check", "check a scenario, and whether this machine has room for it");
+  CLI::App* rehearse =
+      add_run("rehearse", "fleet, balancers and clients together; ends with a report");
+  rehearse->add_option("--program", options.program,
+                       "the balancer (silverpin beside this program)");
+  CLI::App* fleet = add_run("fleet", "the emulated fleet alone, for balancers that you start");
+  CLI::App* load = add_run("load", "the clients alone");
+  load->add_option("--to", balancers, "ADDRESS:PORT of each balancer")->required();
+  CLI::App* show =
+      app.add_subcommand("report", "print an earlier run's report, make its page anew");
+  show->add_option("DIR", folder, "that run's folder")->required();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : 2;
+  }
+  try {
+    if (*show) return report(folder);
+    const Scenario scenario = load_scenario(file);
+    check_machine(scenario, raise_descriptor_limit());
+    if (*check) {
+      std::printf("%s: good; %d hosts, %d balancers, %.0f requests a second, %ld descriptors\n",
+                  file.c_str(), scenario.hosts(), scenario.balancers, scenario.load.rate,
+                  scenario.descriptors());
+      return 0;
+    }
+    if (options.folder.empty()) options.folder = "rehearsals/" + scenario.name;
+    if (options.program.empty()) options.program = beside_this_program("silverpin");
+    options.progress = !quiet;
+    if (*fleet) return run_fleet(scenario, options);
+    if (*load) return run_load(scenario, balancers, options);
+    if (*rehearse) {
+      if (::access(options.program.c_str(), X_OK) != 0)
+        throw ScenarioError(options.program +
+                            ": is no program; build it, or name one with --program");
+      return run_rehearsal(scenario, options);
+    }
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "silverpin_rig: %s\n", e.what());
+    return 2;
+  }
+  return 2;
+}
--- /dev/null
+++ b/src/rig/rehearsal.cc
@@ -0,0 +1,340 @@
+#include "rig/rehearsal.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <stdexcept>
+
+#include "rig/balancer_process.h"
+#include "rig/fleet.h"
+#include "rig/load.h"
+#include "rig/report.h"
+
+namespace silverpin::rig {
+namespace {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr Duration kComesUp = std::chrono::seconds(10);
+constexpr Duration kLagProbe = milliseconds(5);
+// Clients come from then on at the earliest, so that every run of a scenario has the same ones.
+constexpr Duration kClientsCome = std::chrono::seconds(1);
+// A planned restart, as the platform does it: the front goes on for a moment, and the kill comes no
+// sooner than the longest deadline (3 s at most) and 0.7 s more.
+constexpr Duration kFrontGoesOn = milliseconds(300);
+constexpr Duration kKillBehind = milliseconds(700);
+constexpr Duration kLongestDrain = std::chrono::seconds(3);
+constexpr Duration kDefaultAway = std::chrono::seconds(1);
+
+Duration longest_deadline(const Scenario& s) {
+  Duration longest{0};
+  for (const ClassSpec& c : s.classes) longest = std::max(longest, c.deadline);
+  return longest;
+}
+
+// What all three ways to run have in common: the loop, its lag, the progress line, the end.
+class Run {
+ public:
+  Run(const Scenario& s, const RehearsalOptions& options)
+      : scenario(s), options_(options), context(io, s), tally(s), signals_(io, SIGINT, SIGTERM) {
+    std::filesystem::create_directories(options.folder);
+    signals_.async_wait([this](const error_code& e, int) {
+      if (e) return;
+      interrupted_ = true;
+      io.stop();
+    });
+    next_probe_ = context.now() + kLagProbe;
+    probe();
+  }
+
+  // False: interrupted, or it took longer than `limit`.
+  template <typename Done>
+  bool until(Done&& done, Duration limit) {
+    const Time end = context.now() + limit;
+    while (!interrupted_ && !done()) {
+      if (context.now() > end) return false;
+      io.run_one_for(milliseconds(20));
+    }
+    return !interrupted_;
+  }
+  bool interrupted() const { return interrupted_; }
+  void start_measuring() { measuring_ = true; }
+
+  const Scenario& scenario;
+
+ private:
+  const RehearsalOptions& options_;
+
+ public:
+  asio::io_context io{1};
+  Context context;
+  Tally tally;
+  Histogram lag;
+  std::vector<ProcessSample> samples;
+  std::unique_ptr<Load> load;
+  std::function<void()> each_second;
+
+  void sample() {
+    ProcessSample s;
+    double cpu = 0;
+    if (read_process(0, cpu, s.memory_mb, s.descriptors)) {
+      s.at = context.now();
+      s.cpu = (cpu - cpu_) / std::max(1e-3, seconds(s.at - sampled_at_));
+      cpu_ = cpu;
+      sampled_at_ = s.at;
+      samples.push_back(s);
+    }
+    if (each_second) each_second();
+    if (options_.progress) progress();
+    context.after(std::chrono::seconds(1), [this] { sample(); });
+  }
+
+ private:
+  void probe() {
+    context.at(next_probe_, [this] {
+      const Time now = context.now();
+      if (measuring_) lag.add(now - next_probe_);
+      next_probe_ = std::max(next_probe_ + kLagProbe, now);
+      probe();
+    });
+  }
+  void progress() {
+    std::uint64_t asked = 0, served = 0, breaches = 0;
+    for (const auto& c : tally.classes()) {
+      asked += c.asked;
+      served += c.ends[0];
+    }
+    for (int rule = 1; rule <= 4; ++rule) breaches += context.auditor.breach_count(rule);
+    std::fprintf(stderr, "\r%5.0f of %.0f s  asked %llu  served in aim %llu  rules broken %llu   ",
+                 seconds(context.now()), seconds(scenario.length),
+                 static_cast<unsigned long long>(asked), static_cast<unsigned long long>(served),
+                 static_cast<unsigned long long>(breaches));
+    if (context.now() >= scenario.length || !::isatty(2)) std::fprintf(stderr, "\n");
+  }
+
+  asio::signal_set signals_;
+  Time next_probe_{0};
+  double cpu_ = 0;
+  Time sampled_at_{0};
+  bool interrupted_ = false, measuring_ = false;
+};
+
+std::string configuration(const Scenario& s, Fleet& fleet, int balancer, std::uint64_t seed,
+                          const std::string& listen) {
+  char hex[20];
+  std::snprintf(hex, sizeof hex, "%016llx", static_cast<unsigned long long>(seed));
+  return "{\"name\":\"n" + std::to_string(balancer) + "\",\"listen\":\"" + listen +
+         "\",\"discovery\":\"" + fleet.discovery().dial(balancer) + "\",\"seed\":\"" + hex +
+         "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + std::to_string(s.memory_mb) +
+         ",\"sockets\":" + std::to_string(s.sockets) +
+         "},\"known\":" + fleet.discovery().whole_list() +
+         ",\"settings\":" + fleet.settings_json() + "}\n";
+}
+
+int write_report(const RunFigures& figures, const std::string& folder) {
+  const std::string json = report_json(figures);
+  const std::string text = report_text(json);
+  std::ofstream(folder + "/report.json") << json << "\n";
+  std::ofstream(folder + "/report.txt") << text;
+  std::ofstream(folder + "/report.html") << report_html(json);
+  std::printf("%s\nreport: %s/report.html\n", text.c_str(), folder.c_str());
+  return report_verdict(json);
+}
+
+class Rehearsal {
+ public:
+  Rehearsal(const Scenario& s, const RehearsalOptions& options)
+      : s_(s), options_(options), run_(s, options), fleet_(run_.context), seeds_(s.seed, 4) {
+    fleet_.warm_with(Arrivals(s).popular());
+    for (int b = 0; b < s.balancers; ++b)
+      balancers_.push_back(std::make_unique<BalancerProcess>(
+          run_.context, options.program, options.folder, b, [this, b](const std::string& listen) {
+            return configuration(s_, fleet_, b, seeds_.next(), listen);
+          }));
+  }
+
+  int operator()() {
+    std::size_t up = 0;
+    for (auto& b : balancers_) b->start([&up] { ++up; });
+    if (!run_.until([&] { return up == balancers_.size() || !all_running(); }, kComesUp) ||
+        up < balancers_.size()) {
+      if (run_.interrupted()) return 2;
+      for (auto& b : balancers_)
+        std::fprintf(stderr, "balancer %s did not come up; its log ends with:\n%s\n",
+                     b->name().c_str(), b->last_log_lines().c_str());
+      return 2;
+    }
+    run_.until([&] { return run_.context.now() >= kClientsCome; }, kClientsCome);
+    std::vector<asio::ip::tcp::endpoint> addresses;
+    for (const auto& b : balancers_) addresses.push_back(b->address());
+    run_.load = std::make_unique<Load>(run_.context, run_.tally, addresses);
+    run_.each_second = [this] {
+      for (auto& b : balancers_) b->sample();
+    };
+    for (const IncidentSpec& i : s_.incidents) run_.context.at(i.at, [this, &i] { strike(i); });
+    run_.start_measuring();
+    run_.sample();
+    run_.load->start();
+    const Duration rest = s_.length + longest_deadline(s_) + std::chrono::seconds(2);
+    run_.until([&] { return run_.load->done(); }, rest - run_.context.now());
+    // Restarts that the scenario began end before the run does.
+    run_.until([&] { return restarting_ == 0; }, kComesUp);
+    run_.each_second = nullptr;
+    for (auto& b : balancers_) {
+      b->running();  // a crash until now is one
+      b->expect_exit();
+      b->signal(SIGTERM);
+    }
+    run_.load->close_all();
+    if (run_.interrupted()) run_.io.restart();
+    end_balancers();
+    RunFigures figures{s_, run_.context.auditor, run_.tally, *run_.load, fleet_,
+                       {}, run_.samples,         run_.lag};
+    for (const auto& b : balancers_) figures.balancers.push_back(b->figures());
+    const int verdict = write_report(figures, options_.folder);
+    return run_.interrupted() ? 2 : verdict;
+  }
+
+ private:
+  bool all_running() {
+    bool all = true;
+    for (auto& b : balancers_) all = b->running() && all;
+    return all;
+  }
+
+  void end_balancers() {
+    const Time end = run_.context.now() + kLongestDrain + kKillBehind;
+    for (bool any = true; any && run_.context.now() < end;) {
+      any = false;
+      for (auto& b : balancers_) any = b->running() || any;
+      run_.io.run_for(milliseconds(20));
+    }
+  }
+
+  void strike(const IncidentSpec& i) {
+    if (i.what == What::kDemand || i.what == What::kBurst) return;  // the arrivals know
+    if (i.what != What::kBalancerRestart && i.what != What::kBalancerKill &&
+        i.what != What::kBalancerReload)
+      return fleet_.strike(i);
+    Duration delay{0};
+    for (int b = 0; b < s_.balancers; ++b) {
+      if (i.balancer >= 0 && b != i.balancer) continue;
+      run_.context.after(delay, [this, &i, b] { strike_balancer(i, b); });
+      delay += i.stagger;
+    }
+  }
+
+  void strike_balancer(const IncidentSpec& i, int b) {
+    BalancerProcess& process = *balancers_[static_cast<std::size_t>(b)];
+    if (i.what == What::kBalancerReload) {
+      fleet_.discovery().move(b);
+      process.reload();
+      return;
+    }
+    const Duration away = i.length > Duration{0} ? i.length : kDefaultAway;
+    ++restarting_;
+    if (i.what == What::kBalancerKill) {
+      process.signal(SIGKILL);
+      run_.load->set_killed(b, true);
+      run_.context.after(from_seconds(s_.load.front_notice_s),
+                         [this, b] { run_.load->set_listed(b, false); });
+      run_.context.after(std::max(away, from_seconds(s_.load.front_notice_s)),
+                         [this, b] { start_again(b); });
+      return;
+    }
+    process.expect_exit();
+    process.signal(SIGTERM);
+    run_.context.after(kFrontGoesOn, [this, b] { run_.load->set_listed(b, false); });
+    const Time kill =
+        run_.context.now() + std::min(longest_deadline(s_), kLongestDrain) + kKillBehind;
+    await_exit(b, kill, away);
+  }
+
+  void await_exit(int b, Time kill, Duration away) {
+    BalancerProcess& process = *balancers_[static_cast<std::size_t>(b)];
+    if (!process.running()) {
+      run_.context.after(std::max(away, kFrontGoesOn), [this, b] { start_again(b); });
+      return;
+    }
+    if (run_.context.now() >= kill) process.signal(SIGKILL);
+    run_.context.after(milliseconds(20), [this, b, kill, away] { await_exit(b, kill, away); });
+  }
+
+  void start_again(int b) {
+    fleet_.discovery().forget(b);
+    balancers_[static_cast<std::size_t>(b)]->start([this, b] {
+      run_.load->set_killed(b, false);
+      run_.load->set_listed(b, true);
+      --restarting_;
+    });
+  }
+
+  const Scenario& s_;
+  const RehearsalOptions& options_;
+  Run run_;
+  Fleet fleet_;
+  Random seeds_;
+  std::vector<std::unique_ptr<BalancerProcess>> balancers_;
+  int restarting_ = 0;
+};
+
+}  // namespace
+
+int run_rehearsal(const Scenario& scenario, const RehearsalOptions& options) {
+  return Rehearsal(scenario, options)();
+}
+
+int run_fleet(const Scenario& s, const RehearsalOptions& options) {
+  Run run(s, options);
+  run.context.adopt_strangers();
+  Fleet fleet(run.context);
+  fleet.warm_with(Arrivals(s).popular());
+  for (int b = 0; b < s.balancers; ++b) {
+    const std::string file = options.folder + "/n" + std::to_string(b) + ".json";
+    std::ofstream(file) << configuration(s, fleet, b, s.seed + static_cast<std::uint64_t>(b),
+                                         "127.0.0.1:0");
+    std::printf("ROUTER_CONFIG=%s build/silverpin\n", file.c_str());
+  }
+  std::fflush(stdout);
+  for (const IncidentSpec& i : s.incidents)
+    if (i.what <= What::kFlush || i.what == What::kDiscoveryDown)
+      run.context.at(i.at, [&fleet, &i] { fleet.strike(i); });
+  run.until([] { return false; }, s.length);
+  return 0;
+}
+
+int run_load(const Scenario& s, const std::vector<std::string>& balancers,
+             const RehearsalOptions& options) {
+  std::vector<asio::ip::tcp::endpoint> addresses;
+  for (const std::string& text : balancers) {
+    const auto colon = text.rfind(':');
+    error_code error;
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    const auto port =
+        colon == std::string::npos ? 0 : std::strtoul(text.c_str() + colon + 1, nullptr, 10);
+    if (error || !address.is_loopback() || port == 0 || port > 65'535)
+      throw ScenarioError("--to " + text + ": must be a loopback address and a port");
+    addresses.emplace_back(address, static_cast<std::uint16_t>(port));
+  }
+  Run run(s, options);
+  run.context.auditor.see_clients_only();
+  Fleet none(run.context);
+  run.load = std::make_unique<Load>(run.context, run.tally, addresses);
+  run.start_measuring();
+  run.sample();
+  run.load->start();
+  run.until([&] { return run.load->done(); },
+            s.length + longest_deadline(s) + std::chrono::seconds(2));
+  run.load->close_all();
+  return write_report(
+      {s, run.context.auditor, run.tally, *run.load, none, {}, run.samples, run.lag},
+      options.folder);
+}
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/src/rig/report.cc
@@ -0,0 +1,370 @@
+#include "rig/report.h"
+
+#include <simdjson.h>
+
+#include <cstdarg>
+#include <cstdio>
+#include <stdexcept>
+
+namespace silverpin::rig {
+namespace {
+
+// ---- writing
+
+std::string quoted(std::string_view text) {
+  std::string out = "\"";
+  for (const char c : text) {
+    const auto u = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (u < 0x20 || u >= 0x7f) {  // not all that peers send is UTF-8
+      char hex[8];
+      std::snprintf(hex, sizeof hex, "\\u%04x", u);
+      out += hex;
+    } else {
+      out += c;
+    }
+  }
+  return out + "\"";
+}
+
+// Writes objects and lists with their commas.
+class Json {
+ public:
+  Json& key(std::string_view name) {
+    comma();
+    out_ += quoted(name) + ":";
+    fresh_ = true;
+    return *this;
+  }
+  Json& open(char bracket) {
+    comma();
+    out_ += bracket;
+    fresh_ = true;
+    return *this;
+  }
+  Json& close(char bracket) {
+    out_ += bracket;
+    fresh_ = false;
+    return *this;
+  }
+  Json& text(std::string_view name, std::string_view value) {
+    key(name);
+    out_ += quoted(value);
+    fresh_ = false;
+    return *this;
+  }
+  Json& number(std::string_view name, double value) {
+    key(name);
+    char digits[40];
+    std::snprintf(digits, sizeof digits, "%.6g", value);
+    out_ += digits;
+    fresh_ = false;
+    return *this;
+  }
+  Json& count(std::string_view name, std::uint64_t value) {
+    key(name);
+    out_ += std::to_string(value);
+    fresh_ = false;
+    return *this;
+  }
+  std::string take() { return std::move(out_); }
+
+ private:
+  void comma() {
+    if (!fresh_) out_ += ",";
+    fresh_ = false;
+  }
+  std::string out_;
+  bool fresh_ = true;
+};
+
+void percentiles(Json& j, const Histogram& h) {
+  j.number("p50_ms", millis(h.percentile(0.5)))
+      .number("p95_ms", millis(h.percentile(0.95)))
+      .number("p99_ms", millis(h.percentile(0.99)))
+      .number("max_ms", millis(h.max()));
+}
+
+constexpr const char* kEndNames[kEnds] = {"in_aim", "late", "refused", "failed", "left"};
+
+template <typename G>
+void outcomes(Json& j, const G& g) {
+  j.count("asked", g.asked);
+  for (std::size_t e = 0; e < kEnds; ++e) j.count(kEndNames[e], g.ends[e]);
+  j.number("worth_asked", g.worth_asked).number("worth_served", g.worth_served);
+  percentiles(j, g.times);
+}
+
+void samples(Json& j, const std::vector<ProcessSample>& all) {
+  j.key("samples").open('[');
+  for (const ProcessSample& s : all)
+    j.open('{')
+        .number("t", seconds(s.at))
+        .number("memory_mb", s.memory_mb)
+        .number("cpu", s.cpu)
+        .count("descriptors", static_cast<std::uint64_t>(s.descriptors))
+        .close('}');
+  j.close(']');
+}
+
+std::string whom(const IncidentSpec& i) {
+  std::string text;
+  for (const std::string* name : {&i.host, &i.kind, &i.zone, &i.tenant})
+    if (!name->empty()) text += (text.empty() ? "" : " ") + *name;
+  if (i.balancer >= 0) text += "n" + std::to_string(i.balancer);
+  return text;
+}
+
+}  // namespace
+
+std::string report_json(const RunFigures& run) {
+  const Scenario& s = run.scenario;
+  Json j;
+  j.open('{').text("name", s.name).text("about", s.about).count("seed", s.seed);
+  j.number("length_s", seconds(s.length)).number("warm_up_s", seconds(s.warm_up));
+  const Duration lag = run.loop_lag.percentile(0.99);
+  std::string why;
+  if (lag > kMostLag) why = "the emulator's own event loop was late";
+  if (run.load.lateness().percentile(0.99) > kMostLag) why = "requests were sent late";
+  j.text("void", why);
+  j.key("loop_lag").open('{');
+  percentiles(j, run.loop_lag);
+  j.close('}').key("lateness").open('{');
+  percentiles(j, run.load.lateness());
+  j.close('}');
+
+  j.key("classes").open('[');
+  for (std::size_t c = 0; c < s.classes.size(); ++c) {
+    j.open('{').text("name", s.classes[c].name);
+    outcomes(j, run.tally.classes()[c]);
+    j.close('}');
+  }
+  j.close(']').key("tenants").open('[');
+  for (std::size_t t = 0; t < s.tenants.size(); ++t) {
+    j.open('{').text("name", s.tenants[t].name);
+    outcomes(j, run.tally.tenants()[t]);
+    j.close('}');
+  }
+  j.close(']').key("seconds").open('[');
+  for (const Tally::Second& second : run.tally.by_second()) {
+    j.open('{');
+    outcomes(j, second);
+    j.close('}');
+  }
+  j.close(']').key("incidents").open('[');
+  for (const IncidentSpec& i : s.incidents)
+    j.open('{')
+        .text("what", name_of(i.what))
+        .text("whom", whom(i))
+        .number("at_s", seconds(i.at))
+        .number("for_s", seconds(i.length))
+        .close('}');
+  j.close(']');
+
+  const Auditor::Totals& t = run.auditor.totals();
+  j.key("totals").open('{').count("tries", t.tries).count("attempts", t.attempts);
+  j.count("runs", t.runs).count("never_ran", t.never_ran).count("served", t.served);
+  const std::uint64_t useful = t.never_ran + t.served;
+  j.count("attempts_lost", t.attempts > useful ? t.attempts - useful : 0);
+  j.count("repeats_discarded", t.repeats_discarded).count("excused", t.excused);
+  j.count("rude", run.load.rude()).count("rude_unanswered", run.load.rude_unanswered());
+  j.count("client_connections", run.load.connections());
+  j.count("unreachable", run.load.unreachable()).close('}');
+
+  j.number("capacity", run.fleet.capacity());
+  j.key("hosts").open('[');
+  for (const Fleet::HostFigures& h : run.fleet.figures())
+    j.open('{')
+        .text("name", h.name)
+        .text("kind", h.kind)
+        .text("zone", h.zone)
+        .number("speed", h.speed)
+        .number("work_s", h.work_done)
+        .count("served", h.served)
+        .count("turned_away", h.turned_away)
+        .close('}');
+  j.close(']').key("origin").open('{');
+  j.count("reads", run.fleet.origin().reads()).count("writes", run.fleet.origin().writes());
+  j.count("turned_away", run.fleet.origin().turned_away());
+  j.number("work_s", run.fleet.origin().work_done()).close('}');
+
+  j.key("balancers").open('[');
+  for (const BalancerFigures& b : run.balancers) {
+    j.open('{').text("name", b.name).count("starts", static_cast<std::uint64_t>(b.starts));
+    j.key("crashes").open('[');
+    for (const std::string& crash : b.crashes) j.open('{').text("how", crash).close('}');
+    j.close(']');
+    samples(j, b.samples);
+    j.close('}');
+  }
+  j.close(']').key("rig").open('{');
+  samples(j, run.rig);
+  j.close('}').key("broken").open('{');
+  for (int rule = 1; rule <= 4; ++rule)
+    j.count("rule" + std::to_string(rule), run.auditor.breach_count(rule));
+  j.close('}').key("breaches").open('[');
+  for (const Breach& b : run.auditor.breaches())
+    j.open('{')
+        .count("rule", static_cast<std::uint64_t>(b.rule))
+        .text("what", b.what)
+        .text("story", b.story)
+        .close('}');
+  j.close(']').close('}');
+  return j.take();
+}
+
+// ---- reading
+
+namespace {
+
+using simdjson::dom::element;
+
+[[gnu::format(printf, 2, 3)]] void print(std::string& out, const char* format, ...) {
+  char line[512];
+  va_list args;
+  va_start(args, format);
+  std::vsnprintf(line, sizeof line, format, args);
+  va_end(args);
+  out += line;
+}
+
+double num(element e, const char* key) {
+  double value = 0;
+  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
+  return value;
+}
+
+std::string str(element e, const char* key) {
+  std::string_view value;
+  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
+  return std::string(value);
+}
+
+simdjson::dom::array list(element e, const char* key) {
+  simdjson::dom::array value;
+  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
+  return value;
+}
+
+element sub(element e, const char* key) {
+  element value;
+  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
+  return value;
+}
+
+element parse(simdjson::dom::parser& parser, const std::string& json) {
+  element root;
+  if (const auto error = parser.parse(json).get(root))
+    throw std::runtime_error(std::string("no report: ") + simdjson::error_message(error));
+  return root;
+}
+
+void row(std::string& out, element g) {
+  const double asked = num(g, "asked"), worth = num(g, "worth_asked");
+  const auto part = [&](const char* key) { return asked > 0 ? 100 * num(g, key) / asked : 0; };
+  print(out, "  %-18s %8.0f  %6.2f  %6.2f  %6.2f  %6.2f  %6.2f   %7.1f %7.1f %7.1f   %6.2f\n",
+        str(g, "name").c_str(), asked, part("in_aim"), part("late"), part("refused"),
+        part("failed"), part("left"), num(g, "p50_ms"), num(g, "p95_ms"), num(g, "p99_ms"),
+        worth > 0 ? 100 * num(g, "worth_served") / worth : 0);
+}
+
+const char kHead[] =
+    "                        asked  in aim    late refused  failed    left       p50     p95     "
+    "p99    worth\n"
+    "                                  %       %       %       %       %        ms      ms      ms "
+    " "
+    "      %\n";
+
+}  // namespace
+
+int report_verdict(const std::string& json) {
+  simdjson::dom::parser parser;
+  const element root = parse(parser, json);
+  for (const char* rule : {"rule1", "rule2", "rule3", "rule4"})
+    if (num(sub(root, "broken"), rule) > 0) return 1;
+  for (const element b : list(root, "balancers"))
+    if (list(b, "crashes").size() > 0) return 1;
+  return 0;
+}
+
+std::string report_text(const std::string& json) {
+  simdjson::dom::parser parser;
+  const element root = parse(parser, json);
+  std::string out;
+  print(out, "%s, seed %.0f, %.0f s: %s\n", str(root, "name").c_str(), num(root, "seed"),
+        num(root, "length_s"), str(root, "about").c_str());
+  if (const auto why = str(root, "void"); !why.empty())
+    print(out, "VOID: %s (p99 %.1f ms, %.1f ms behind the plan); the figures blame nobody\n",
+          why.c_str(), num(sub(root, "loop_lag"), "p99_ms"), num(sub(root, "lateness"), "p99_ms"));
+  out += "\n" + std::string(kHead);
+  for (const element g : list(root, "classes")) row(out, g);
+  out += "\n";
+  for (const element g : list(root, "tenants")) row(out, g);
+
+  const element t = sub(root, "totals");
+  print(out,
+        "\ntries %.0f, attempts %.0f (%.3f a try), lost attempts %.0f, repeats discarded %.0f, "
+        "excused %.0f\n",
+        num(t, "tries"), num(t, "attempts"), num(t, "attempts") / std::max(1.0, num(t, "tries")),
+        num(t, "attempts_lost"), num(t, "repeats_discarded"), num(t, "excused"));
+  if (num(t, "rude") > 0)
+    print(out, "rude clients %.0f, left with neither error nor close %.0f\n", num(t, "rude"),
+          num(t, "rude_unanswered"));
+  const element o = sub(root, "origin");
+  print(out, "origin: %.0f reads, %.0f writes, %.0f turned away\n", num(o, "reads"),
+        num(o, "writes"), num(o, "turned_away"));
+
+  double most = 0, least = 1e9, all = 0, hosts = 0;
+  for (const element h : list(root, "hosts")) {
+    const double load = num(h, "work_s") / (num(h, "speed") * num(root, "length_s"));
+    most = std::max(most, load);
+    least = std::min(least, load);
+    all += load;
+    ++hosts;
+  }
+  print(out, "hosts: %.0f, cores busy: least %.2f, mean %.2f, most %.2f\n", hosts, least,
+        all / std::max(1.0, hosts), most);
+  for (const element b : list(root, "balancers")) {
+    double memory = 0, cpu = 0, descriptors = 0, n = 0;
+    for (const element s : list(b, "samples")) {
+      memory = std::max(memory, num(s, "memory_mb"));
+      descriptors = std::max(descriptors, num(s, "descriptors"));
+      cpu += num(s, "cpu");
+      ++n;
+    }
+    print(out, "balancer %s: %.0f start(s), memory %.1f MB, descriptors %.0f, CPU %.3f cores\n",
+          str(b, "name").c_str(), num(b, "starts"), memory, descriptors, cpu / std::max(1.0, n));
+    for (const element c : list(b, "crashes")) print(out, "  CRASHED: %s\n", str(c, "how").c_str());
+  }
+  double memory = 0, cpu = 0, n = 0;
+  for (const element s : list(sub(root, "rig"), "samples")) {
+    memory = std::max(memory, num(s, "memory_mb"));
+    cpu += num(s, "cpu");
+    ++n;
+  }
+  print(out, "emulator and load: memory %.1f MB, CPU %.3f cores, loop lag p99 %.2f ms\n", memory,
+        cpu / std::max(1.0, n), num(sub(root, "loop_lag"), "p99_ms"));
+
+  const element broken = sub(root, "broken");
+  print(out,
+        "\nrules broken: requests lost %.0f, effects twice %.0f, drains %.0f, cold hosts %.0f\n",
+        num(broken, "rule1"), num(broken, "rule2"), num(broken, "rule3"), num(broken, "rule4"));
+  int shown = 0;
+  for (const element b : list(root, "breaches")) {
+    if (++shown > 10) {
+      out += "  (more in report.json)\n";
+      break;
+    }
+    print(out, "  rule %.0f: %s\n", num(b, "rule"), str(b, "what").c_str());
+    std::string story = "    " + str(b, "story");
+    if (story.ends_with('\n')) story.pop_back();
+    for (std::size_t at = 0; (at = story.find('\n', at)) != std::string::npos; at += 5)
+      story.replace(at, 1, "\n    ");
+    out += story + "\n";
+  }
+  return out;
+}
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/src/rig/scenario.cc
@@ -0,0 +1,395 @@
+#include "rig/scenario.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace silverpin::rig {
+namespace {
+
+constexpr std::array<std::pair<const char*, What>, 19> kWhats{{
+    {"kill", What::kKill},
+    {"restart", What::kRestart},
+    {"replace", What::kReplace},
+    {"drain", What::kDrain},
+    {"pause", What::kPause},
+    {"hang", What::kHang},
+    {"slow", What::kSlow},
+    {"errors", What::kErrors},
+    {"resets", What::kResets},
+    {"refuse", What::kRefuse},
+    {"silent", What::kSilent},
+    {"spoil", What::kSpoil},
+    {"flush", What::kFlush},
+    {"burst", What::kBurst},
+    {"demand", What::kDemand},
+    {"discovery-down", What::kDiscoveryDown},
+    {"balancer-restart", What::kBalancerRestart},
+    {"balancer-kill", What::kBalancerKill},
+    {"balancer-reload", What::kBalancerReload},
+}};
+
+[[noreturn]] void wrong(const std::string& file, int line, std::string_view key,
+                        const std::string& reason) {
+  throw ScenarioError(file + ":" + std::to_string(line) + ": " +
+                      (key.empty() ? "" : std::string(key) + ": ") + reason);
+}
+
+std::string number(double value) {
+  std::ostringstream out;
+  out << value;
+  return out.str();
+}
+
+// Reads a table's keys once each; those that nobody asked for are errors.
+class Keys {
+ public:
+  Keys(const toml::table& table, const std::string& file) : table_(table), file_(file) {}
+
+  int line() const { return static_cast<int>(table_.source().begin.line); }
+  bool has(std::string_view key) const { return table_.contains(key); }
+  [[noreturn]] void bad(std::string_view key, const std::string& reason) const {
+    const toml::node* node = table_.get(key);
+    wrong(file_, node ? static_cast<int>(node->source().begin.line) : line(), key, reason);
+  }
+
+  const toml::node* take(std::string_view key) {
+    taken_.emplace(key);
+    return table_.get(key);
+  }
+  double real(std::string_view key, double fallback, double low, double high) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    return check(key, *node, low, high);
+  }
+  int whole(std::string_view key, int fallback, int low, int high) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    if (!node->is_integer()) bad(key, "must be a whole number");
+    return static_cast<int>(check(key, *node, low, high));
+  }
+  Duration time(std::string_view key, double unit, double fallback, double low, double high) {
+    return from_seconds(unit * real(key, fallback, low, high));
+  }
+  Range range(std::string_view key, Range fallback, double low, double high) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    if (const toml::array* pair = node->as_array()) {
+      if (pair->size() != 2) bad(key, "must be a number or [low, high]");
+      const Range r{check(key, *pair->get(0), low, high), check(key, *pair->get(1), low, high)};
+      if (r.low > r.high) bad(key, "has its ends in the wrong order");
+      return r;
+    }
+    const double value = check(key, *node, low, high);
+    return {value, value};
+  }
+  std::vector<double> list(std::string_view key, std::size_t size) {
+    const toml::node* node = take(key);
+    if (!node) return std::vector<double>(size, 1.0);
+    const toml::array* all = node->as_array();
+    if (!all || all->size() != size) bad(key, "must hold a number for each zone");
+    std::vector<double> out;
+    for (const toml::node& n : *all) out.push_back(check(key, n, 0, 1e6));
+    return out;
+  }
+  std::string text(std::string_view key, const std::string& fallback) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    if (!node->is_string()) bad(key, "must be text");
+    return **node->as_string();
+  }
+  std::string name(std::string_view key) {
+    const std::string value = text(key, "");
+    if (value.empty()) bad(key, "is missing");
+    if (value.find_first_not_of(
+            "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") !=
+        std::string::npos)
+      bad(key, "may hold letters, digits, '-', '_' and '.' only");
+    return value;
+  }
+  template <typename T, std::size_t N>
+  T choice(std::string_view key, T fallback, const std::array<std::pair<const char*, T>, N>& all) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    const std::string value = text(key, "");
+    std::string names;
+    for (const auto& [word, meaning] : all) {
+      if (value == word) return meaning;
+      names += (names.empty() ? "" : ", ") + std::string(word);
+    }
+    bad(key, "is none of " + names);
+  }
+  // Calls `read` with the table of this name, or with an empty one.
+  template <typename Read>
+  void table(std::string_view key, Read&& read) {
+    static const toml::table kEmpty;
+    const toml::node* node = take(key);
+    if (node && !node->is_table()) bad(key, "must be a table");
+    Keys keys(node ? *node->as_table() : kEmpty, file_);
+    read(keys);
+    keys.finish();
+  }
+  template <typename Read>
+  void tables(std::string_view key, Read&& read) {
+    const toml::node* node = take(key);
+    if (!node) return;
+    const toml::array* all = node->as_array();
+    if (!all || !all->is_array_of_tables())
+      bad(key, "must be tables: [[" + std::string(key) + "]]");
+    for (const toml::node& n : *all) {
+      Keys keys(*n.as_table(), file_);
+      read(keys);
+      keys.finish();
+    }
+  }
+  void finish() const {
+    for (const auto& [key, node] : table_)
+      if (!taken_.count(std::string(key.str())))
+        wrong(file_, static_cast<int>(node.source().begin.line), key.str(), "is not known here");
+  }
+
+ private:
+  double check(std::string_view key, const toml::node& node, double low, double high) const {
+    const auto value = node.value<double>();
+    if (!value || !node.is_number()) bad(key, "must be a number");
+    if (!(*value >= low && *value <= high))
+      bad(key,
+          "is " + number(*value) + "; it must lie from " + number(low) + " to " + number(high));
+    return *value;
+  }
+
+  const toml::table& table_;
+  const std::string& file_;
+  std::set<std::string, std::less<>> taken_;
+};
+
+constexpr std::array<std::pair<const char*, Cancel>, 3> kCancels{
+    {{"none", Cancel::kNone}, {"queued", Cancel::kQueued}, {"all", Cancel::kAll}}};
+constexpr std::array<std::pair<const char*, Effect>, 3> kEffects{
+    {{"safe", Effect::kSafe}, {"keyed", Effect::kKeyed}, {"unsafe", Effect::kUnsafe}}};
+constexpr std::array<std::pair<const char*, Backoff>, 3> kBackoffs{
+    {{"none", Backoff::kNone}, {"fixed", Backoff::kFixed}, {"exp", Backoff::kExponential}}};
+constexpr std::array<std::pair<const char*, bool>, 2> kWarms{{{"time", false}, {"work", true}}};
+constexpr std::array<std::pair<const char*, bool>, 2> kModes{{{"push", false}, {"ask", true}}};
+
+HostSpec read_host(Keys& k, const HostSpec& d) {
+  HostSpec h;
+  h.cores = k.whole("cores", d.cores, 1, 256);
+  h.slots = k.whole("slots", d.slots, 1, 10'000);
+  h.waiting = k.whole("waiting", d.waiting, 0, 100'000);
+  h.crowded_at = k.real("crowded_at", d.crowded_at, 0, 1e4);
+  h.crowded_loss = k.real("crowded_loss", d.crowded_loss, 0, 0.9);
+  h.cold_share = k.real("cold_share", d.cold_share, 0.01, 1);
+  h.cold_time = k.time("cold_s", 1, seconds(d.cold_time), 0, 600);
+  h.warms_by_work = k.choice("warms_by", false, kWarms);
+  h.tip_multiple = k.real("tip_multiple", d.tip_multiple, 0, 1e3);
+  h.tip_time = k.time("tip_s", 1, seconds(d.tip_time), 0, 600);
+  h.cancel = k.choice("cancel", d.cancel, kCancels);
+  return h;
+}
+
+void read_load(Keys& k, LoadSpec& l) {
+  l.rate = k.real("rate", l.rate, 0.1, 20'000);
+  l.keys = k.whole("keys", l.keys, 1, 5'000'000);
+  l.zipf = k.real("zipf", l.zipf, 0, 3);
+  l.drift_per_s = k.real("drift_per_s", 0, 0, 1e5);
+  l.value_bytes = k.range("value_bytes", l.value_bytes, 0, 65'536);
+  l.retries = k.whole("retries", 0, 0, 10);
+  l.backoff = k.choice("backoff", Backoff::kNone, kBackoffs);
+  l.backoff_ms = k.real("backoff_ms", l.backoff_ms, 0, 10'000);
+  l.honour = k.real("honour", l.honour, 0, 1);
+  l.try_share = k.range("try_share", l.try_share, 0.05, 1);
+  l.churn = k.real("churn", 0, 0, 1);
+  l.impatient = k.real("impatient", 0, 0, 1);
+  l.rude_per_s = k.real("rude_per_s", 0, 0, 1000);
+  l.front_notice_s = k.real("front_notice_s", l.front_notice_s, 0, 60);
+}
+
+bool strikes_hosts(What what) { return what <= What::kFlush; }
+
+void read_incident(Keys& k, Scenario& s) {
+  IncidentSpec i;
+  i.line = k.line();
+  if (!k.has("what")) k.bad("what", "is missing");
+  i.what = k.choice("what", What::kPause, kWhats);
+  i.at = k.time("at_s", 1, 0, 0, seconds(s.length));
+  i.length = k.time("for_s", 1, 0, 0, 3600);
+  i.host = k.text("host", "");
+  i.kind = k.text("kind", "");
+  i.zone = k.text("zone", "");
+  i.tenant = k.text("tenant", "");
+  i.share = k.real("share", 1, 0, 1);
+  i.factor = k.real("factor", 1, 0, 1000);
+  i.balancer = k.whole("balancer", -1, 0, 1000);
+  i.stagger = k.time("stagger_s", 1, 0, 0, 600);
+  i.drain = k.time("drain_s", 1, 0, 0, 600);
+  const auto named = [](const auto& all, const std::string& name) {
+    return name.empty() ||
+           std::any_of(all.begin(), all.end(), [&](const auto& x) { return x.name == name; });
+  };
+  if (!named(s.kinds, i.kind)) k.bad("kind", "no kind has the name '" + i.kind + "'");
+  if (!named(s.zones, i.zone)) k.bad("zone", "no zone has the name '" + i.zone + "'");
+  if (!named(s.tenants, i.tenant)) k.bad("tenant", "no tenant has the name '" + i.tenant + "'");
+  if (!i.host.empty() && i.host != "origin") {
+    const bool good = i.host.size() > 1 && i.host[0] == 'h' && i.host.size() < 8 &&
+                      i.host.find_first_not_of("0123456789", 1) == std::string::npos &&
+                      std::stol(i.host.substr(1)) < s.hosts();
+    if (!good) k.bad("host", "must be 'origin' or h0 to h" + std::to_string(s.hosts() - 1));
+  }
+  if (i.balancer >= s.balancers)
+    k.bad("balancer", "must lie from 0 to " + std::to_string(s.balancers - 1));
+  if (i.what == What::kBurst && i.tenant.empty()) k.bad("tenant", "is missing: a burst is one's");
+  if (!strikes_hosts(i.what) && !(i.host + i.kind + i.zone).empty())
+    k.bad("what", "'" + std::string(name_of(i.what)) + "' strikes no host");
+  const bool lasts = i.what == What::kPause || i.what == What::kHang || i.what == What::kSlow ||
+                     i.what == What::kErrors || i.what == What::kResets ||
+                     i.what == What::kRefuse || i.what == What::kSilent || i.what == What::kSpoil ||
+                     i.what == What::kBurst || i.what == What::kDemand ||
+                     i.what == What::kDiscoveryDown;
+  if (lasts && i.length == Duration{0}) k.bad("for_s", "is missing: this one needs a length");
+  s.incidents.push_back(i);
+}
+
+void read(Keys& k, Scenario& s) {
+  s.name = k.name("name");
+  s.about = k.text("about", "");
+  s.seed = static_cast<std::uint64_t>(k.whole("seed", 1, 0, 1 << 30));
+  s.length = k.time("length_s", 1, 20, 1, 7200);
+  s.warm_up = k.time("warm_up_s", 1, 2, 0, seconds(s.length) / 2);
+  k.table("balancers", [&](Keys& b) {
+    s.balancers = b.whole("count", 1, 1, 64);
+    s.memory_mb = b.whole("memory_mb", 192, 32, 65'536);
+    s.sockets = b.whole("sockets", 1024, 64, 1 << 20);
+    s.max_attempts = b.whole("max_attempts", 6, 1, 100);
+    s.max_retry_after = b.time("max_retry_after_ms", 1e-3, 2000, 0, 60'000);
+    s.connect_timeout = b.time("connect_timeout_ms", 1e-3, 150, 1, 10'000);
+    s.connection_idle = b.time("connection_idle_s", 1, 15, 1, 600);
+    s.streams = b.whole("streams", 32, 1, 1000);
+  });
+  k.tables("zone", [&](Keys& z) {
+    s.zones.push_back({z.name("name"), z.real("clients", 1, 0, 1e6)});
+  });
+  if (s.zones.empty()) s.zones.push_back({"a", 1});
+  k.tables("class", [&](Keys& c) {
+    ClassSpec spec;
+    spec.name = c.name("name");
+    spec.share = c.real("share", 1, 0, 1e6);
+    spec.work_ms = c.real("work_ms", 10, 0.001, 60'000);
+    spec.cv = c.real("cv", 1, 0, 10);
+    spec.hint_noise = c.real("hint_noise", 0.3, -1, 5);
+    spec.aim = c.time("aim_ms", 1e-3, 300, 1, 600'000);
+    spec.deadline = c.time("deadline_ms", 1e-3, 1000, 1, 600'000);
+    if (spec.deadline < spec.aim) c.bad("deadline_ms", "is shorter than the aim");
+    spec.worth = c.real("worth", 1, 0, 1e6);
+    spec.late_worth = c.real("late_worth", 0, 0, 1);
+    spec.effect = c.choice("effect", Effect::kSafe, kEffects);
+    spec.window = c.time("window_ms", 1e-3, 10'000, 1, 600'000);
+    s.classes.push_back(spec);
+  });
+  if (s.classes.empty()) k.bad("class", "there is none");
+  k.tables("tenant", [&](Keys& t) {
+    s.tenants.push_back(
+        {t.name("name"), t.real("share", 1, 0, 1e6), t.real("quota_per_s", 0, 0, 1e6)});
+  });
+  if (s.tenants.empty()) s.tenants.push_back({"all", 1, 0});
+  HostSpec host;
+  host.cold_share = 0.16;
+  host.cold_time = std::chrono::seconds(10);
+  host.tip_multiple = 3;
+  host.tip_time = std::chrono::seconds(3);
+  k.tables("kind", [&](Keys& h) {
+    KindSpec spec;
+    spec.name = h.name("name");
+    if (spec.name == "origin") h.bad("name", "'origin' is the origin's");
+    spec.count = h.whole("count", 1, 1, 1000);
+    spec.host = read_host(h, host);
+    spec.speed = h.range("speed", {1, 1}, 0.01, 100);
+    spec.zones = h.list("zones", s.zones.size());
+    spec.memory_mb = h.real("memory_mb", 16, 0.01, 1024);
+    spec.connections = h.whole("connections", 256, 1, 65'536);
+    spec.handshake_us = h.real("handshake_us", 300, 0, 1e6);
+    spec.miss_us = h.real("miss_us", 300, 0, 1e6);
+    spec.error_rate = h.real("error_rate", 0, 0, 1);
+    s.kinds.push_back(spec);
+  });
+  if (s.kinds.empty()) k.bad("kind", "there is none");
+  HostSpec origin;
+  origin.cores = 8;
+  origin.slots = 16;
+  origin.waiting = 200;
+  k.table("origin", [&](Keys& o) {
+    s.origin.host = read_host(o, origin);
+    s.origin.read_ms = o.real("read_ms", 20, 0.01, 60'000);
+    s.origin.write_ms = o.real("write_ms", 40, 0.01, 60'000);
+    s.origin.cv = o.real("cv", 0.6, 0, 10);
+    s.origin.connections = o.whole("connections", 1024, 1, 65'536);
+  });
+  k.table("discovery", [&](Keys& d) {
+    s.discovery.ask = d.choice("mode", false, kModes);
+    s.discovery.delay_ms = d.range("delay_ms", {100, 500}, 0, 60'000);
+  });
+  k.table("load", [&](Keys& l) { read_load(l, s.load); });
+  k.table("rules", [&](Keys& r) {
+    s.rules.drain_grace = r.time("drain_grace_ms", 1e-3, 2000, 0, 600'000);
+    s.rules.answer_slack = r.time("answer_slack_ms", 1e-3, 70, 0, 10'000);
+  });
+  k.tables("incident", [&](Keys& i) { read_incident(i, s); });
+  k.finish();
+}
+
+}  // namespace
+
+const char* name_of(What what) {
+  for (const auto& [word, meaning] : kWhats)
+    if (meaning == what) return word;
+  return "?";
+}
+
+int Scenario::hosts() const {
+  int n = 0;
+  for (const KindSpec& k : kinds) n += k.count;
+  return n;
+}
+
+long Scenario::descriptors() const {
+  // Listeners; what the balancers may hold to hosts; clients' connections, both ends of which count
+  // where they meet the emulator; the log pipes and some for the program itself.
+  return hosts() + balancers * (3L + sockets) + 64;
+}
+
+Scenario parse_scenario(const std::string& text, const std::string& file) {
+  Scenario s;
+  s.file = file;
+  try {
+    const toml::table root = toml::parse(text, file);
+    Keys keys(root, s.file);
+    read(keys, s);
+  } catch (const toml::parse_error& e) {
+    wrong(file, static_cast<int>(e.source().begin.line), "", std::string(e.description()));
+  }
+  return s;
+}
+
+Scenario load_scenario(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) throw ScenarioError(file + ": cannot be read");
+  std::ostringstream text;
+  text << in.rdbuf();
+  return parse_scenario(text.str(), file);
+}
+
+void check_machine(const Scenario& s, long descriptor_limit) {
+  if (s.descriptors() > descriptor_limit)
+    throw ScenarioError(s.file + ": needs " + std::to_string(s.descriptors()) +
+                        " descriptors; this process may hold " + std::to_string(descriptor_limit));
+  // Addresses 127.0.1.1 to 127.0.200.250, one for each host.
+  if (s.hosts() > 50'000)
+    throw ScenarioError(s.file + ": needs " + std::to_string(s.hosts()) +
+                        " addresses; there are 50000");
+}
+
+}  // namespace silverpin::rig
