--- a/src/rig/cache_server.cc
+++ b/src/rig/cache_server.cc
@@ -1,5 +1,7 @@
 #include "rig/cache_server.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -146,7 +148,7 @@
     if (closed_) return;
     Slot* taken = find(number);
     if (!taken) return;
-    if (server_.engine_.fallen()) return server_.kill();
+    if (server_.engine_.fallen()) return server_.fall();
     if (job == 0) return turn_away(*taken);
     taken->job = job;
   }
@@ -301,6 +303,12 @@
   accept();
 }
 
+void CacheServer::fall() {
+  context_.auditor.on_pushed_over(context_.now(), audit_id_, engine_.model()->pushed_by());
+  kill();
+  if (on_fallen) on_fallen();
+}
+
 void CacheServer::kill() {
   if (!running_) return;
   running_ = false;
@@ -387,7 +395,9 @@
       fillers_.emplace_back(context_.io);
       fillers_.back().open(address_.protocol(), ignored);
       fillers_.back().non_blocking(true, ignored);
-      fillers_.back().connect(address_, ignored);
+      // Not asio's connect: that waits until the connection is up, which is never.
+      ::connect(fillers_.back().native_handle(), address_.data(),
+                static_cast<socklen_t>(address_.size()));
     }
     return;
   }
--- a/src/rig/cache_server.h
+++ b/src/rig/cache_server.h
@@ -28,6 +28,7 @@
   void start(int audit_id, bool cold);
   void kill();  // resets its connections; new ones are refused
   bool running() const { return running_; }
+  std::function<void()> on_fallen;  // pushed over, and down for good
 
   // Troubles. Each stays until it is set back.
   void pause(bool on);  // reads nothing and does nothing; what came is taken when it is over
@@ -56,6 +57,7 @@
   class Session;
   friend class Session;
 
+  void fall();
   void listen();
   void accept();
   void close_sessions();
--- a/src/rig/fleet.cc
+++ b/src/rig/fleet.cc
@@ -69,6 +69,8 @@
       hosts_.push_back(std::move(host));
     }
   }
+  for (Host& host : hosts_)  // their places are final now
+    host.server->on_fallen = [this, &host] { discovery_.change(entry(host, Health::kGone, 0)); };
   const int id = context.auditor.add_host("origin");
   origin_ = std::make_unique<OriginServer>(
       context, id, random_.next(),
@@ -152,6 +154,7 @@
 }
 
 void Fleet::strike(const IncidentSpec& i) {
+  if (i.what > What::kFlush && i.what != What::kDiscoveryDown) return;  // not the fleet's
   if (i.what == What::kDiscoveryDown) {
     discovery_.set_down(true);
     context_.after(i.length, [this] { discovery_.set_down(false); });
@@ -223,6 +226,7 @@
     discovery_.change(entry(host, Health::kDraining, 0));
     drain = i.what == What::kDrain ? i.length : i.drain;
   }
+  // One that has fallen over stays down, and comes back only as another.
   const Duration away = i.length > Duration{0} ? i.length : kRestartTime;
   switch (i.what) {
     case What::kDrain:
--- a/src/rig/load.cc
+++ b/src/rig/load.cc
@@ -70,6 +70,7 @@
     call_ = std::move(call);
     until_ = until;
     request_.reset();
+    moved_ = false;
     arm_timer();
     send();
   }
--- /dev/null
+++ b/tests/rig/auditor_test.cc
@@ -0,0 +1,144 @@
+// The judge itself, told of one request at a time.
+#include "rig/auditor.h"
+
+#include "rig_harness.h"
+
+namespace silverpin::rig {
+namespace {
+
+using std::chrono::milliseconds;
+
+class AuditorTest : public ::testing::Test {
+ protected:
+  static constexpr int kRead = 0, kSave = 1, kBook = 2;
+  RequestNumber send(int klass, std::uint64_t effect = 1, Time at = milliseconds(0)) {
+    return audit.on_sent(at, klass, 0, effect, at + milliseconds(1000), "key", 0.01);
+  }
+  int run(RequestNumber r, Time at, bool repeat = false) {
+    const int attempt = audit.on_arrived(at, r, host);
+    audit.on_begun(at, r, attempt, repeat);
+    return attempt;
+  }
+  std::uint64_t broken(int rule) { return audit.breach_count(rule); }
+  void expect(std::uint64_t one, std::uint64_t two, std::uint64_t three, std::uint64_t four) {
+    EXPECT_EQ(broken(1), one);
+    EXPECT_EQ(broken(2), two);
+    EXPECT_EQ(broken(3), three);
+    EXPECT_EQ(broken(4), four);
+  }
+
+  const Scenario scenario = parse_scenario(scenario_text(), "x.toml");
+  Auditor audit{scenario};
+  const int host = audit.add_host("h0");
+  const int other = audit.add_host("h1");
+};
+
+TEST_F(AuditorTest, AServedReadBreaksNothing) {
+  const auto r = send(kRead);
+  const int a = run(r, milliseconds(1));
+  audit.on_made(milliseconds(2), r, a, "value");
+  audit.on_reply(milliseconds(3), r, Reply::kServed, "value");
+  expect(0, 0, 0, 0);
+}
+
+TEST_F(AuditorTest, AnAnswerMadeForAnotherRequestIsALostOne) {
+  const auto r = send(kRead), q = send(kRead, 2);
+  audit.on_made(milliseconds(2), q, run(q, milliseconds(1)), "value");
+  run(r, milliseconds(1));
+  audit.on_reply(milliseconds(3), r, Reply::kServed, "value");
+  expect(1, 0, 0, 0);
+  EXPECT_NE(audit.breaches()[0].story.find("reached h0"), std::string::npos);
+}
+
+TEST_F(AuditorTest, LateAnswersBreakTheFirstRule) {
+  const auto r = send(kRead);
+  audit.on_reply(milliseconds(1290), r, Reply::kFailed, {});  // within the slack of 300 ms
+  expect(0, 0, 0, 0);
+  const auto q = send(kRead);
+  audit.on_reply(milliseconds(1301), q, Reply::kFailed, {});
+  expect(1, 0, 0, 0);
+}
+
+TEST_F(AuditorTest, UnsafeOnesGoOnOnlyOnProof) {
+  const auto r = send(kBook);
+  const int first = audit.on_arrived(milliseconds(1), r, host);
+  audit.on_never_ran(milliseconds(2), r, first, "busy");
+  run(r, milliseconds(3));
+  expect(0, 0, 0, 0);
+  audit.on_arrived(milliseconds(4), r, other);
+  expect(0, 1, 0, 0);
+}
+
+TEST_F(AuditorTest, UnsafeOnesAreRefusedOnlyOnProof) {
+  const auto r = send(kBook);
+  audit.on_never_ran(milliseconds(2), r, audit.on_arrived(milliseconds(1), r, host), "busy");
+  audit.on_reply(milliseconds(3), r, Reply::kRefused, {});
+  expect(0, 0, 0, 0);
+  const auto q = send(kBook, 2);
+  audit.on_arrived(milliseconds(1), q, host);
+  audit.on_reply(milliseconds(3), q, Reply::kRefused, {});
+  expect(0, 1, 0, 0);
+}
+
+// The client's retry after a refusal has a new id and the same effect.
+TEST_F(AuditorTest, AnEffectCountsOverAllTries) {
+  const auto r = send(kBook, 7);
+  run(r, milliseconds(1));
+  const auto again = send(kBook, 7, milliseconds(100));
+  run(again, milliseconds(101));
+  expect(0, 1, 0, 0);
+}
+
+TEST_F(AuditorTest, KeyedOnesRepeatWithinTheirWindow) {
+  const auto r = send(kSave, 7);
+  run(r, milliseconds(1));
+  run(r, milliseconds(200), true);
+  audit.on_reply(milliseconds(300), r, Reply::kRefused, {});  // harmless: repeats are discarded
+  expect(0, 0, 0, 0);
+  const auto late = send(kSave, 7, milliseconds(5100));
+  audit.on_arrived(milliseconds(5101), late, host);
+  expect(0, 1, 0, 0);
+}
+
+TEST_F(AuditorTest, DrainsCountFromWhatTheBalancerWasTold) {
+  audit.on_told(milliseconds(0), 0, host, true);
+  audit.on_arrived(milliseconds(99), send(kRead), host);
+  audit.on_arrived(milliseconds(500), send(kRead), other);
+  expect(0, 0, 0, 0);
+  audit.on_arrived(milliseconds(101), send(kRead), host);
+  expect(0, 0, 1, 0);
+  audit.on_told(milliseconds(600), 0, host, false);
+  audit.on_arrived(milliseconds(700), send(kRead), host);
+  expect(0, 0, 1, 0);
+  audit.on_told(milliseconds(800), 0, host, true);
+  audit.on_balancer_start(0);
+  audit.on_arrived(milliseconds(2000), send(kRead), host);
+  expect(0, 0, 1, 0);
+}
+
+TEST_F(AuditorTest, PushingOverCountsOnlyForThoseWhoKnew) {
+  audit.on_told_start(milliseconds(0), 0, host);
+  audit.on_pushed_over(milliseconds(100), host, {{0, 1.0}, {1, 2.0}});
+  expect(0, 0, 0, 0);
+  audit.on_pushed_over(milliseconds(100), host, {{0, 2.0}, {1, 1.0}});
+  expect(0, 0, 0, 1);
+}
+
+TEST_F(AuditorTest, ClosingOnWhatWasReadLosesIt) {
+  const auto unread = send(kRead);
+  audit.on_moved(milliseconds(1), unread, 0);
+  expect(0, 0, 0, 0);
+  const auto read = send(kRead, 2);
+  run(read, milliseconds(1));
+  audit.on_moved(milliseconds(2), read, 0);
+  expect(1, 0, 0, 0);
+}
+
+TEST_F(AuditorTest, ManyBreachesAreCountedAndFewKept) {
+  for (int i = 0; i < 1000; ++i) audit.on_lost(milliseconds(1), send(kRead), "test");
+  expect(1000, 0, 0, 0);
+  EXPECT_LE(audit.breaches().size(), 50u);
+}
+
+}  // namespace
+}  // namespace silverpin::rig
--- /dev/null
+++ b/tests/rig/planted_test.cc
@@ -0,0 +1,114 @@
+// Breaches planted in a balancer of the test's own: the judge has to catch each, and nothing else.
+#include "rig_harness.h"
+
+namespace silverpin::rig {
+namespace {
+
+class PlantedTest : public ::testing::Test {
+ protected:
+  void begin(const std::string& extra = "") {
+    scenario = parse_scenario(scenario_text(extra), "test.toml");
+    context = std::make_unique<Context>(io, scenario);
+    fleet = std::make_unique<Fleet>(*context);
+    fleet->warm_with(Arrivals(scenario).popular());
+    tally = std::make_unique<Tally>(scenario);
+    const std::string list = fleet->discovery().whole_list();
+    balancer =
+        std::make_unique<PlantedBalancer>(*context, *fleet, dial(list, "h0"), dial(list, "origin"));
+    load = std::make_unique<Load>(*context, *tally, std::vector<tcp::endpoint>{balancer->local()});
+  }
+  static std::string dial(const std::string& list, const std::string& host) {
+    const auto at = list.find("\"dial\":\"", list.find("\"host\":\"" + host + "\"")) + 8;
+    return list.substr(at, list.find('"', at) - at);
+  }
+  void play() {
+    for (const IncidentSpec& i : scenario.incidents)
+      context->at(i.at, [this, &i] { fleet->strike(i); });
+    load->start();
+    ASSERT_TRUE(run_until(io, [this] { return load->done(); }));
+    load->close_all();
+  }
+  std::uint64_t broken(int rule) const { return context->auditor.breach_count(rule); }
+  void expect_only(int rule) {
+    EXPECT_GT(broken(rule), 0u);
+    for (int other = 1; other <= 4; ++other) {
+      if (other == rule || broken(other) == 0) continue;
+      for (const Breach& b : context->auditor.breaches())
+        ADD_FAILURE() << "rule " << b.rule << ": " << b.what << "\n" << b.story;
+    }
+    ASSERT_FALSE(context->auditor.breaches().empty());
+    EXPECT_FALSE(context->auditor.breaches().front().story.empty());
+  }
+
+  Scenario scenario;
+  asio::io_context io{1};
+  std::unique_ptr<Context> context;
+  std::unique_ptr<Tally> tally;
+  std::unique_ptr<Fleet> fleet;
+  std::unique_ptr<PlantedBalancer> balancer;
+  std::unique_ptr<Load> load;
+};
+
+TEST_F(PlantedTest, AnHonestBalancerBreaksNothing) {
+  begin();
+  play();
+  for (const Breach& b : context->auditor.breaches())
+    ADD_FAILURE() << "rule " << b.rule << ": " << b.what << "\n" << b.story;
+  EXPECT_GT(context->auditor.totals().served, 200u);
+  EXPECT_EQ(context->auditor.totals().served, context->auditor.totals().tries);
+}
+
+TEST_F(PlantedTest, AnAnswerThatIsDropped) {
+  begin();
+  balancer->faults.drops = true;
+  play();
+  expect_only(1);
+}
+
+TEST_F(PlantedTest, ASecondAnswer) {
+  begin();
+  balancer->faults.answers_twice = true;
+  play();
+  expect_only(1);
+}
+
+TEST_F(PlantedTest, AValueThatNobodyMade) {
+  begin();
+  balancer->faults.serves_nonsense = true;
+  play();
+  expect_only(1);
+}
+
+TEST_F(PlantedTest, AnUnsafeRequestThatRunsTwice) {
+  begin();
+  balancer->faults.repeats_unsafe = true;
+  play();
+  expect_only(2);
+}
+
+TEST_F(PlantedTest, ARefusalOfWhatMayHaveRun) {
+  begin();
+  balancer->faults.refuses_sent = true;
+  play();
+  expect_only(2);
+}
+
+TEST_F(PlantedTest, ASendAfterTheDrainsGrace) {
+  begin("[[incident]]\nwhat = \"drain\"\nhost = \"h0\"\nat_s = 1\n");
+  play();
+  expect_only(3);
+}
+
+TEST_F(PlantedTest, AColdHostThatIsPushedOver) {
+  begin(
+      "[[incident]]\nwhat = \"restart\"\nhost = \"h0\"\nat_s = 0.2\nfor_s = 0.1\n"
+      "[[incident]]\nwhat = \"demand\"\nat_s = 0.4\nfor_s = 2\nfactor = 3\n");
+  // Work enough to push it: 10% of 2 cores, three times that for 0.5 s.
+  for (ClassSpec& c : scenario.classes) c.work_ms = 8;
+  scenario.kinds[0].miss_us = 8000;
+  play();
+  EXPECT_GT(broken(4), 0u);
+}
+
+}  // namespace
+}  // namespace silverpin::rig
--- /dev/null
+++ b/tests/rig/program_test.cc
@@ -0,0 +1,116 @@
+// The rig's program: whole rehearsals of a few seconds with the real balancer, and bad input.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "rig_harness.h"
+
+namespace silverpin::rig {
+namespace {
+
+class RigProgramTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    char dir[] = "/tmp/silverpin-rig-XXXXXX";
+    ASSERT_NE(::mkdtemp(dir), nullptr);
+    dir_ = dir;
+  }
+  void TearDown() override { std::filesystem::remove_all(dir_); }
+  std::string write(const std::string& text) {
+    std::ofstream(dir_ + "/s.toml") << text;
+    return dir_ + "/s.toml";
+  }
+  // Its exit code; what it printed is in out_.
+  int run(const std::string& arguments) {
+    const std::string command =
+        std::string(SILVERPIN_RIG) + " " + arguments + " >" + dir_ + "/out 2>&1";
+    const int status = std::system(command.c_str());
+    std::ifstream in(dir_ + "/out");
+    std::ostringstream text;
+    text << in.rdbuf();
+    out_ = text.str();
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  std::string rehearse() { return "rehearse " + dir_ + "/s.toml --quiet --out " + dir_ + "/r"; }
+  std::string dir_, out_;
+};
+
+TEST_F(RigProgramTest, ARehearsalWithTheRealBalancer) {
+  write(
+      scenario_text("[[incident]]\nwhat = \"pause\"\nhost = \"h1\"\nat_s = 1.5\nfor_s = 0.5\n"
+                    "[[incident]]\nwhat = \"balancer-kill\"\nbalancer = 0\nat_s = 2\nfor_s = 0.3\n"
+                    "[[incident]]\nwhat = \"balancer-restart\"\nbalancer = 1\nat_s = 1.2\n"
+                    "[[incident]]\nwhat = \"balancer-reload\"\nat_s = 2.5\n",
+                    "[balancers]\ncount = 2\n"));
+  EXPECT_EQ(run(rehearse()), 0) << out_;
+  EXPECT_NE(out_.find("requests lost 0, effects twice 0, drains 0, cold hosts 0"),
+            std::string::npos)
+      << out_;
+  EXPECT_NE(out_.find("balancer n0: 2 start(s)"), std::string::npos) << out_;
+  EXPECT_NE(out_.find("balancer n1: 2 start(s)"), std::string::npos) << out_;
+  for (const char* file : {"report.json", "report.txt", "report.html", "n0.log"})
+    EXPECT_GT(std::filesystem::file_size(dir_ + "/r/" + file), 0u) << file;
+  EXPECT_EQ(run("report " + dir_ + "/r"), 0);
+  EXPECT_NE(out_.find("requests lost 0"), std::string::npos);
+}
+
+TEST_F(RigProgramTest, BadInputEndsWithTwoBeforeAnythingStarts) {
+  EXPECT_EQ(run("rehearse " + dir_ + "/none.toml"), 2);
+  EXPECT_NE(out_.find("none.toml: cannot be read"), std::string::npos) << out_;
+  write(scenario_text("[[incident]]\nwhat = \"eclipse\"\n"));
+  EXPECT_EQ(run("check " + dir_ + "/s.toml"), 2);
+  EXPECT_NE(out_.find("what: is none of kill"), std::string::npos) << out_;
+  EXPECT_EQ(run(rehearse()), 2);
+  EXPECT_FALSE(std::filesystem::exists(dir_ + "/r"));
+  EXPECT_EQ(run("frobnicate"), 2);
+  EXPECT_EQ(run("load " + dir_ + "/s.toml --to 10.0.0.1:1"), 2);
+  write(scenario_text("", "[balancers]\ncount = 64\nsockets = 1000000\n"));
+  EXPECT_EQ(run("check " + dir_ + "/s.toml"), 2);
+  EXPECT_NE(out_.find("descriptors; this process may hold"), std::string::npos) << out_;
+}
+
+TEST_F(RigProgramTest, ABalancerThatDoesNotComeUpEndsItWithItsLog) {
+  write(scenario_text());
+  std::ofstream(dir_ + "/dud") << "#!/bin/sh\necho no luck today\nexit 3\n";
+  std::filesystem::permissions(dir_ + "/dud", std::filesystem::perms::owner_all);
+  EXPECT_EQ(run(rehearse() + " --program " + dir_ + "/dud"), 2);
+  EXPECT_NE(out_.find("no luck today"), std::string::npos) << out_;
+}
+
+TEST_F(RigProgramTest, AnInterruptEndsWhatItStarted) {
+  std::string text = scenario_text();
+  write(text.replace(text.find("length_s = 3"), 12, "length_s = 60"));
+  const std::string folder = dir_ + "/r";
+  const pid_t pid = ::fork();
+  if (pid == 0) {
+    const std::string file = dir_ + "/s.toml";
+    ::execl(SILVERPIN_RIG, SILVERPIN_RIG, "rehearse", file.c_str(), "--quiet", "--out",
+            folder.c_str(), static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  ASSERT_GT(pid, 0);
+  const auto log = [&] {
+    std::ifstream in(folder + "/n0.log");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+  };
+  for (int i = 0; i < 1500 && log().find("listening") == std::string::npos; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  ::kill(pid, SIGINT);
+  int status = 0;
+  ASSERT_EQ(::waitpid(pid, &status, 0), pid);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 2);
+  EXPECT_NE(log().find("draining"), std::string::npos) << log();
+}
+
+}  // namespace
+}  // namespace silverpin::rig
