--- a/tests/rig/program_test.cc
+++ b/tests/rig/program_test.cc
@@ -85,8 +85,8 @@
 }
 
 TEST_F(RigProgramTest, AnInterruptEndsWhatItStarted) {
-  std::string text = scenario_text();
-  write(text.replace(text.find("length_s = 3"), 12, "length_s = 60"));
+  std::string scenario = scenario_text();
+  write(scenario.replace(scenario.find("length_s = 3"), 12, "length_s = 60"));
   const std::string folder = dir_ + "/r";
   const pid_t pid = ::fork();
   if (pid == 0) {
