--- a/bench/cost.cc
+++ b/bench/cost.cc
@@ -1,7 +1,7 @@
 // What silverpin costs beside a relay that parses nothing: the same clients, the same bytes, the
 // same cache host, in one run. Prints CPU time a request and median latency, and their ratios.
 //
-//   build/silverpin_bench_cost [SECONDS for each measurement, 3 unless given]
+//   build/silverpin_bench_cost [SECONDS for each measurement, 3 unless given] [another silverpin]
 //
 // The relay gives each client's connection one of its own to the host and copies bytes both ways,
 // so its figures are the floor of what any program between the two must spend on the kernel.
@@ -324,7 +324,8 @@
     const pid_t relay_pid = children.back();
     children.push_back(start([&] { run_discovery(discovery, host_port); }));
     pid_t balancer = 0;
-    const int port = start_balancer(SILVERPIN_PROGRAM, folder, discovery_port, balancer);
+    const int port =
+        start_balancer(argc > 2 ? argv[2] : SILVERPIN_PROGRAM, folder, discovery_port, balancer);
     children.push_back(balancer);
     std::printf(
         "connections   relay: us CPU  p50 us  p99 us   silverpin: us CPU  p50 us  p99 us   "
--- a/src/rig/origin_server.cc
+++ b/src/rig/origin_server.cc
@@ -57,7 +57,9 @@
   }
   const int attempt = context_.auditor.on_arrived(context_.now(), *r, audit_id_);
   const OriginSpec& spec = context_.scenario.origin;
-  const double work = 1e-3 * random_.lognormal(write ? spec.write_ms : spec.read_ms, spec.cv);
+  // Drawn from what is asked for, not from the order in which it comes: the same in every run.
+  Random draw(context_.scenario.seed ^ context_.auditor.effect_of(*r), 8);
+  const double work = 1e-3 * draw.lognormal(write ? spec.write_ms : spec.read_ms, spec.cv);
   const Job job =
       engine_.submit(work, context_.auditor.balancer_of(*r),
                      {[this, r = *r, attempt, write](Time at) {
