--- a/src/rig/report.cc
+++ b/src/rig/report.cc
@@ -1,10 +1,8 @@
 #include "rig/report.h"
 
-#include <simdjson.h>
-
-#include <cstdarg>
 #include <cstdio>
-#include <stdexcept>
+
+#include "rig/report_read.h"
 
 namespace silverpin::rig {
 namespace {
@@ -219,48 +217,6 @@
 
 namespace {
 
-using simdjson::dom::element;
-
-[[gnu::format(printf, 2, 3)]] void print(std::string& out, const char* format, ...) {
-  char line[512];
-  va_list args;
-  va_start(args, format);
-  std::vsnprintf(line, sizeof line, format, args);
-  va_end(args);
-  out += line;
-}
-
-double num(element e, const char* key) {
-  double value = 0;
-  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
-  return value;
-}
-
-std::string str(element e, const char* key) {
-  std::string_view value;
-  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
-  return std::string(value);
-}
-
-simdjson::dom::array list(element e, const char* key) {
-  simdjson::dom::array value;
-  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
-  return value;
-}
-
-element sub(element e, const char* key) {
-  element value;
-  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
-  return value;
-}
-
-element parse(simdjson::dom::parser& parser, const std::string& json) {
-  element root;
-  if (const auto error = parser.parse(json).get(root))
-    throw std::runtime_error(std::string("no report: ") + simdjson::error_message(error));
-  return root;
-}
-
 void row(std::string& out, element g) {
   const double asked = num(g, "asked"), worth = num(g, "worth_asked");
   const auto part = [&](const char* key) { return asked > 0 ? 100 * num(g, key) / asked : 0; };
--- a/src/rig/report_html.cc
+++ b/src/rig/report_html.cc
@@ -1,20 +1,14 @@
-#include <simdjson.h>
-
 #include <algorithm>
-#include <cstdarg>
 #include <cstdio>
-#include <functional>
-#include <stdexcept>
 #include <vector>
 
 #include "rig/report.h"
+#include "rig/report_read.h"
 
 // One page, everything in it: drawn here as SVG, so that it needs no script and no network.
 namespace silverpin::rig {
 namespace {
 
-using simdjson::dom::element;
-
 constexpr double kWidth = 940, kHeight = 190, kLeft = 56, kBottom = 24, kTop = 10, kRight = 10;
 
 std::string escaped(std::string_view text) {
@@ -40,27 +34,6 @@
   return out;
 }
 
-[[gnu::format(printf, 2, 3)]] void print(std::string& out, const char* format, ...) {
-  char line[1024];
-  va_list args;
-  va_start(args, format);
-  std::vsnprintf(line, sizeof line, format, args);
-  va_end(args);
-  out += line;
-}
-
-double num(element e, const char* key) {
-  double value = 0;
-  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
-  return value;
-}
-
-std::string str(element e, const char* key) {
-  std::string_view value;
-  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
-  return std::string(value);
-}
-
 struct Line {
   std::string name, colour;
   std::vector<std::pair<double, double>> points;
--- /dev/null
+++ b/src/rig/report_read.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <simdjson.h>
+
+#include <cstdarg>
+#include <cstdio>
+#include <stdexcept>
+#include <string>
+
+// How text and page take a report's JSON: each getter throws std::runtime_error that names what is
+// missing.
+namespace silverpin::rig {
+
+using simdjson::dom::element;
+
+[[gnu::format(printf, 2, 3)]] inline void print(std::string& out, const char* format, ...) {
+  char line[1024];
+  va_list args;
+  va_start(args, format);
+  std::vsnprintf(line, sizeof line, format, args);
+  va_end(args);
+  out += line;
+}
+
+inline double num(element e, const char* key) {
+  double value = 0;
+  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
+  return value;
+}
+
+inline std::string str(element e, const char* key) {
+  std::string_view value;
+  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
+  return std::string(value);
+}
+
+inline simdjson::dom::array list(element e, const char* key) {
+  simdjson::dom::array value;
+  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
+  return value;
+}
+
+inline element sub(element e, const char* key) {
+  element value;
+  if (e[key].get(value)) throw std::runtime_error(std::string("no report: it lacks ") + key);
+  return value;
+}
+
+inline element parse(simdjson::dom::parser& parser, const std::string& json) {
+  element root;
+  if (const auto error = parser.parse(json).get(root))
+    throw std::runtime_error(std::string("no report: ") + simdjson::error_message(error));
+  return root;
+}
+
+}  // namespace silverpin::rig
