Separate the core from the memcache dialect: payloads, dialects and pools of servers

Need: a second dialect is to run on the same core, and Attempt, Balancer, the sessions and the pools of connections all knew memcache's commands and answers.

Change: request.h states what passes between fronts and core (Payload, Ask, Ticket, Final). A Dialect reads one client's commands; MemcacheFront is the first. ServerPool is what the balancer was for its hosts: a policy, its requests, timers and connections, with a dialer for the kind of back. A session may have several requests behind one place in its answers, may wait for an earlier request, and may be left by its client: used by the next dialect.

--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -1,12 +1,10 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
-#include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 
-#include "proto/memcache.h"
+#include "node/request.h"
 #include "policy/policy.h"
 
 namespace silverpin::node {
@@ -17,7 +15,7 @@
 struct Attempt {
   RequestId request = 0;
   int number = 0;
-  std::shared_ptr<const memcache::Command> command;
+  PayloadPtr payload;
   Time until{0};
   bool unsafe = false;  // its class must never run twice
   bool ended = false;   // its outcome is known
--- a/src/node/cache_connection.cc
+++ b/src/node/cache_connection.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "node/memcache_front.h"
+
 namespace silverpin::node {
 
 using memcache::AnswerHead;
@@ -9,7 +11,7 @@
 
 void CacheConnection::encode(Outgoing& out) {
   const auto left = std::chrono::floor<std::chrono::milliseconds>(out.attempt->until - now());
-  const auto& command = *out.attempt->command;
+  const auto& command = command_of(*out.attempt->payload);
   out.head = command.encode(std::max(left, std::chrono::milliseconds(1)));
   if (command.kind == memcache::Command::Kind::kSet) {
     out.body = command.body;
@@ -21,7 +23,7 @@
 // another request must never reach a client.
 bool CacheConnection::on_head(const AnswerHead& head) {
   if (!expecting()) return false;
-  const auto& command = *current()->command;
+  const auto& command = command_of(*current()->payload);
   if (!head.id.empty() && head.id != command.id) return false;
   const bool set = command.kind == memcache::Command::Kind::kSet;
   if (head.kind == AnswerHead::Kind::kValue) return !set;
--- a/src/node/cache_connection.h
+++ b/src/node/cache_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/upstream_connection.h"
+#include "proto/memcache.h"
 
 namespace silverpin::node {
 
--- a/src/node/client_listener.cc
+++ b/src/node/client_listener.cc
@@ -22,8 +22,15 @@
 }  // namespace
 
 ClientListener::ClientListener(asio::io_context& io, const asio::ip::tcp::endpoint& listen,
-                               Limits& limits, RequestHandler& handler)
-    : io_(io), acceptor_(io), limits_(limits), handler_(handler), tick_(io) {
+                               Limits& limits, const Clock& clock, RequestSink& core,
+                               MakeDialect make)
+    : io_(io),
+      acceptor_(io),
+      limits_(limits),
+      clock_(clock),
+      core_(core),
+      make_(std::move(make)),
+      tick_(io) {
   acceptor_.open(listen.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(listen);
@@ -43,6 +50,7 @@
 }
 
 void ClientListener::on_acceptable() {
+  SessionOwner& owner = *this;
   for (int i = 0; i < kAcceptBatch; ++i) {
     // With nobody to make room, new clients wait in the backlog; the tick looks again.
     if (!limits_.clients.room_for(1) && !make_room()) return;
@@ -52,7 +60,8 @@
     if (error == asio::error::connection_aborted || error == asio::error::interrupted) continue;
     if (error == asio::error::would_block || error == asio::error::try_again) break;
     if (error) return;  // out of descriptors or memory: to wait for readiness would spin
-    auto session = std::make_shared<ClientSession>(std::move(socket), limits_, handler_);
+    auto session =
+        std::make_shared<ClientSession>(std::move(socket), limits_, clock_, core_, owner, make_());
     sessions_.insert(session);
     session->start();
     if (give_back_) give_back(*session);
@@ -65,7 +74,7 @@
 // them. Those that have begun a command go only where nothing else is left: slow writers are honest
 // more often than not.
 bool ClientListener::make_room() {
-  const Time now = handler_.now();
+  const Time now = clock_.now();
   constexpr int kKeeps = 6;  // in work, or has just begun its command
   const auto rank = [now](const ClientSession& s) {
     const Duration age = now - s.since();
@@ -106,7 +115,7 @@
   tick_.async_wait([this](const error_code& e) {
     if (e) return;
     const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
-    const Time now = handler_.now();
+    const Time now = clock_.now();
     for (const auto& session : all) session->tick(now);
     arm_accept();
     arm_tick();
--- a/src/node/client_listener.h
+++ b/src/node/client_listener.h
@@ -13,13 +13,12 @@
 
 // Accepts clients and decides which connection must go when descriptors run short. It never closes
 // one with a request in work.
-class ClientListener {
+class ClientListener : private SessionOwner {
  public:
   // Throws boost::system::system_error if the address cannot be bound.
   ClientListener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
-                 Limits& limits, RequestHandler& handler);
+                 Limits& limits, const Clock& clock, RequestSink& core, MakeDialect make);
 
-  void on_session_closed(const std::shared_ptr<ClientSession>& session);
   std::size_t sessions() const { return sessions_.size(); }
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
   // Goes on accepting until stop(), and gives the connections back between requests: spread evenly
@@ -29,6 +28,7 @@
   void close_all();
 
  private:
+  void on_session_closed(const std::shared_ptr<ClientSession>& session) override;
   void arm_accept();
   void on_acceptable();
   bool make_room();
@@ -38,7 +38,9 @@
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Limits& limits_;
-  RequestHandler& handler_;
+  const Clock& clock_;
+  RequestSink& core_;
+  const MakeDialect make_;
   std::unordered_set<std::shared_ptr<ClientSession>> sessions_;
   boost::asio::steady_timer tick_;
   bool accepting_ = false;
--- a/src/node/client_session.cc
+++ b/src/node/client_session.cc
@@ -10,8 +10,6 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using memcache::ClientError;
-using memcache::Command;
 
 constexpr std::size_t kReadSize = 16u << 10;
 // Requests that a client may have in work at once, and what it may leave unread before it can begin
@@ -47,21 +45,21 @@
 // In a drain a new client has so long to begin.
 constexpr Duration kDrainSpeaks = std::chrono::milliseconds(300);
 
-struct HeldCommand {
-  Command command;
-  Lease body;
-};
-
 }  // namespace
 
-ClientSession::ClientSession(asio::ip::tcp::socket socket, Limits& limits, RequestHandler& handler)
+ClientSession::ClientSession(asio::ip::tcp::socket socket, Limits& limits, const Clock& clock,
+                             RequestSink& core, SessionOwner& owner,
+                             std::unique_ptr<Dialect> dialect)
     : socket_(std::move(socket)),
       limits_(limits),
-      handler_(handler),
+      clock_(clock),
+      core_(core),
+      owner_(owner),
+      dialect_(std::move(dialect)),
       descriptor_(limits.clients, 1),
       body_(limits.bytes),
       buffered_(limits.bytes),
-      born_(handler.now()),
+      born_(clock.now()),
       since_(born_) {}
 
 void ClientSession::start() {
@@ -75,7 +73,7 @@
 // ---- reading
 
 void ClientSession::arm_read() {
-  if (reading_ || closed_ || blocked_ || pump_posted_ || !fault_.empty()) return;
+  if (reading_ || closed_ || blocked_ || pump_posted_ || over()) return;
   reading_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](const error_code& e) {
@@ -96,15 +94,15 @@
       error == asio::error::interrupted)
     return arm_read();
   if (error) return close();
-  if (reader_.between_commands()) since_ = handler_.now();
-  reader_.feed({scratch.data(), n});
+  if (dialect_->between_commands()) since_ = clock_.now();
+  dialect_->feed({scratch.data(), n});
   pump();
 }
 
 void ClientSession::pump() {
   blocked_ = false;
   pumping_ = true;
-  for (int taken = 0; fault_.empty(); ++taken) {
+  for (int taken = 0; !over(); ++taken) {
     if (!may_begin() || !reserve_body()) {
       blocked_ = true;
       break;
@@ -113,48 +111,33 @@
       pump_soon();
       break;
     }
-    auto item = reader_.next();
-    if (!item) {
+    const auto step = dialect_->step(*this);
+    if (step == Dialect::Step::kMore) {
       blocked_ = !reserve_body();
       break;
     }
-    since_ = handler_.now();
-    if (const auto* error = std::get_if<ClientError>(&*item)) {
-      // Where one command makes no sense, what comes next may be the rest of it: a body that was
-      // meant as one must not be run. So nothing more is read, and this is the last answer.
-      fault_ = "CLIENT_ERROR " + std::string(error->reason) + "\r\n";
+    if (step == Dialect::Step::kWait) {
+      blocked_ = true;
       break;
     }
-    Command& command = std::get<Command>(*item);
-    if (command.kind == Command::Kind::kNoop) {
-      answer(new_slot(), "MN\r\n");
-      continue;
-    }
-    auto held = std::make_shared<HeldCommand>(
-        HeldCommand{std::move(command), std::exchange(body_, Lease(limits_.bytes))});
-    held->body.resize(held->command.body.size());
-    const auto slot = new_slot();
-    const auto reason = handler_.submit(shared_from_this(), slot,
-                                        std::shared_ptr<const Command>(held, &held->command));
-    if (!reason.empty()) {
-      slots_.pop_back();
-      --next_slot_;
-      fault_ = "CLIENT_ERROR " + std::string(reason) + "\r\n";
-    }
+    since_ = clock_.now();
+    // Nothing more is read; what has been taken is answered.
+    if (step == Dialect::Step::kFault) fault_ = dialect_->fault();
+    if (step == Dialect::Step::kLeave) leaving_ = true;
   }
   pumping_ = false;
-  if (!fault_.empty()) {
-    fault_at_ = handler_.now() + kHoldFault;
-    reader_ = {};
+  if (over()) {
+    fault_at_ = clock_.now() + kHoldFault;
+    dialect_->forget();
     body_.resize(0);
   }
-  buffered_.resize(reader_.buffered());
+  buffered_.resize(dialect_->buffered());
   flush();
   arm_read();
 }
 
-std::uint64_t ClientSession::new_slot() {
-  slots_.push_back({next_slot_, {}, 0, false, Lease(limits_.bytes)});
+std::uint64_t ClientSession::open_slot(std::uint32_t parts) {
+  slots_.push_back({next_slot_, parts, {}, 0, false, Lease(limits_.bytes)});
   return next_slot_++;
 }
 
@@ -166,7 +149,7 @@
 // A body is read only once the memory for all of it is set aside: many half-read ones would
 // otherwise fill it, and none could go on.
 bool ClientSession::reserve_body() {
-  const auto length = reader_.body_length();
+  const auto length = dialect_->body_length();
   if (length <= kSmallBody || body_.size() > 0) return true;
   if (!limits_.bytes.room_for(length)) return false;
   body_.resize(length);
@@ -192,7 +175,7 @@
 void ClientSession::answer(std::uint64_t slot, std::string text) {
   Slot* s = find(slot);
   if (!s || s->complete) return;
-  if (unwritten_ == 0) wrote_ = handler_.now();
+  if (unwritten_ == 0) wrote_ = clock_.now();
   s->out = std::move(text);
   s->bytes.resize(s->out.size());
   s->complete = true;
@@ -200,6 +183,10 @@
   if (!pumping_) flush();
 }
 
+void ClientSession::on_final(Ticket ticket, const Payload& payload, Final final) {
+  if (!closed_) dialect_->on_final(*this, ticket, payload, std::move(final));
+}
+
 void ClientSession::flush() {
   if (writing_ || closed_) return;
   while (!slots_.empty() && slots_.front().complete) {
@@ -210,14 +197,14 @@
           asio::buffer(s.out.data() + s.written, s.out.size() - s.written), error);
       s.written += n;
       unwritten_ -= n;
-      if (n > 0) wrote_ = handler_.now();
+      if (n > 0) wrote_ = clock_.now();
       if (error == asio::error::would_block || error == asio::error::try_again) return arm_write();
       if (error && error != asio::error::interrupted) return close_soon();
     }
     slots_.pop_front();
     served_ = true;
     ++answered_;
-    since_ = handler_.now();
+    since_ = clock_.now();
     if (blocked_) pump_soon();
   }
   if (slots_.empty()) on_all_written();
@@ -234,21 +221,22 @@
 
 void ClientSession::on_all_written() {
   if (lingering_) return;
-  if (fault_sent_) return linger();
+  if (fault_sent_ || leaving_) return linger();
   if (!fault_.empty()) {
-    if (handler_.now() < fault_at_) return;  // the tick comes back to it
+    if (clock_.now() < fault_at_) return;  // the tick comes back to it
     fault_sent_ = true;
-    return answer(new_slot(), fault_);
+    return answer(open_slot(), fault_);
   }
-  if (!leave_at_ || blocked_ || pump_posted_ || !reader_.between_commands() || has_input()) return;
-  const Time now = handler_.now();
+  if (!leave_at_ || blocked_ || pump_posted_ || !dialect_->between_commands() || has_input())
+    return;
+  const Time now = clock_.now();
   if (served_ ? now >= *leave_at_ : now - born_ > kDrainSpeaks) close_soon();
 }
 
 // Closing with input unread would reset the connection, and the client might lose the last answer.
 void ClientSession::linger() {
   lingering_ = true;
-  since_ = handler_.now();
+  since_ = clock_.now();
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
@@ -268,7 +256,7 @@
 ClientSession::Rest ClientSession::rest() const {
   if (!fault_.empty() && slots_.empty()) return Rest::kFaulty;
   if (!slots_.empty() || blocked_ || pump_posted_) return Rest::kBusy;
-  if (!reader_.between_commands()) return Rest::kPartial;
+  if (!dialect_->between_commands()) return Rest::kPartial;
   return served_ ? Rest::kServed : Rest::kSilent;
 }
 
@@ -286,7 +274,7 @@
   if (unwritten_ > 0) return writing_ && now - wrote_ > kReadAnswer;
   if (!slots_.empty()) return false;  // in work: the request has an end of its own
   if (!served_ && now - born_ > kFirstCommand) return true;
-  if (blocked_ || !reader_.between_commands()) return now - since_ > kWriteCommand;
+  if (blocked_ || !dialect_->between_commands()) return now - since_ > kWriteCommand;
   if (answered_ == 1 && limits_.clients_short()) return now - since_ > kIdleShort;
   return now - since_ > (served_ ? kIdle : kFirstByte);
 }
@@ -316,16 +304,17 @@
   error_code ignored;
   socket_.close(ignored);
   descriptor_ = Lease();
-  reader_ = {};
+  dialect_->forget();
   body_.resize(0);
   buffered_.resize(0);
   unwritten_ = 0;
   const auto self = shared_from_this();
   for (Slot& s : slots_) {
-    if (!s.complete) handler_.withdraw(*this, s.number);
+    for (std::uint32_t part = 0; !s.complete && part < s.parts; ++part)
+      core_.withdraw(*this, {s.number, part});
   }
   slots_.clear();
-  handler_.on_session_closed(self);
+  owner_.on_session_closed(self);
 }
 
 }  // namespace silverpin::node
--- a/src/node/client_session.h
+++ b/src/node/client_session.h
@@ -5,35 +5,42 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
+#include "node/clock.h"
+#include "node/dialect.h"
 #include "node/limits.h"
-#include "proto/memcache.h"
-#include "policy/policy.h"
+#include "node/request.h"
 
 namespace silverpin::node {
 
 class ClientSession;
 
-// Where clients' requests go.
-class RequestHandler {
+class SessionOwner {
  public:
-  virtual ~RequestHandler() = default;
-  virtual Time now() const = 0;
-  // Takes the request, which will be answered at `slot`. Returns the reason if it makes no sense.
-  virtual std::string_view submit(const std::shared_ptr<ClientSession>& session, std::uint64_t slot,
-                                  std::shared_ptr<const memcache::Command> command) = 0;
-  // The client has gone. From the event loop only.
-  virtual void withdraw(ClientSession& session, std::uint64_t slot) = 0;
+  virtual ~SessionOwner() = default;
   virtual void on_session_closed(const std::shared_ptr<ClientSession>& session) = 0;
 };
 
-// One client's connection: reads commands, and writes answers in the order of their requests.
-class ClientSession : public std::enable_shared_from_this<ClientSession> {
+// One client's connection: lets its dialect read commands, and writes answers in the order of their
+// requests.
+class ClientSession : public Caller, public std::enable_shared_from_this<ClientSession> {
  public:
-  ClientSession(boost::asio::ip::tcp::socket socket, Limits& limits, RequestHandler& handler);
+  ClientSession(boost::asio::ip::tcp::socket socket, Limits& limits, const Clock& clock,
+                RequestSink& core, SessionOwner& owner, std::unique_ptr<Dialect> dialect);
 
   void start();
+
+  // For its dialect. Opens the next place in the order of answers; `parts`: requests to the core
+  // that it waits for, all of which are withdrawn if the client goes.
+  std::uint64_t open_slot(std::uint32_t parts = 1);
+  // Completes the place. All answers are written in the order of their places.
   void answer(std::uint64_t slot, std::string text);
+  // What the body just read takes of the byte budget.
+  Lease take_body() { return std::exchange(body_, Lease(limits_.bytes)); }
+
+  // Caller
+  void on_final(Ticket ticket, const Payload& payload, Final final) override;
 
   // kFaulty: it has sent what makes no sense, and is being turned away.
   enum class Rest { kFaulty, kSilent, kPartial, kServed, kBusy };
@@ -50,6 +57,7 @@
  private:
   struct Slot {
     std::uint64_t number;
+    std::uint32_t parts;
     std::string out;
     std::size_t written = 0;
     bool complete = false;
@@ -57,9 +65,9 @@
   };
 
   Slot* find(std::uint64_t slot);
-  std::uint64_t new_slot();
   void pump();
   void pump_soon();
+  bool over() const { return leaving_ || !fault_.empty(); }  // reads no further command
   bool reserve_body();
   bool may_begin() const;
   void arm_read();
@@ -74,9 +82,11 @@
 
   boost::asio::ip::tcp::socket socket_;
   Limits& limits_;
-  RequestHandler& handler_;
+  const Clock& clock_;
+  RequestSink& core_;
+  SessionOwner& owner_;
+  const std::unique_ptr<Dialect> dialect_;
   Lease descriptor_;
-  memcache::CommandReader reader_;
   Lease body_;      // the one that is being read
   Lease buffered_;  // what has been read and not taken yet
   std::deque<Slot> slots_;
@@ -89,6 +99,7 @@
   bool fault_sent_ = false;
   std::optional<Time> leave_at_;  // set in a drain
   bool lingering_ = false;        // all is written; waits for the client to close
+  bool leaving_ = false;          // closes once all is written
   bool closed_ = false;
   bool served_ = false;  // has had an answer
   std::uint64_t answered_ = 0;
--- /dev/null
+++ b/src/node/dialect.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "node/request.h"
+
+namespace silverpin::node {
+
+class ClientSession;
+
+// One client's side of a dialect: reads its commands, turns them into requests to the core, and the
+// core's final answers into bytes. Has no socket; the session that owns it feeds it and orders its
+// answers. Called from the session only; on_final() also from inside step(), where the core answers
+// at once.
+class Dialect {
+ public:
+  enum class Step {
+    kMore,   // no whole command has come
+    kTaken,  // one was taken: answered, or handed to the core
+    kWait,   // the next one waits for an earlier one of this client to end
+    kFault,  // what came makes no sense: nothing further may be read, and fault() is the last
+             // answer
+    kLeave,  // the client has asked to end the connection, behind its answers
+  };
+
+  virtual ~Dialect() = default;
+  virtual void feed(std::string_view bytes) = 0;
+  virtual Step step(ClientSession& session) = 0;
+  virtual std::string fault() const = 0;
+  virtual void on_final(ClientSession& session, Ticket ticket, const Payload& payload,
+                        Final final) = 0;
+  // Gives up what has been read.
+  virtual void forget() = 0;
+
+  // Read ahead of the commands taken; a body under way is not counted.
+  virtual std::size_t buffered() const = 0;
+  virtual bool between_commands() const = 0;
+  // How long the body under way will be; 0 if there is none.
+  virtual std::size_t body_length() const = 0;
+};
+
+using MakeDialect = std::function<std::unique_ptr<Dialect>()>;
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/memcache_front.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+#include "node/dialect.h"
+#include "node/limits.h"
+#include "proto/memcache.h"
+#include "settings/settings.h"
+
+namespace silverpin::node {
+
+// A request as a memcache client has written it.
+struct MemcachePayload : Payload {
+  MemcachePayload(memcache::Command c, Lease b) : command(std::move(c)), body(std::move(b)) {}
+  void released() const override;
+
+  memcache::Command command;
+  Lease body;  // what its body takes of the byte budget
+  std::unordered_set<std::string_view>* ids = nullptr;
+};
+
+inline const memcache::Command& command_of(const Payload& payload) {
+  return static_cast<const MemcachePayload&>(payload).command;
+}
+
+// What meta commands mean: which class, tenant and deadline each has, and what its final answer
+// looks like. One for all its clients; it outlives them and the core's requests.
+class MemcacheFront {
+ public:
+  MemcacheFront(const SiteSettings& site, RequestSink& core) : site_(site), core_(core) {}
+  MemcacheFront(const MemcacheFront&) = delete;
+  MemcacheFront& operator=(const MemcacheFront&) = delete;
+
+  std::unique_ptr<Dialect> make();
+
+ private:
+  class Conversation;
+
+  // Hands the command to the core. Returns the reason if it makes no sense.
+  std::string_view submit(ClientSession& session, memcache::Command command);
+
+  const SiteSettings& site_;
+  RequestSink& core_;
+  std::unordered_set<std::string_view> ids_;  // the clients' own, of open requests, which hold them
+};
+
+}  // namespace silverpin::node
--- a/src/node/origin_connection.cc
+++ b/src/node/origin_connection.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <sstream>
 
+#include "node/memcache_front.h"
+
 namespace silverpin::node {
 namespace {
 
@@ -85,7 +87,7 @@
 }
 
 void OriginConnection::encode(Outgoing& out) {
-  const auto& command = *out.attempt->command;
+  const auto& command = command_of(*out.attempt->payload);
   const bool set = command.kind == memcache::Command::Kind::kSet;
   http::request<http::empty_body> request(set ? http::verb::put : http::verb::get,
                                           path_of(command.key), 11);
@@ -110,7 +112,8 @@
 
 bool OriginConnection::on_body(std::string_view piece) {
   if (!served_) return true;  // the text of an error
-  if (current()->command->kind == memcache::Command::Kind::kGet) return take_value(piece, length_);
+  if (command_of(*current()->payload).kind == memcache::Command::Kind::kGet)
+    return take_value(piece, length_);
   receipt_ += piece;
   return receipt_.size() <= kMaxReceipt;
 }
@@ -141,11 +144,13 @@
   const auto status = response.result_int();
   if (status / 100 == 1) return new_parser(), true;  // the answer proper is still to come
   // Where the origin says whose answer it is, it must be this request's.
-  if (const auto id = response["X-Trace-Id"]; !id.empty() && id != current()->command->id)
+  if (const auto id = response["X-Trace-Id"];
+      !id.empty() && id != command_of(*current()->payload).id)
     return false;
   if (!response.keep_alive()) keep_open_ = false;
   if (status == 200) {
-    if (current()->command->kind == memcache::Command::Kind::kGet) return complete(Result::kOk);
+    if (command_of(*current()->payload).kind == memcache::Command::Kind::kGet)
+      return complete(Result::kOk);
     if (!memcache::is_token(receipt_, kMaxReceipt)) return false;
     return complete(Result::kOk, std::move(receipt_));
   }
--- /dev/null
+++ b/src/node/request.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "policy/policy.h"
+
+// What passes between the fronts, which know the clients' dialects, and the core, which knows none.
+namespace silverpin::node {
+
+// A request in its dialect's own form. Made by a front and read by the backs of its pool; the core
+// only carries it.
+class Payload {
+ public:
+  virtual ~Payload() = default;
+  // No attempt of the request is out any longer and none will be: a front may take its name as
+  // free.
+  virtual void released() const {}
+};
+using PayloadPtr = std::shared_ptr<const Payload>;
+
+// The one final answer of a request.
+struct Final {
+  enum class Kind {
+    kServed,
+    kRefused,  // nothing has run, or its repeat is harmless: the client may ask again
+    kFailed,   // it may have run
+  };
+  Kind kind = Kind::kFailed;
+  std::string value;        // of a served one: what the back has made of the server's answer
+  Duration retry_after{0};  // of a refused one; 0: no advice
+};
+
+// Where a final answer belongs: a place in a client's order of answers, and the part of it where
+// one command became several requests.
+struct Ticket {
+  std::uint64_t slot = 0;
+  std::uint32_t part = 0;
+  auto operator<=>(const Ticket&) const = default;
+};
+
+// Who has asked.
+class Caller {
+ public:
+  virtual ~Caller() = default;
+  // Called once for each request that was taken and not withdrawn; possibly before submit()
+  // returns.
+  virtual void on_final(Ticket ticket, const Payload& payload, Final final) = 0;
+};
+
+// What a front asks of the core.
+struct Ask {
+  PayloadPtr payload;
+  int klass = 0;   // index into the pool's classes
+  int tenant = 0;  // index into the pool's tenants; -1: none of them
+  bool write = false;
+  std::optional<std::string_view> key;
+  std::optional<Duration> work;  // a rough hint
+  Duration budget{0};            // the client's patience
+};
+
+// The core as a front sees it.
+class RequestSink {
+ public:
+  virtual ~RequestSink() = default;
+  // Takes the request: on_final() tells its end.
+  virtual void submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) = 0;
+  // The client has gone; on_final() is not called for it any more. From the event loop only.
+  virtual void withdraw(Caller& caller, Ticket ticket) = 0;
+};
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/server_pool.cc
@@ -0,0 +1,199 @@
+#include "node/server_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace silverpin::node {
+namespace {
+
+using boost::system::error_code;
+
+// Connections are retired at this part of the time after which hosts close them.
+constexpr int kRetirePart = 3;
+
+UpstreamTimes times_of(const SiteSettings& site) {
+  constexpr Duration kConnect = std::chrono::seconds(1), kIdle = std::chrono::seconds(15);
+  return {site.connect_timeout > Duration{0} ? site.connect_timeout : kConnect,
+          (site.idle_close > Duration{0} ? site.idle_close : kIdle) / kRetirePart,
+          site.streams_per_connection};
+}
+
+}  // namespace
+
+ServerPool::ServerPool(boost::asio::io_context& io, const Clock& clock, const SiteSettings& site,
+                       std::uint64_t seed, Limits& limits, Dial dial,
+                       std::function<void()> subscribe)
+    : io_(io),
+      clock_(clock),
+      site_(site),
+      subscribe_(std::move(subscribe)),
+      timer_(io),
+      policy_(site.policy, seed, clock.now(), *this),
+      upstreams_(io, limits, *this, times_of(site), std::move(dial)) {}
+
+Duration ServerPool::longest_deadline(Duration most) const {
+  Duration longest{0};
+  for (const RequestClass& c : site_.policy.classes) longest = std::max(longest, c.deadline);
+  return longest > Duration{0} ? std::min(longest, most) : most;
+}
+
+// ---- the module's actions
+
+void ServerPool::send(RequestId id, std::string_view host, Time until) {
+  Call& call = calls_.at(id);
+  auto attempt = std::make_shared<Attempt>();
+  attempt->request = id;
+  attempt->number = call.attempts++;
+  attempt->payload = call.payload;
+  attempt->until = until;
+  attempt->unsafe = call.unsafe;
+  ++call.out;
+  attempt->timer = std::make_shared<boost::asio::steady_timer>(io_, clock_.steady(until));
+  attempt->timer->async_wait([this, attempt](const error_code& e) {
+    if (!e) on_end(attempt, Result::kTimeout, {});
+  });
+  upstreams_.start(std::move(attempt), host);
+}
+
+void ServerPool::refuse(RequestId id, Duration retry_after) {
+  finish(id, {Final::Kind::kRefused, {}, retry_after});
+}
+
+void ServerPool::fail(RequestId id) { finish(id, {}); }
+
+void ServerPool::set_timer(Time at, std::uint64_t tag) {
+  due_.push({at, tag});
+  if (at < timer_at_) arm_timer();
+}
+
+void ServerPool::close_idle(std::string_view host) { upstreams_.close_idle(host); }
+
+void ServerPool::arm_timer() {
+  timer_at_ = due_.top().at;
+  timer_.expires_at(clock_.steady(timer_at_));
+  timer_.async_wait([this](const error_code& e) {
+    if (e) return;
+    timer_at_ = Time::max();
+    while (!due_.empty() && due_.top().at <= now()) {
+      const auto tag = due_.top().tag;
+      due_.pop();
+      policy_.on_timer(now(), tag);
+    }
+    forget_finished();
+    if (!due_.empty() && due_.top().at < timer_at_) arm_timer();
+  });
+}
+
+// ---- requests
+
+void ServerPool::submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) {
+  if (site_.most_held > 0 && by_ticket_.size() >= static_cast<std::size_t>(site_.most_held)) {
+    ask.payload->released();
+    caller->on_final(ticket, *ask.payload, {Final::Kind::kRefused, {}, Duration{0}});
+    return;
+  }
+  Request q;
+  q.id = next_id_++;
+  q.klass = ask.klass;
+  q.tenant = ask.tenant;
+  q.key = ask.key;
+  q.write = ask.write;
+  q.work = ask.work;
+  q.budget = ask.budget;
+  if (drain_end_) q.budget = std::max(Duration{0}, std::min(q.budget, *drain_end_ - now()));
+  Call& call = calls_[q.id];
+  call.caller = caller;
+  call.ticket = ticket;
+  call.payload = std::move(ask.payload);
+  call.unsafe = site_.policy.classes[static_cast<std::size_t>(q.klass)].repeat == Repeat::kUnsafe;
+  by_ticket_.emplace(std::pair(caller.get(), ticket), q.id);
+  policy_.on_request(now(), q);
+  forget_finished();
+}
+
+void ServerPool::withdraw(Caller& caller, Ticket ticket) {
+  const auto it = by_ticket_.find({&caller, ticket});
+  if (it == by_ticket_.end()) return;
+  const RequestId id = it->second;
+  end_call(id, calls_.at(id));
+  policy_.on_withdrawn(now(), id);
+  forget_finished();
+}
+
+void ServerPool::fail_open() {
+  std::vector<RequestId> open;
+  for (const auto& [ticket, id] : by_ticket_) open.push_back(id);
+  for (const RequestId id : open) {
+    fail(id);
+    policy_.on_withdrawn(now(), id);
+  }
+  forget_finished();
+}
+
+void ServerPool::finish(RequestId id, Final final) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end() || it->second.over) return;
+  const auto caller = it->second.caller;
+  const auto payload = it->second.payload;
+  const Ticket ticket = it->second.ticket;
+  end_call(id, it->second);
+  caller->on_final(ticket, *payload, std::move(final));
+}
+
+void ServerPool::end_call(RequestId id, Call& call) {
+  call.over = true;
+  by_ticket_.erase({call.caller.get(), call.ticket});
+  call.caller = nullptr;
+  finished_.push_back(id);
+}
+
+// Requests are erased only here, after the module has returned: its actions name them until then.
+void ServerPool::forget_finished() {
+  for (const RequestId id : std::exchange(finished_, {})) {
+    const auto it = calls_.find(id);
+    if (it == calls_.end() || it->second.out > 0) continue;
+    it->second.payload->released();
+    calls_.erase(it);
+  }
+}
+
+// ---- attempts
+
+bool ServerPool::wanted(const Attempt& attempt) const {
+  const auto it = calls_.find(attempt.request);
+  return it != calls_.end() && !it->second.over;
+}
+
+void ServerPool::on_end(const AttemptPtr& attempt, Result result, std::string value) {
+  if (std::exchange(attempt->ended, true)) return;
+  attempt->timer->cancel();
+  if (result == Result::kTimeout || result == Result::kCancelled)
+    if (const auto connection = attempt->connection.lock()) connection->abandon(attempt);
+  const RequestId id = attempt->request;
+  Call& call = calls_.at(id);
+  --call.out;
+  if (result == Result::kOk && !call.over)
+    finish(id, {Final::Kind::kServed, std::move(value), Duration{0}});
+  if (call.over) finished_.push_back(id);
+  policy_.on_outcome(now(), {id, attempt->number, result, call.over});
+  forget_finished();
+}
+
+// ---- the host list
+
+void ServerPool::on_list(const HostList& list) {
+  upstreams_.apply(list);
+  std::vector<HostEntry> entries;
+  for (const ListedHost& host : list.hosts)
+    entries.push_back(
+        {host.id, host.started_at, host.origin, host.zone, host.cell, host.state, host.weight});
+  policy_.on_hosts(now(), list.whole ? ListKind::kWhole : ListKind::kChanges, entries);
+  forget_finished();
+}
+
+void ServerPool::on_list_refused() {
+  policy_.on_hosts(now(), ListKind::kRefused, {});
+  forget_finished();
+}
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/server_pool.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "node/attempt.h"
+#include "node/clock.h"
+#include "node/limits.h"
+#include "node/request.h"
+#include "node/upstream_pool.h"
+#include "policy/policy.h"
+#include "settings/settings.h"
+
+namespace silverpin::node {
+
+// A pool of servers with a policy of its own, and the requests that are in work there. Carries out
+// the module's decisions: turns its actions into attempts, answers and timers, and what becomes of
+// them into its events. The one place that ends a request. Knows no dialect.
+//
+// The module keeps references across its calls to the sink. So nothing that is called from a sink
+// function may call the module: whatever ends there is posted to the event loop.
+class ServerPool : public RequestSink, private ActionSink, private AttemptEvents {
+ public:
+  // `dial` makes the connections, `subscribe` asks for the host list. `limits` outlives the event
+  // loop, whose last handlers hold leases; so does `site`.
+  ServerPool(boost::asio::io_context& io, const Clock& clock, const SiteSettings& site,
+             std::uint64_t seed, Limits& limits, Dial dial, std::function<void()> subscribe);
+
+  void on_list(const HostList& list);
+  void on_list_refused();
+
+  // RequestSink
+  void submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) override;
+  void withdraw(Caller& caller, Ticket ticket) override;
+
+  // What is taken from now on is answered by `end`.
+  void drain(Time end) { drain_end_ = end; }
+  // Fails what is still open; a failure promises nothing.
+  void fail_open();
+  // The longest deadline of its classes, up to `most`; `most` if none is stated.
+  Duration longest_deadline(Duration most) const;
+
+ private:
+  struct Call {
+    std::shared_ptr<Caller> caller;
+    Ticket ticket;
+    PayloadPtr payload;
+    bool unsafe = false;
+    bool over = false;  // had its final answer, or the client has gone
+    int attempts = 0;
+    int out = 0;  // of them
+  };
+
+  // ActionSink
+  void send(RequestId id, std::string_view host, Time until) override;
+  void refuse(RequestId id, Duration retry_after) override;
+  void fail(RequestId id) override;
+  void set_timer(Time at, std::uint64_t tag) override;
+  void subscribe() override { subscribe_(); }
+  void close_idle(std::string_view host) override;
+
+  // AttemptEvents
+  Time now() const override { return clock_.now(); }
+  bool wanted(const Attempt& attempt) const override;
+  void on_end(const AttemptPtr& attempt, Result result, std::string value) override;
+
+  void arm_timer();
+  void finish(RequestId id, Final final);
+  void end_call(RequestId id, Call& call);
+  void forget_finished();
+
+  boost::asio::io_context& io_;
+  const Clock& clock_;
+  const SiteSettings& site_;
+  const std::function<void()> subscribe_;
+  struct Due {
+    Time at;
+    std::uint64_t tag;
+    bool operator>(const Due& other) const { return at > other.at; }
+  };
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
+  boost::asio::steady_timer timer_;
+  Time timer_at_ = Time::max();
+  Policy policy_;  // sets timers from its first moment on
+  Upstreams upstreams_;
+  std::unordered_map<RequestId, Call> calls_;
+  std::map<std::pair<Caller*, Ticket>, RequestId> by_ticket_;  // those not over
+  std::vector<RequestId> finished_;
+  RequestId next_id_ = 1;
+  std::optional<Time> drain_end_;
+};
+
+}  // namespace silverpin::node
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -179,7 +179,7 @@
 
 bool UpstreamConnection::take_value(std::string_view piece, std::optional<std::size_t> length) {
   if (current()->ended) return true;  // given up: read and forgotten
-  if (value_.size() + piece.size() > memcache::kMaxValue) return false;
+  if (value_.size() + piece.size() > most_value()) return false;
   if (length && value_.empty()) value_.reserve(*length);
   value_ += piece;
   bytes_.resize(value_.size());
--- a/src/node/upstream_connection.h
+++ b/src/node/upstream_connection.h
@@ -61,6 +61,8 @@
   virtual void encode(Outgoing& out) = 0;
   // False: what came makes no sense and the connection ends.
   virtual bool on_bytes(std::string_view bytes) = 0;
+  // The longest value of an answer.
+  virtual std::size_t most_value() const { return kWholeValue; }
   // Whether nothing of a further answer has come yet.
   virtual bool between_answers() const = 0;
 
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -5,9 +5,6 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-#include "node/cache_connection.h"
-#include "node/origin_connection.h"
-
 namespace silverpin::node {
 namespace {
 
@@ -27,11 +24,13 @@
 }  // namespace
 
 UpstreamPool::UpstreamPool(asio::io_context& io, Limits& limits, AttemptEvents& events,
-                           const UpstreamTimes& times, FreeDescriptor free_descriptor)
+                           const UpstreamTimes& times, const Dial& dial,
+                           FreeDescriptor free_descriptor)
     : io_(io),
       limits_(limits),
       events_(events),
       times_(times),
+      make_(dial),
       free_descriptor_(std::move(free_descriptor)) {}
 
 void UpstreamPool::set_host(const ListedHost& host) {
@@ -55,12 +54,7 @@
     return true;
   }
   if (dial_ && (limits_.upstreams.room_for(1) || free_descriptor_())) {
-    std::shared_ptr<UpstreamConnection> connection;
-    if (origin_) {
-      connection = std::make_shared<OriginConnection>(io_, limits_, events_, *this);
-    } else {
-      connection = std::make_shared<CacheConnection>(io_, limits_, events_, *this);
-    }
+    const auto connection = make_(origin_, events_, *this);
     all_.push_back(connection);
     connection->start(attempt);
     connection->connect(*dial_, times_.connect_timeout);
@@ -168,8 +162,8 @@
 // ---- all hosts
 
 Upstreams::Upstreams(asio::io_context& io, Limits& limits, AttemptEvents& events,
-                     const UpstreamTimes& times)
-    : io_(io), limits_(limits), events_(events), times_(times), tick_(io) {
+                     const UpstreamTimes& times, Dial dial)
+    : io_(io), limits_(limits), events_(events), times_(times), dial_(std::move(dial)), tick_(io) {
   arm_tick();
 }
 
@@ -184,7 +178,7 @@
     }
     Member& member = members_[host.id];
     if (!member.pool)
-      member.pool = std::make_unique<UpstreamPool>(io_, limits_, events_, times_,
+      member.pool = std::make_unique<UpstreamPool>(io_, limits_, events_, times_, dial_,
                                                    [this] { return free_descriptor(); });
     member.gone = false;
     member.pool->set_host(host);
--- a/src/node/upstream_pool.h
+++ b/src/node/upstream_pool.h
@@ -17,13 +17,17 @@
   int streams = 1;
 };
 
+// Makes a connection of the pool's dialect, to the origin or to another server.
+using Dial = std::function<std::shared_ptr<UpstreamConnection>(bool origin, AttemptEvents& events,
+                                                               UpstreamOwner& owner)>;
+
 // The connections to one host.
 class UpstreamPool : public UpstreamOwner {
  public:
   using FreeDescriptor = std::function<bool()>;
 
   UpstreamPool(boost::asio::io_context& io, Limits& limits, AttemptEvents& events,
-               const UpstreamTimes& times, FreeDescriptor free_descriptor);
+               const UpstreamTimes& times, const Dial& dial, FreeDescriptor free_descriptor);
 
   void set_host(const ListedHost& host);
   void start(AttemptPtr attempt);
@@ -53,6 +57,7 @@
   Limits& limits_;
   AttemptEvents& events_;
   const UpstreamTimes& times_;
+  const Dial& make_;
   FreeDescriptor free_descriptor_;
   std::optional<Endpoint> dial_;
   std::optional<Time> started_at_;
@@ -67,7 +72,7 @@
 class Upstreams {
  public:
   Upstreams(boost::asio::io_context& io, Limits& limits, AttemptEvents& events,
-            const UpstreamTimes& times);
+            const UpstreamTimes& times, Dial dial);
 
   void apply(const HostList& list);
   void start(AttemptPtr attempt, std::string_view host);
@@ -87,6 +92,7 @@
   Limits& limits_;
   AttemptEvents& events_;
   const UpstreamTimes times_;
+  const Dial dial_;
   std::map<std::string, Member, std::less<>> members_;
   boost::asio::steady_timer tick_;
 };
