--- a/src/policy/hash_ring.cc
+++ b/src/policy/hash_ring.cc
@@ -42,6 +42,19 @@
   hosts_ += members.size();
 }
 
+bool HashRing::walk(std::uint64_t point, std::uint64_t, Accept accept) const {
+  std::vector<Host> offered;
+  const auto start = std::lower_bound(points_.begin(), points_.end(), Point{point, 0});
+  for (std::size_t i = 0; i < points_.size() && offered.size() < hosts_; ++i) {
+    const std::size_t at = static_cast<std::size_t>(start - points_.begin()) + i;
+    const Host host = points_[at % points_.size()].host;
+    if (std::find(offered.begin(), offered.end(), host) != offered.end()) continue;
+    if (accept(host)) return true;
+    offered.push_back(host);
+  }
+  return false;
+}
+
 void HashRing::erase(Host host) {
   if (std::erase_if(points_, [host](const Point& p) { return p.host == host; }) > 0) --hosts_;
 }
--- a/src/policy/hash_ring.h
+++ b/src/policy/hash_ring.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "policy/placement.h"
+
 namespace silverpin {
 
 // The same on every machine and in every run, so that all balancers agree on every point.
@@ -16,34 +18,14 @@
 // A consistent hash ring with virtual nodes. The points follow from host ids and static weights
 // alone: balancers that know the same hosts build the same ring, and a host that comes or goes
 // moves only the keys it gains or leaves.
-class HashRing {
+class HashRing : public Placement {
  public:
-  using Host = std::uint32_t;
-
-  struct Member {
-    Host host;
-    std::string_view id;
-    double weight;
-  };
-
-  void insert(const std::vector<Member>& members);
-  void erase(Host host);
+  void insert(const std::vector<Member>& members) override;
+  void erase(Host host) override;
   bool empty() const { return points_.empty(); }
-
-  // Offers each distinct host once, in ring order from the key's point, until `accept` takes one.
-  template <typename Accept>
-  bool walk(std::uint64_t key, Accept&& accept) const {
-    std::vector<Host> offered;
-    const auto start = std::lower_bound(points_.begin(), points_.end(), Point{key, 0});
-    for (std::size_t i = 0; i < points_.size() && offered.size() < hosts_; ++i) {
-      const std::size_t at = static_cast<std::size_t>(start - points_.begin()) + i;
-      const Host host = points_[at % points_.size()].host;
-      if (std::find(offered.begin(), offered.end(), host) != offered.end()) continue;
-      if (accept(host)) return true;
-      offered.push_back(host);
-    }
-    return false;
-  }
+  std::uint64_t point(std::string_view key) const override { return stable_hash(key); }
+  // In ring order from the point, whoever asks.
+  bool walk(std::uint64_t point, std::uint64_t request, Accept accept) const override;
 
  private:
   struct Point {
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -47,7 +47,8 @@
 
 }  // namespace
 
-Policy::Policy(const Settings& settings, std::uint64_t seed, Time now, ActionSink& sink)
+Policy::Policy(const Settings& settings, std::uint64_t seed, Time now, ActionSink& sink,
+               Placement* placement)
     : settings_(settings),
       sink_(sink),
       random_(seed),
@@ -55,6 +56,7 @@
       // Gates that sample in step across the fleet would all close and reopen together.
       gate_(origin_target(settings), now - from_seconds(0.5 * uniform())),
       cache_gate_(kMostSlow, now - from_seconds(0.5 * uniform())),
+      placement_(placement ? *placement : ring_),
       demand_since_(now),
       cache_work_at_(now),
       retry_budget_(kRetryDepth) {
@@ -86,7 +88,7 @@
   }
   refused_calls_ = 0;
   std::vector<bool> listed(hosts_.size(), false);
-  std::vector<HashRing::Member> joined;
+  std::vector<Placement::Member> joined;
   for (const HostEntry& e : entries) {
     const auto place = free_.empty() ? static_cast<HostIndex>(hosts_.size()) : free_.back();
     const auto [it, is_new] = host_index_.try_emplace(std::string(e.id), place);
@@ -116,15 +118,15 @@
       if (settings_.static_weights) host.weight = bounded_weight(e.weight);
       joined.push_back({index, it->first, host.weight});
     } else if (was_on_ring && !on_ring) {
-      ring_.erase(index);
+      placement_.erase(index);
     }
   }
-  ring_.insert(joined);
+  placement_.insert(joined);
   ring_weight_ = 0;
   for (HostIndex i = 0; i < hosts_.size(); ++i) {
     Host& host = hosts_[i];
     if (kind == ListKind::kWhole && !listed[i] && host.state != HostState::kGone) {
-      if (!host.origin) ring_.erase(i);
+      if (!host.origin) placement_.erase(i);
       host.state = HostState::kGone;
     }
     if (!host.origin && host.state != HostState::kGone) ring_weight_ += host.weight;
@@ -228,7 +230,7 @@
   Active& r = active_[q.id];
   r.id = q.id;
   r.klass = q.klass;
-  r.key = q.key ? stable_hash(*q.key) : mix(q.id, 0);
+  r.key = q.key ? placement_.point(*q.key) : mix(q.id, 0);
   r.write = q.write;
   if (q.work) mean_work_ += 0.01 * (seconds(*q.work) - mean_work_);
   r.work = q.work ? std::max(seconds(*q.work), 0.0) : mean_work_;
@@ -274,7 +276,9 @@
   // comes once a request; where hosts break off because they are full it would double what they
   // get, until three in a row eject them.
   const bool broke = r.attempts.size() == 1 && r.attempts.back().broke;
-  const bool retry = !r.attempts.empty() && r.attempts.back().fate != Fate::kMissed && !broke;
+  // A host that names another has done no work and shows no load.
+  const bool retry = !r.attempts.empty() && r.attempts.back().fate != Fate::kMissed && !broke &&
+                     !r.attempts.back().redirected;
   const std::size_t points = replicas(r.key);
   if (retry && (retry_budget_ < 1 || (points == 1 && gate_.wide_open()))) return bypass(r);
   std::optional<HostIndex> choice, ejected;
@@ -283,11 +287,11 @@
   // A hot key overwhelms a single owner however many hosts there are, so its requests are spread
   // over the next points, enough of them to bring each one's part down to an ordinary share.
   auto skip = retry ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(points));
-  ring_.walk(r.key, [&](HostIndex i) {
+  auto accept = [&](HostIndex i) {
     Host& host = hosts_[i];
     if (host.state != HostState::kServing || !repeat_allowed(r, host)) return false;
     for (const Attempt& a : r.attempts)
-      if (a.host == i && a.fate != Fate::kMissed && !broke) return false;
+      if (a.host == i && a.fate != Fate::kMissed && !a.redirected && !broke) return false;
     // Slow start key by key: each key comes back once, as the host warms, and the rest stay where
     // they are cached.
     // A host too slow for its keys hands some on in the same manner: at every balancer the same
@@ -308,7 +312,8 @@
     }
     choice = i;
     return stored_at ? i == *stored_at : skip-- == 0;
-  });
+  };
+  placement_.walk(r.key, r.id, accept);
   // Where one point after another is too slow for the key, the fleet is overloaded. Further points
   // would miss and load the origin too; an early refusal costs the least.
   if (!choice && shed == kMostShed) return bypass(r);
@@ -430,19 +435,21 @@
   Host& host = hosts_[a.host];
   host.health.on_ended(a.sent_at);
   const bool never_ran = o.result == Result::kRejected || o.result == Result::kConnectFailed ||
-                         o.result == Result::kNotSent;
+                         o.result == Result::kNotSent || o.result == Result::kRedirected;
   a.fate = o.result == Result::kMiss ? Fate::kMissed
            : never_ran               ? Fate::kNeverRan
                                      : Fate::kMayHaveRun;
   a.broke = o.result == Result::kReset;
+  a.redirected = o.result == Result::kRedirected;
   const bool served = o.result == Result::kOk;
+  const bool well = served || o.result == Result::kMiss || a.redirected;
   if (!host.origin) {
     // Where a zone is cut off, to find it out host by host costs each balancer an attempt per host.
     Zone& zone = zones_[host.zone];
     if (o.result == Result::kConnectFailed || o.result == Result::kReset ||
         o.result == Result::kTimeout) {
       if (++zone.failures >= kZoneFailures) zone.health.on_failure(now, uniform());
-    } else if (served || o.result == Result::kMiss || o.result == Result::kRejected) {
+    } else if (well || o.result == Result::kRejected) {
       zone.failures = 0;
       zone.health.on_success();
     }
@@ -453,7 +460,7 @@
     } else {
       gate_.on_done(a.sent_at, now, !served);
     }
-  } else if (served || o.result == Result::kMiss) {
+  } else if (well) {
     host.health.on_success();
     if (!a.slow) judge(host, false);
   } else if (o.result == Result::kConnectFailed) {
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -77,7 +77,8 @@
   kReset,
   kCancelled,
   kNotSent,
-  kMiss
+  kMiss,
+  kRedirected  // a whole answer that names another host, and proves that nothing ran
 };
 
 struct Outcome {
@@ -100,7 +101,9 @@
 
 class Policy {
  public:
-  Policy(const Settings& settings, std::uint64_t seed, Time now, ActionSink& sink);
+  // `placement`, which outlives it, offers the hosts of a key; without one a hash ring does.
+  Policy(const Settings& settings, std::uint64_t seed, Time now, ActionSink& sink,
+         Placement* placement = nullptr);
 
   void on_hosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
   void on_request(Time now, const Request& request);
@@ -112,7 +115,7 @@
   std::size_t host_places() const { return hosts_.size(); }
 
  private:
-  using HostIndex = HashRing::Host;
+  using HostIndex = Placement::Host;
 
   struct Host {
     std::string id;
@@ -134,6 +137,7 @@
     Fate fate = Fate::kOut;
     bool slow = false;   // and counted as such while still out
     bool broke = false;  // its connection did
+    bool redirected = false;
   };
 
   struct Active {
@@ -191,6 +195,7 @@
   OriginGate gate_;
   OriginGate cache_gate_;  // the same controller over the share of slow cache answers
   HashRing ring_;
+  Placement& placement_;
   double ring_weight_ = 0;  // of all hosts on it
   std::vector<Host> hosts_;
   std::vector<HostIndex> free_;  // places of forgotten hosts, for new ones
--- a/src/proto/resp.cc
+++ b/src/proto/resp.cc
@@ -163,7 +163,7 @@
 std::optional<CommandReader::Item> CommandReader::take_inline() {
   const auto line = take_line();
   if (!line) {
-    if (in_.size() - at_ > bounds_.line) return Fault{"Protocol error: too big inline request"};
+    if (in_.size() - at_ > bounds_.line + 1) return Fault{"Protocol error: too big inline request"};
     return std::nullopt;
   }
   if (line->size() > bounds_.line) return Fault{"Protocol error: too big inline request"};
@@ -188,13 +188,14 @@
     if (!left_) {
       const auto line = take_line();
       if (!line) {
-        if (in_.size() - cursor_ > kMostLengthLine)
+        if (in_.size() - cursor_ > kMostLengthLine + 1)
           return Fault{"Protocol error: too big mbulk count string"};
         return std::nullopt;
       }
+      if (line->size() > kMostLengthLine)
+        return Fault{"Protocol error: too big mbulk count string"};
       const auto count = parse_integer(line->substr(1));
-      if (!count || line->size() > kMostLengthLine ||
-          (*count > 0 && static_cast<std::uint64_t>(*count) > bounds_.elements))
+      if (!count || (*count > 0 && static_cast<std::uint64_t>(*count) > bounds_.elements))
         return Fault{"Protocol error: invalid multibulk length"};
       if (*count <= 0) {
         at_ = cursor_;
@@ -214,13 +215,14 @@
         }
         const auto line = take_line();
         if (!line) {
-          if (in_.size() - cursor_ > kMostLengthLine)
+          if (in_.size() - cursor_ > kMostLengthLine + 1)
             return Fault{"Protocol error: too big bulk count string"};
           return std::nullopt;
         }
+        if (line->size() > kMostLengthLine)
+          return Fault{"Protocol error: too big bulk count string"};
         const auto length = parse_integer(line->substr(1));
-        if (!length || line->size() > kMostLengthLine || *length < 0 ||
-            static_cast<std::uint64_t>(*length) > bounds_.bulk ||
+        if (!length || *length < 0 || static_cast<std::uint64_t>(*length) > bounds_.bulk ||
             cursor_ - at_ + static_cast<std::uint64_t>(*length) > bounds_.total)
           return Fault{"Protocol error: invalid bulk length"};
         bulk_ = static_cast<std::size_t>(*length);
