--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -15,10 +15,13 @@
 struct Attempt {
   RequestId request = 0;
   int number = 0;
+  std::string host;
   PayloadPtr payload;
   Time until{0};
-  bool unsafe = false;  // its class must never run twice
-  bool ended = false;   // its outcome is known
+  bool asking = false;   // the host is to take it though it does not own its slot yet
+  bool replica = false;  // the host is to read it though it is a replica
+  bool unsafe = false;   // its class must never run twice
+  bool ended = false;    // its outcome is known
   std::shared_ptr<boost::asio::steady_timer> timer;
   std::weak_ptr<UpstreamConnection> connection;
 };
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -1,6 +1,9 @@
 #include "node/balancer.h"
 
 #include <algorithm>
+#include <stdexcept>
+#include <string>
+#include <utility>
 
 #include "node/cache_connection.h"
 #include "node/origin_connection.h"
@@ -25,7 +28,8 @@
 
 }  // namespace
 
-Balancer::Balancer(boost::asio::io_context& io, const Config& config, Limits& limits)
+Balancer::Balancer(boost::asio::io_context& io, const Config& config, Limits& limits,
+                   Operator added)
     : io_(io),
       site_(config.site),
       pool_(
@@ -40,14 +44,44 @@
       discovery_(io, config.discovery, site_, config.known ? config.known->seq : 0,
                  {[this](const HostList& list) { pool_.on_list(list); },
                   [this] { pool_.on_list_refused(); }}),
+      added_(std::move(added)),
       drain_timer_(io),
       longest_deadline_(pool_.longest_deadline(kLongestDeadline)) {
   if (config.known) pool_.on_list(*config.known);
   listener_.reset(new ClientListener(io, config.listen, limits, clock_, pool_,
                                      [this] { return front_.make(); }));
+  add(config, limits);
   if (!site_.policy.list_on_request) discovery_.start();
 }
 
+void Balancer::add(const Config& config, Limits& limits) {
+  for (const RespPool& pool : added_.pools) {
+    cluster_pools_.push_back(std::make_unique<ClusterPool>(
+        io_, clock_, pool, config.seed + cluster_pools_.size() + 1, limits));
+    longest_deadline_ = std::max(
+        longest_deadline_, cluster_pools_.back()->servers().longest_deadline(kLongestDeadline));
+  }
+  for (const RespListener& l : added_.listeners) {
+    const auto at = std::find_if(added_.pools.begin(), added_.pools.end(),
+                                 [&l](const RespPool& p) { return p.name == l.pool; });
+    ServerPool& servers =
+        cluster_pools_[static_cast<std::size_t>(at - added_.pools.begin())]->servers();
+    const auto address = parse_endpoint(l.address);
+    if (!address) throw std::runtime_error("listener " + l.name + ": names are not looked up");
+    RespSide side;
+    // The front is known only once the port is: with port 0 the system gives one.
+    const std::size_t place = resp_.size();
+    side.listener.reset(new ClientListener(io_, *address, limits, clock_, servers,
+                                           [this, place] { return resp_[place].front->make(); }));
+    const Endpoint local = side.listener->local();
+    std::string announce = l.announce;
+    if (announce.empty())
+      announce = l.address.substr(0, l.address.rfind(':') + 1) + std::to_string(local.port());
+    side.front = std::make_unique<RespFront>(l, *at, announce, limits, servers);
+    resp_.push_back(std::move(side));
+  }
+}
+
 void Balancer::reload(const Config& config) {
   if (draining_since_) return;
   discovery_.move(config.discovery);
@@ -56,11 +90,12 @@
 void Balancer::drain() {
   if (draining_since_) return;
   draining_since_ = clock_.now();
-  pool_.drain(*draining_since_ + longest_deadline_ + kDrainAnswer);
+  each_pool(
+      [this](ServerPool& p) { p.drain(*draining_since_ + longest_deadline_ + kDrainAnswer); });
   const Time last =
       *draining_since_ + std::max<Duration>(longest_deadline_ - kGiveBackLast, kDrainAccept);
-  listener_->drain(std::min<Time>(*draining_since_ + longest_deadline_ / kGiveBackPart, last),
-                   last);
+  const Time first = std::min<Time>(*draining_since_ + longest_deadline_ / kGiveBackPart, last);
+  each_listener([first, last](ClientListener& l) { l.drain(first, last); });
   arm_drain();
 }
 
@@ -69,12 +104,16 @@
   drain_timer_.async_wait([this](const error_code& e) {
     if (e) return;
     const Duration since = clock_.now() - *draining_since_;
-    if (since >= kDrainAccept) listener_->stop();
+    std::size_t sessions = 0;
+    each_listener([&](ClientListener& l) {
+      if (since >= kDrainAccept) l.stop();
+      sessions += l.sessions();
+    });
     // Those whose deadline lies beyond the end.
-    if (since >= longest_deadline_ + kDrainAnswer) pool_.fail_open();
-    if (since >= longest_deadline_ + kDrainExit ||
-        (since >= kDrainAccept && listener_->sessions() == 0)) {
+    if (since >= longest_deadline_ + kDrainAnswer) each_pool([](ServerPool& p) { p.fail_open(); });
+    if (since >= longest_deadline_ + kDrainExit || (since >= kDrainAccept && sessions == 0)) {
       discovery_.stop();
+      for (auto& p : cluster_pools_) p->stop();
       io_.stop();
       return;
     }
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -4,34 +4,54 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "node/client_listener.h"
 #include "node/clock.h"
+#include "node/cluster_pool.h"
 #include "node/config.h"
 #include "node/discovery.h"
 #include "node/limits.h"
 #include "node/memcache_front.h"
+#include "node/resp_front.h"
 #include "node/server_pool.h"
 
 namespace silverpin::node {
 
 // The program's parts and their ends: the listener and front of memcache clients, the pool of cache
-// hosts behind them, and discovery, which lists those.
+// hosts behind them, and discovery, which lists those; and the same for what the operator's file
+// adds.
 class Balancer {
  public:
   // Listens when it returns. Throws boost::system::system_error if it cannot.
   // `limits` outlives the event loop, whose last handlers hold leases.
-  Balancer(boost::asio::io_context& io, const Config& config, Limits& limits);
+  Balancer(boost::asio::io_context& io, const Config& config, Limits& limits, Operator added = {});
 
   Endpoint local() const { return listener_->local(); }
+  // Of the operator's listeners, in the order of the file.
+  Endpoint local(std::size_t added) const { return resp_[added].listener->local(); }
+  const ClusterPool& cluster_pool(std::size_t i) const { return *cluster_pools_[i]; }
   // Takes over what may change while requests are in work: where discovery is. All else in a
   // configuration holds from a start to the end.
   void reload(const Config& config);
+  // Returns what of the operator's file waits for a restart.
+  std::vector<std::string> reload(const Operator& changed) { return added_.take_over(changed); }
   // Answers what has been taken, then stops the event loop.
   void drain();
 
  private:
+  void add(const Config& config, Limits& limits);
   void arm_drain();
+  template <typename F>
+  void each_listener(F&& f) {
+    f(*listener_);
+    for (auto& r : resp_) f(*r.listener);
+  }
+  template <typename F>
+  void each_pool(F&& f) {
+    f(pool_);
+    for (auto& p : cluster_pools_) f(p->servers());
+  }
 
   boost::asio::io_context& io_;
   const Clock clock_;
@@ -39,11 +59,18 @@
   ServerPool pool_;
   MemcacheFront front_;
   Discovery discovery_;
+  Operator added_;
+  std::vector<std::unique_ptr<ClusterPool>> cluster_pools_;  // in the order of the file
 
   boost::asio::steady_timer drain_timer_;
-  const Duration longest_deadline_;
+  Duration longest_deadline_;
   std::optional<Time> draining_since_;
   std::unique_ptr<ClientListener> listener_;
+  struct RespSide {
+    std::unique_ptr<RespFront> front;
+    std::unique_ptr<ClientListener> listener;
+  };
+  std::vector<RespSide> resp_;
 };
 
 }  // namespace silverpin::node
--- a/src/node/client_session.cc
+++ b/src/node/client_session.cc
@@ -150,8 +150,8 @@
 // otherwise fill it, and none could go on.
 bool ClientSession::reserve_body() {
   const auto length = dialect_->body_length();
-  if (length <= kSmallBody || body_.size() > 0) return true;
-  if (!limits_.bytes.room_for(length)) return false;
+  if (length <= kSmallBody || body_.size() >= length) return true;
+  if (!limits_.bytes.room_for(length - body_.size())) return false;
   body_.resize(length);
   return true;
 }
--- a/src/node/client_session.h
+++ b/src/node/client_session.h
@@ -36,6 +36,10 @@
   std::uint64_t open_slot(std::uint32_t parts = 1);
   // Completes the place. All answers are written in the order of their places.
   void answer(std::uint64_t slot, std::string text);
+  // A dialect that has made the next command wait may be asked for it again.
+  void wake() {
+    if (blocked_) pump_soon();
+  }
   // What the body just read takes of the byte budget.
   Lease take_body() { return std::exchange(body_, Lease(limits_.bytes)); }
 
--- /dev/null
+++ b/src/node/cluster_pool.cc
@@ -0,0 +1,267 @@
+#include "node/cluster_pool.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+#include <vector>
+
+namespace silverpin::node {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using cluster::View;
+
+// A node that has not told its slots by then is asked no longer.
+constexpr Duration kProbe = std::chrono::milliseconds(500);
+// As many ranges as there are slots fit in.
+constexpr resp::Bounds kProbeBounds{
+    .bulk = 4u << 20, .elements = 1u << 20, .total = 16u << 20, .line = 64u << 10, .depth = 8};
+
+}  // namespace
+
+// One question for the slots to one node. CLUSTER NODES is preferred, as it tells epochs; where a
+// node does not know or allow it, SLOTS does.
+class ClusterPool::Probe : public std::enable_shared_from_this<Probe> {
+ public:
+  Probe(ClusterPool& pool, std::string node)
+      : pool_(&pool),
+        node_(std::move(node)),
+        socket_(pool.io_),
+        timer_(pool.io_),
+        descriptor_(pool.limits_.upstreams, 1),
+        bytes_(pool.limits_.bytes) {}
+
+  void start() {
+    const auto to = parse_endpoint(node_);
+    if (!to) return finish_soon();
+    timer_.expires_after(kProbe);
+    timer_.async_wait([self = shared_from_this()](const error_code& e) {
+      if (!e) self->finish(std::nullopt);
+    });
+    socket_.async_connect(*to, [self = shared_from_this()](const error_code& e) {
+      if (e) return self->finish(std::nullopt);
+      const RespLogin& login = self->pool_->login_;
+      std::string out;
+      if (!login.password.empty()) {
+        out = login.user.empty() ? resp::Command::of({"AUTH", login.password}).wire()
+                                 : resp::Command::of({"AUTH", login.user, login.password}).wire();
+        self->skip_ = 1;
+      }
+      self->send(out + resp::Command::of({"CLUSTER", "NODES"}).wire() +
+                 resp::Command::of({"CLUSTER", "INFO"}).wire());
+      self->read();
+    });
+  }
+  // Nothing is reported any more.
+  void cancel() {
+    pool_ = nullptr;
+    close();
+  }
+
+ private:
+  void send(std::string text) {
+    auto held = std::make_shared<std::string>(std::move(text));
+    asio::async_write(socket_, asio::buffer(*held),
+                      [self = shared_from_this(), held](const error_code& e, std::size_t) {
+                        if (e) self->finish(std::nullopt);
+                      });
+  }
+  void read() {
+    socket_.async_read_some(asio::buffer(chunk_),
+                            [self = shared_from_this()](error_code e, std::size_t n) {
+                              if (!self->pool_) return;
+                              if (e || !self->on_bytes(std::string_view(self->chunk_.data(), n)))
+                                return self->finish(std::nullopt);
+                              if (self->pool_) self->read();
+                            });
+  }
+  bool on_bytes(std::string_view bytes) {
+    while (pool_) {
+      switch (reader_.next(bytes)) {
+        case resp::ReplyReader::Event::kMore:
+          return true;
+        case resp::ReplyReader::Event::kMalformed:
+          return false;
+        case resp::ReplyReader::Event::kData:
+          reply_ += reader_.data();
+          bytes_.resize(reply_.size());
+          break;
+        case resp::ReplyReader::Event::kEnd:
+          if (!on_reply(std::exchange(reply_, {}))) return false;
+      }
+    }
+    return true;
+  }
+  bool on_reply(const std::string& reply) {
+    if (skip_ > 0) return --skip_, true;
+    const auto value = resp::parse_reply(reply, kProbeBounds);
+    if (!value) return false;
+    switch (replies_++) {
+      case 0:
+        if (!value->is_error()) view_ = cluster::read_nodes(value->text, node_);
+        return true;
+      case 1:
+        if (view_) return finish(view_), true;
+        epoch_ = cluster::read_epoch(value->text);
+        send(resp::Command::of({"CLUSTER", "SLOTS"}).wire());
+        return true;
+      default:
+        return finish(cluster::read_slots(*value, node_, epoch_)), true;
+    }
+  }
+  void finish_soon() {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finish(std::nullopt); });
+  }
+  void finish(const std::optional<View>& view) {
+    close();
+    if (auto* pool = std::exchange(pool_, nullptr)) pool->on_refreshed(view);
+  }
+  void close() {
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    descriptor_ = Lease();
+    bytes_.resize(0);
+  }
+
+  ClusterPool* pool_;  // null once it has ended
+  const std::string node_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  Lease descriptor_, bytes_;
+  resp::ReplyReader reader_{kProbeBounds};
+  std::array<char, 16384> chunk_;
+  std::string reply_;
+  std::optional<View> view_;
+  int skip_ = 0, replies_ = 0;
+  std::uint64_t epoch_ = 0;
+};
+
+ClusterPool::ClusterPool(asio::io_context& io, const Clock& clock, const RespPool& settings,
+                         std::uint64_t seed, Limits& limits)
+    : io_(io),
+      clock_(clock),
+      settings_(settings),
+      limits_(limits),
+      login_{settings.user, settings.password},
+      router_(settings.cluster),
+      servers_(
+          io, clock, settings_.site, seed, limits,
+          [this](bool, AttemptEvents& events,
+                 UpstreamOwner& owner) -> std::shared_ptr<UpstreamConnection> {
+            const std::size_t most = settings_.most_value;
+            return std::make_shared<RespConnection>(io_, limits_, events, owner, login_,
+                                                    resp::Bounds{.bulk = most,
+                                                                 .elements = 256u << 10,
+                                                                 .total = 2 * most + (64u << 10),
+                                                                 .line = 64u << 10,
+                                                                 .depth = 16});
+          },
+          [] {}, this),
+      timer_(io) {
+  apply_nodes();
+  schedule();
+}
+
+ClusterPool::~ClusterPool() {
+  if (probe_) probe_->cancel();
+}
+
+void ClusterPool::stop() {
+  stopped_ = true;
+  timer_.cancel();
+  if (probe_) std::exchange(probe_, nullptr)->cancel();
+}
+
+// ---- requests
+
+void ClusterPool::on_request(RequestId id, const Payload& payload) {
+  const auto& p = static_cast<const RespPayload&>(payload);
+  router_.begin(id, p.slot, settings_.classes[static_cast<std::size_t>(p.klass)].reads);
+}
+
+void ClusterPool::prepare(Attempt& attempt) {
+  attempt.asking = router_.asking(attempt.request, attempt.host);
+  attempt.replica = router_.reads_replica(attempt.request, attempt.host);
+}
+
+// A redirection counts only as a whole reply. What broke off, wherever, proves nothing.
+Result ClusterPool::judge(const Attempt& attempt, Result result, const std::string& value) {
+  using Verdict = cluster::Router::Verdict;
+  if (result == Result::kConnectFailed || result == Result::kReset || result == Result::kTimeout) {
+    router_.on_broken(attempt.host);
+  } else if (result == Result::kOk && value.starts_with('-')) {
+    std::string_view text = value;
+    text.remove_prefix(1);
+    text.remove_suffix(2);
+    if (text.starts_with("NOAUTH")) {
+      result = Result::kRejected;  // our login's fault, not the client's
+    } else {
+      switch (router_.on_error(clock_.now(), attempt.request, attempt.host, text)) {
+        case Verdict::kAnswer:
+          break;
+        case Verdict::kRedirected:
+          result = Result::kRedirected;
+          break;
+        case Verdict::kLater:
+          result = Result::kRejected;
+          break;
+        case Verdict::kSpoilt:
+          result = Result::kError;
+      }
+    }
+  }
+  if (router_.revision() != applied_) apply_nodes();
+  schedule();
+  return result;
+}
+
+void ClusterPool::apply_nodes() {
+  applied_ = router_.revision();
+  HostList list;
+  list.whole = true;
+  for (const auto& node : router_.nodes()) {
+    ListedHost host;
+    host.id = node;
+    host.dial = parse_endpoint(node);
+    list.hosts.push_back(std::move(host));
+  }
+  servers_.on_list(list);
+}
+
+// ---- the slots
+
+void ClusterPool::schedule() {
+  const auto at = router_.refresh_at();
+  if (stopped_ || !at || *at >= timer_at_) return;
+  timer_at_ = *at;
+  timer_.expires_at(clock_.steady(*at));
+  timer_.async_wait([this](const error_code& e) {
+    if (e) return;
+    timer_at_ = Time::max();
+    const auto due = router_.refresh_at();
+    if (due && *due <= clock_.now()) {
+      refresh();
+    } else {
+      schedule();
+    }
+  });
+}
+
+void ClusterPool::refresh() {
+  login_ = {settings_.user, settings_.password};
+  probe_ = std::make_shared<Probe>(*this, router_.begin_refresh(clock_.now()));
+  probe_->start();
+}
+
+void ClusterPool::on_refreshed(const std::optional<View>& view) {
+  probe_ = nullptr;
+  router_.end_refresh(clock_.now(), view);
+  if (router_.revision() != applied_) apply_nodes();
+  schedule();
+}
+
+}  // namespace silverpin::node
--- /dev/null
+++ b/src/node/cluster_pool.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "cluster/router.h"
+#include "node/clock.h"
+#include "node/resp_connection.h"
+#include "node/server_pool.h"
+#include "settings/operator.h"
+
+namespace silverpin::node {
+
+// A pool whose servers are a RESP cluster: carries out what the router decides. Asks nodes for the
+// slots, one at a time, and tells requests' redirections from answers.
+class ClusterPool : private Steering {
+ public:
+  // `settings`, `clock` and `limits` outlive it. `settings` may change its password.
+  ClusterPool(boost::asio::io_context& io, const Clock& clock, const RespPool& settings,
+              std::uint64_t seed, Limits& limits);
+  ~ClusterPool() override;
+
+  ServerPool& servers() { return servers_; }
+  const cluster::Router& router() const { return router_; }
+  void stop();
+
+ private:
+  class Probe;
+
+  // Steering
+  Placement& placement() override { return router_; }
+  void on_request(RequestId id, const Payload& payload) override;
+  void on_forgotten(RequestId id) override { router_.end(id); }
+  void prepare(Attempt& attempt) override;
+  Result judge(const Attempt& attempt, Result result, const std::string& value) override;
+
+  void apply_nodes();
+  void schedule();
+  void refresh();
+  void on_refreshed(const std::optional<cluster::View>& view);
+
+  boost::asio::io_context& io_;
+  const Clock& clock_;
+  const RespPool& settings_;
+  Limits& limits_;
+  RespLogin login_;
+  cluster::Router router_;
+  ServerPool servers_;
+  boost::asio::steady_timer timer_;
+  Time timer_at_ = Time::max();
+  std::uint64_t applied_ = 0;  // revision of the router's nodes
+  std::shared_ptr<Probe> probe_;
+  bool stopped_ = false;
+};
+
+}  // namespace silverpin::node
--- a/src/node/server_pool.cc
+++ b/src/node/server_pool.cc
@@ -22,13 +22,14 @@
 
 ServerPool::ServerPool(boost::asio::io_context& io, const Clock& clock, const SiteSettings& site,
                        std::uint64_t seed, Limits& limits, Dial dial,
-                       std::function<void()> subscribe)
+                       std::function<void()> subscribe, Steering* steering)
     : io_(io),
       clock_(clock),
       site_(site),
       subscribe_(std::move(subscribe)),
+      steering_(steering),
       timer_(io),
-      policy_(site.policy, seed, clock.now(), *this),
+      policy_(site.policy, seed, clock.now(), *this, steering ? &steering->placement() : nullptr),
       upstreams_(io, limits, *this, times_of(site), std::move(dial)) {}
 
 Duration ServerPool::longest_deadline(Duration most) const {
@@ -44,9 +45,11 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->request = id;
   attempt->number = call.attempts++;
+  attempt->host = host;
   attempt->payload = call.payload;
   attempt->until = until;
   attempt->unsafe = call.unsafe;
+  if (steering_) steering_->prepare(*attempt);
   ++call.out;
   attempt->timer = std::make_shared<boost::asio::steady_timer>(io_, clock_.steady(until));
   attempt->timer->async_wait([this, attempt](const error_code& e) {
@@ -107,6 +110,7 @@
   call.payload = std::move(ask.payload);
   call.unsafe = site_.policy.classes[static_cast<std::size_t>(q.klass)].repeat == Repeat::kUnsafe;
   by_ticket_.emplace(std::pair(caller.get(), ticket), q.id);
+  if (steering_) steering_->on_request(q.id, *call.payload);
   policy_.on_request(now(), q);
   forget_finished();
 }
@@ -153,6 +157,7 @@
     const auto it = calls_.find(id);
     if (it == calls_.end() || it->second.out > 0) continue;
     it->second.payload->released();
+    if (steering_) steering_->on_forgotten(id);
     calls_.erase(it);
   }
 }
@@ -169,6 +174,7 @@
   attempt->timer->cancel();
   if (result == Result::kTimeout || result == Result::kCancelled)
     if (const auto connection = attempt->connection.lock()) connection->abandon(attempt);
+  if (steering_) result = steering_->judge(*attempt, result, value);
   const RequestId id = attempt->request;
   Call& call = calls_.at(id);
   --call.out;
--- a/src/node/server_pool.h
+++ b/src/node/server_pool.h
@@ -20,6 +20,19 @@
 
 namespace silverpin::node {
 
+// What a pool whose servers send requests on to each other keeps beside its policy. Called from the
+// event loop only.
+class Steering {
+ public:
+  virtual ~Steering() = default;
+  virtual Placement& placement() = 0;
+  virtual void on_request(RequestId id, const Payload& payload) = 0;
+  virtual void on_forgotten(RequestId id) = 0;
+  virtual void prepare(Attempt& attempt) = 0;  // before it goes out
+  // What a result means; `value` is what came with it.
+  virtual Result judge(const Attempt& attempt, Result result, const std::string& value) = 0;
+};
+
 // A pool of servers with a policy of its own, and the requests that are in work there. Carries out
 // the module's decisions: turns its actions into attempts, answers and timers, and what becomes of
 // them into its events. The one place that ends a request. Knows no dialect.
@@ -31,7 +44,8 @@
   // `dial` makes the connections, `subscribe` asks for the host list. `limits` outlives the event
   // loop, whose last handlers hold leases; so does `site`.
   ServerPool(boost::asio::io_context& io, const Clock& clock, const SiteSettings& site,
-             std::uint64_t seed, Limits& limits, Dial dial, std::function<void()> subscribe);
+             std::uint64_t seed, Limits& limits, Dial dial, std::function<void()> subscribe,
+             Steering* steering = nullptr);
 
   void on_list(const HostList& list);
   void on_list_refused();
@@ -80,6 +94,7 @@
   const Clock& clock_;
   const SiteSettings& site_;
   const std::function<void()> subscribe_;
+  Steering* const steering_;
   struct Due {
     Time at;
     std::uint64_t tag;
--- a/src/node/upstream_connection.h
+++ b/src/node/upstream_connection.h
@@ -71,6 +71,8 @@
   bool expecting() const { return !queue_.empty() && queue_.front().begun; }
   // A piece of the current answer's value; `length`: the whole, if it is known.
   bool take_value(std::string_view piece, std::optional<std::size_t> length);
+  // What the current answer takes of the byte budget, where the connection collects it itself.
+  void hold(std::size_t bytes) { bytes_.resize(bytes); }
   // The current answer is complete. False: the connection cannot go on.
   bool complete(Result result, std::string receipt = {});
   bool keep_open_ = true;
--- a/src/rig/scenario.cc
+++ b/src/rig/scenario.cc
@@ -1,13 +1,13 @@
 #include "rig/scenario.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <array>
 #include <fstream>
 #include <set>
 #include <sstream>
 
+#include "settings/toml_keys.h"
+
 namespace silverpin::rig {
 namespace {
 
@@ -33,140 +33,6 @@
     {"balancer-reload", What::kBalancerReload},
 }};
 
-[[noreturn]] void wrong(const std::string& file, int line, std::string_view key,
-                        const std::string& reason) {
-  throw ScenarioError(file + ":" + std::to_string(line) + ": " +
-                      (key.empty() ? "" : std::string(key) + ": ") + reason);
-}
-
-std::string number(double value) {
-  std::ostringstream out;
-  out << value;
-  return out.str();
-}
-
-// Reads a table's keys once each; those that nobody asked for are errors.
-class Keys {
- public:
-  Keys(const toml::table& table, const std::string& file) : table_(table), file_(file) {}
-
-  int line() const { return static_cast<int>(table_.source().begin.line); }
-  bool has(std::string_view key) const { return table_.contains(key); }
-  [[noreturn]] void bad(std::string_view key, const std::string& reason) const {
-    const toml::node* node = table_.get(key);
-    wrong(file_, node ? static_cast<int>(node->source().begin.line) : line(), key, reason);
-  }
-
-  const toml::node* take(std::string_view key) {
-    taken_.emplace(key);
-    return table_.get(key);
-  }
-  double real(std::string_view key, double fallback, double low, double high) {
-    const toml::node* node = take(key);
-    if (!node) return fallback;
-    return check(key, *node, low, high);
-  }
-  int whole(std::string_view key, int fallback, int low, int high) {
-    const toml::node* node = take(key);
-    if (!node) return fallback;
-    if (!node->is_integer()) bad(key, "must be a whole number");
-    return static_cast<int>(check(key, *node, low, high));
-  }
-  Duration time(std::string_view key, double unit, double fallback, double low, double high) {
-    return from_seconds(unit * real(key, fallback, low, high));
-  }
-  Range range(std::string_view key, Range fallback, double low, double high) {
-    const toml::node* node = take(key);
-    if (!node) return fallback;
-    if (const toml::array* pair = node->as_array()) {
-      if (pair->size() != 2) bad(key, "must be a number or [low, high]");
-      const Range r{check(key, *pair->get(0), low, high), check(key, *pair->get(1), low, high)};
-      if (r.low > r.high) bad(key, "has its ends in the wrong order");
-      return r;
-    }
-    const double value = check(key, *node, low, high);
-    return {value, value};
-  }
-  std::vector<double> list(std::string_view key, std::size_t size) {
-    const toml::node* node = take(key);
-    if (!node) return std::vector<double>(size, 1.0);
-    const toml::array* all = node->as_array();
-    if (!all || all->size() != size) bad(key, "must hold a number for each zone");
-    std::vector<double> out;
-    for (const toml::node& n : *all) out.push_back(check(key, n, 0, 1e6));
-    return out;
-  }
-  std::string text(std::string_view key, const std::string& fallback) {
-    const toml::node* node = take(key);
-    if (!node) return fallback;
-    if (!node->is_string()) bad(key, "must be text");
-    return **node->as_string();
-  }
-  std::string name(std::string_view key) {
-    const std::string value = text(key, "");
-    if (value.empty()) bad(key, "is missing");
-    if (value.find_first_not_of(
-            "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") !=
-        std::string::npos)
-      bad(key, "may hold letters, digits, '-', '_' and '.' only");
-    return value;
-  }
-  template <typename T, std::size_t N>
-  T choice(std::string_view key, T fallback, const std::array<std::pair<const char*, T>, N>& all) {
-    const toml::node* node = take(key);
-    if (!node) return fallback;
-    const std::string value = text(key, "");
-    std::string names;
-    for (const auto& [word, meaning] : all) {
-      if (value == word) return meaning;
-      names += (names.empty() ? "" : ", ") + std::string(word);
-    }
-    bad(key, "is none of " + names);
-  }
-  // Calls `read` with the table of this name, or with an empty one.
-  template <typename Read>
-  void table(std::string_view key, Read&& read) {
-    static const toml::table kEmpty;
-    const toml::node* node = take(key);
-    if (node && !node->is_table()) bad(key, "must be a table");
-    Keys keys(node ? *node->as_table() : kEmpty, file_);
-    read(keys);
-    keys.finish();
-  }
-  template <typename Read>
-  void tables(std::string_view key, Read&& read) {
-    const toml::node* node = take(key);
-    if (!node) return;
-    const toml::array* all = node->as_array();
-    if (!all || !all->is_array_of_tables())
-      bad(key, "must be tables: [[" + std::string(key) + "]]");
-    for (const toml::node& n : *all) {
-      Keys keys(*n.as_table(), file_);
-      read(keys);
-      keys.finish();
-    }
-  }
-  void finish() const {
-    for (const auto& [key, node] : table_)
-      if (!taken_.count(std::string(key.str())))
-        wrong(file_, static_cast<int>(node.source().begin.line), key.str(), "is not known here");
-  }
-
- private:
-  double check(std::string_view key, const toml::node& node, double low, double high) const {
-    const auto value = node.value<double>();
-    if (!value || !node.is_number()) bad(key, "must be a number");
-    if (!(*value >= low && *value <= high))
-      bad(key,
-          "is " + number(*value) + "; it must lie from " + number(low) + " to " + number(high));
-    return *value;
-  }
-
-  const toml::table& table_;
-  const std::string& file_;
-  std::set<std::string, std::less<>> taken_;
-};
-
 constexpr std::array<std::pair<const char*, Cancel>, 3> kCancels{
     {{"none", Cancel::kNone}, {"queued", Cancel::kQueued}, {"all", Cancel::kAll}}};
 constexpr std::array<std::pair<const char*, Effect>, 3> kEffects{
@@ -197,12 +63,12 @@
   l.keys = k.whole("keys", l.keys, 1, 5'000'000);
   l.zipf = k.real("zipf", l.zipf, 0, 3);
   l.drift_per_s = k.real("drift_per_s", 0, 0, 1e5);
-  l.value_bytes = k.range("value_bytes", l.value_bytes, 0, 65'536);
+  l.value_bytes = k.range<Range>("value_bytes", l.value_bytes, 0, 65'536);
   l.retries = k.whole("retries", 0, 0, 10);
   l.backoff = k.choice("backoff", Backoff::kNone, kBackoffs);
   l.backoff_ms = k.real("backoff_ms", l.backoff_ms, 0, 10'000);
   l.honour = k.real("honour", l.honour, 0, 1);
-  l.try_share = k.range("try_share", l.try_share, 0.05, 1);
+  l.try_share = k.range<Range>("try_share", l.try_share, 0.05, 1);
   l.churn = k.real("churn", 0, 0, 1);
   l.impatient = k.real("impatient", 0, 0, 1);
   l.rude_per_s = k.real("rude_per_s", 0, 0, 1000);
@@ -307,7 +173,7 @@
     if (spec.name == "origin") h.bad("name", "'origin' is the origin's");
     spec.count = h.whole("count", 1, 1, 1000);
     spec.host = read_host(h, host);
-    spec.speed = h.range("speed", {1, 1}, 0.01, 100);
+    spec.speed = h.range<Range>("speed", {1, 1}, 0.01, 100);
     spec.zones = h.list("zones", s.zones.size());
     spec.memory_mb = h.real("memory_mb", 16, 0.01, 1024);
     spec.connections = h.whole("connections", 256, 1, 65'536);
@@ -330,7 +196,7 @@
   });
   k.table("discovery", [&](Keys& d) {
     s.discovery.ask = d.choice("mode", false, kModes);
-    s.discovery.delay_ms = d.range("delay_ms", {100, 500}, 0, 60'000);
+    s.discovery.delay_ms = d.range<Range>("delay_ms", {100, 500}, 0, 60'000);
   });
   k.table("load", [&](Keys& l) { read_load(l, s.load); });
   k.table("rules", [&](Keys& r) {
--- a/src/rig/scenario.h
+++ b/src/rig/scenario.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "rig/base.h"
+#include "settings/field_error.h"
 
 // One rehearsal, as its TOML file describes it. docs/operate/rehearsals.md names every key with its
 // default and bounds.
@@ -166,9 +167,7 @@
 };
 
 // What is wrong with a scenario: "FILE:LINE: KEY: REASON".
-struct ScenarioError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using ScenarioError = FileError;
 
 const char* name_of(What what);
 
--- a/src/settings/field_error.h
+++ b/src/settings/field_error.h
@@ -9,4 +9,9 @@
   using std::runtime_error::runtime_error;
 };
 
+// What is wrong with a file that an operator wrote: "FILE:LINE: KEY: REASON".
+struct FileError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 }  // namespace silverpin
--- /dev/null
+++ b/src/settings/operator.cc
@@ -0,0 +1,218 @@
+#include "settings/operator.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "cluster/commands.h"
+#include "settings/toml_keys.h"
+
+namespace silverpin {
+namespace {
+
+constexpr std::array<std::pair<const char*, Repeat>, 3> kEffects{
+    {{"safe", Repeat::kSafe}, {"keyed", Repeat::kKeyed}, {"unsafe", Repeat::kUnsafe}}};
+constexpr std::array<std::pair<const char*, cluster::Reads>, 3> kReads{
+    {{"primary", cluster::Reads::kPrimary},
+     {"replica", cluster::Reads::kReplica},
+     {"any", cluster::Reads::kAny}}};
+constexpr std::size_t kMostClasses = 64, kMostTenants = 1024;
+
+// "127.0.0.1:6400" or "[::1]:6400".
+bool is_address(const std::string& text, bool port_zero) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) return false;
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
+  return error == std::errc{} && at == end && port <= 65535 && (port > 0 || port_zero);
+}
+
+std::string address(Keys& keys, std::string_view key, const std::string& fallback, bool port_zero) {
+  const std::string text = keys.text(key, fallback);
+  if (!text.empty() && !is_address(text, port_zero)) keys.bad(key, "is no address: " + text);
+  return text;
+}
+
+std::vector<std::string> addresses(Keys& keys, std::string_view key) {
+  auto all = keys.texts(key);
+  for (const auto& text : all)
+    if (!is_address(text, false)) keys.bad(key, "holds what is no address: " + text);
+  return all;
+}
+
+void read_class(Keys& keys, RespPool& pool) {
+  RespClass c;
+  RequestClass r;
+  c.name = keys.name("name");
+  for (const auto& other : pool.classes)
+    if (other.name == c.name) keys.bad("name", "is that of two classes");
+  bool writes = false;
+  for (std::string word : keys.texts("commands")) {
+    std::transform(word.begin(), word.end(), word.begin(),
+                   [](unsigned char ch) { return static_cast<char>(std::toupper(ch)); });
+    if (word != "READ" && word != "WRITE") {
+      const auto* info = cluster::find_command(word);
+      if (!info) keys.bad("commands", word + " is no command that is known");
+      if (info->kind != cluster::Kind::kRead && info->kind != cluster::Kind::kWrite)
+        keys.bad("commands", word + " is no data command");
+      writes = writes || info->kind == cluster::Kind::kWrite;
+    }
+    writes = writes || word == "WRITE";
+    c.commands.push_back(std::move(word));
+  }
+  if (c.commands.empty()) keys.bad("commands", "is missing");
+  c.prefix = keys.text("prefix", "");
+  r.repeat = keys.choice("effect", writes ? Repeat::kUnsafe : Repeat::kSafe, kEffects);
+  r.aim = keys.time("aim_ms", 1e-3, 100, 1, 600'000);
+  r.deadline = keys.time("deadline_ms", 1e-3, 1000, 1, 600'000);
+  if (r.deadline < r.aim) keys.bad("deadline_ms", "lies before the aim");
+  c.reads = keys.choice("reads", cluster::Reads::kPrimary, kReads);
+  if (c.reads != cluster::Reads::kPrimary && writes)
+    keys.bad("reads", "replicas take no writes, and this class has some");
+  c.key_argument = static_cast<std::size_t>(keys.whole("key_argument", 0, 0, 1024));
+  r.repeat_window = keys.time("window_ms", 1e-3, 0, 0, 3'600'000);
+  if (r.repeat == Repeat::kKeyed && (c.key_argument == 0 || r.repeat_window == Duration{0}))
+    keys.bad("effect", "keyed needs key_argument and window_ms");
+  if (r.repeat != Repeat::kKeyed && (c.key_argument > 0 || r.repeat_window > Duration{0}))
+    keys.bad("effect", "key_argument and window_ms belong to keyed classes");
+  if (pool.classes.size() >= kMostClasses) keys.bad("name", "is one class too many");
+  pool.site.classes.push_back(c.name);
+  pool.site.policy.classes.push_back(r);
+  pool.classes.push_back(std::move(c));
+}
+
+// What no class of the file is for.
+void add_default_class(RespPool& pool, const std::string& name, const char* word, Repeat repeat) {
+  RequestClass r;
+  r.repeat = repeat;
+  r.aim = std::chrono::milliseconds(100);
+  r.deadline = std::chrono::milliseconds(1000);
+  pool.site.classes.push_back(name);
+  pool.site.policy.classes.push_back(r);
+  pool.classes.push_back({name, {word}, "", cluster::Reads::kPrimary, 0});
+}
+
+void read_pool(Keys& keys, Operator& all) {
+  RespPool pool;
+  pool.name = keys.name("name");
+  if (all.pool(pool.name)) keys.bad("name", "is that of two pools");
+  pool.cluster.seeds = addresses(keys, "seeds");
+  if (pool.cluster.seeds.empty()) keys.bad("seeds", "is missing");
+  pool.cluster.most_nodes = static_cast<std::size_t>(keys.whole("most_nodes", 256, 1, 2000));
+  pool.cluster.most_redirections = keys.whole("most_redirections", 5, 1, 16);
+  pool.cluster.refresh_interval = keys.time("refresh_interval_ms", 1e-3, 100, 10, 60'000);
+  pool.cluster.refresh_every = keys.time("refresh_every_ms", 1e-3, 10'000, 100, 3'600'000);
+  pool.user = keys.text("user", "");
+  pool.password = keys.text("password", "");
+  if (!pool.user.empty() && pool.password.empty()) keys.bad("user", "has no password");
+  pool.most_value = static_cast<std::size_t>(keys.whole("most_value_kb", 1024, 1, 65536)) << 10;
+  pool.site.connect_timeout = keys.time("connect_timeout_ms", 1e-3, 250, 1, 60'000);
+  pool.site.idle_close = keys.time("idle_close_ms", 1e-3, 15'000, 100, 3'600'000);
+  pool.site.streams_per_connection = keys.whole("streams_per_connection", 32, 1, 1024);
+  pool.site.most_held = keys.whole("most_held", 20'000, 1, 1'000'000);
+  Settings& policy = pool.site.policy;
+  policy.balancers = keys.whole("balancers", 1, 1, 1000);
+  policy.max_attempts = keys.whole("most_attempts", 8, 1, 32);
+  policy.max_retry_after = keys.time("most_retry_after_ms", 1e-3, 1000, 0, 60'000);
+  keys.tables("class", [&](Keys& k) { read_class(k, pool); });
+  add_default_class(pool, "other-reads", "READ", Repeat::kSafe);
+  add_default_class(pool, "other-writes", "WRITE", Repeat::kUnsafe);
+  keys.tables("tenant", [&](Keys& k) {
+    RespTenant t;
+    t.name = k.name("name");
+    for (const auto& other : pool.tenants)
+      if (other.name == t.name) k.bad("name", "is that of two tenants");
+    if (k.has("password")) t.password = k.text("password", "");
+    if (pool.tenants.size() >= kMostTenants) k.bad("name", "is one tenant too many");
+    policy.tenant_quotas.push_back(k.real("quota_per_s", 1e9, 0, 1e9));
+    pool.site.tenants.push_back(t.name);
+    pool.tenants.push_back(std::move(t));
+  });
+  pool.shape = keys.without("password");
+  all.pools.push_back(std::move(pool));
+}
+
+void read_listener(Keys& keys, Operator& all) {
+  RespListener l;
+  l.name = keys.name("name");
+  for (const auto& other : all.listeners)
+    if (other.name == l.name) keys.bad("name", "is that of two listeners");
+  if (!keys.has("address")) keys.bad("address", "is missing");
+  l.address = address(keys, "address", "", true);
+  for (const auto& other : all.listeners)
+    if (other.address == l.address && !l.address.ends_with(":0"))
+      keys.bad("address", "is that of two listeners");
+  l.announce = address(keys, "announce", "", false);
+  l.peers = addresses(keys, "peers");
+  l.pool = keys.name("pool");
+  if (!all.pool(l.pool)) keys.bad("pool", "names none of this file: " + l.pool);
+  l.require_auth = keys.flag("require_auth", false);
+  l.most_bulk = static_cast<std::size_t>(keys.whole("most_bulk_kb", 512, 1, 65536)) << 10;
+  l.most_queued = static_cast<std::size_t>(keys.whole("most_queued", 128, 1, 4096));
+  l.shape = keys.without("require_auth");
+  all.listeners.push_back(std::move(l));
+}
+
+}  // namespace
+
+const RespPool* Operator::pool(const std::string& name) const {
+  for (const auto& p : pools)
+    if (p.name == name) return &p;
+  return nullptr;
+}
+
+std::vector<std::string> Operator::take_over(const Operator& changed) {
+  std::vector<std::string> wait;
+  const auto match = [&wait](auto& mine, const auto& theirs, const std::string& what, auto&& take) {
+    for (auto& m : mine) {
+      const auto it = std::find_if(theirs.begin(), theirs.end(),
+                                   [&m](const auto& t) { return t.name == m.name; });
+      if (it == theirs.end() || it->shape != m.shape) {
+        wait.push_back(what + " " + m.name);
+      } else {
+        take(m, *it);
+      }
+    }
+    for (const auto& t : theirs)
+      if (std::none_of(mine.begin(), mine.end(), [&t](const auto& m) { return m.name == t.name; }))
+        wait.push_back("new " + what + " " + t.name);
+  };
+  match(pools, changed.pools, "pool", [](RespPool& m, const RespPool& t) {
+    m.password = t.password;
+    m.tenants = t.tenants;
+  });
+  match(listeners, changed.listeners, "listener",
+        [](RespListener& m, const RespListener& t) { m.require_auth = t.require_auth; });
+  return wait;
+}
+
+Operator parse_operator(const std::string& text, const std::string& file) {
+  Operator all;
+  all.file = file;
+  try {
+    const toml::table root = toml::parse(text, file);
+    Keys keys(root, all.file);
+    keys.tables("pool", [&](Keys& k) { read_pool(k, all); });
+    keys.tables("listener", [&](Keys& k) { read_listener(k, all); });
+    keys.finish();
+  } catch (const toml::parse_error& e) {
+    wrong(file, static_cast<int>(e.source().begin.line), "", std::string(e.description()));
+  }
+  return all;
+}
+
+Operator load_operator(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) throw FileError(file + ": cannot be read");
+  std::ostringstream text;
+  text << in.rdbuf();
+  return parse_operator(text.str(), file);
+}
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/settings/operator.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cluster/router.h"
+#include "settings/field_error.h"
+#include "settings/settings.h"
+
+// The operator's own file: what the platform's configuration has no word for. TOML; every key has a
+// default, a bound and a harm in docs/operate/cluster.md.
+namespace silverpin {
+
+// A class of requests of a RESP pool, and which commands are of it.
+struct RespClass {
+  std::string name;
+  std::vector<std::string> commands;  // upper case; "READ" and "WRITE" mean all of a kind
+  std::string prefix;                 // of the first key
+  cluster::Reads reads = cluster::Reads::kPrimary;
+  std::size_t key_argument = 0;  // of a keyed class: the word that holds the idempotency key
+};
+
+struct RespTenant {
+  std::string name;                     // the user of AUTH and HELLO
+  std::optional<std::string> password;  // none: any will do
+};
+
+struct RespPool {
+  std::string name;
+  cluster::RouterSettings cluster;
+  std::string user, password;  // towards the nodes; empty: none
+  std::size_t most_value = 1u << 20;
+  SiteSettings site;  // classes and tenants in the order of those below
+  std::vector<RespClass> classes;
+  std::vector<RespTenant> tenants;
+  std::string shape;  // all that holds from a start to the end, for comparison
+};
+
+struct RespListener {
+  std::string name, address;
+  std::string announce;            // as clients are told; the address where it is empty
+  std::vector<std::string> peers;  // what the other balancers announce
+  std::string pool;
+  bool require_auth = false;
+  std::size_t most_bulk = 512u << 10;
+  std::size_t most_queued = 128;  // commands between MULTI and EXEC
+  std::string shape;              // as a pool's
+};
+
+struct Operator {
+  std::string file;
+  std::vector<RespPool> pools;
+  std::vector<RespListener> listeners;
+
+  const RespPool* pool(const std::string& name) const;
+  // Takes over what may change while requests are in work: passwords, and whether they are asked
+  // for. Returns what else differs, and waits for a restart.
+  std::vector<std::string> take_over(const Operator& changed);
+};
+
+// Throws FileError.
+Operator load_operator(const std::string& file);
+Operator parse_operator(const std::string& text, const std::string& file);
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/settings/toml_keys.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <array>
+#include <set>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "policy/origin_gate.h"
+#include "settings/field_error.h"
+
+// Reading of the TOML files that operators write: every error names file, line, key and reason, and
+// keys that nobody knows are errors.
+namespace silverpin {
+
+[[noreturn]] inline void wrong(const std::string& file, int line, std::string_view key,
+                               const std::string& reason) {
+  throw FileError(file + ":" + std::to_string(line) + ": " +
+                  (key.empty() ? "" : std::string(key) + ": ") + reason);
+}
+
+inline std::string number_text(double value) {
+  std::ostringstream out;
+  out << value;
+  return out.str();
+}
+
+// Reads a table's keys once each; those that nobody asked for are errors.
+class Keys {
+ public:
+  Keys(const toml::table& table, const std::string& file) : table_(table), file_(file) {}
+
+  int line() const { return static_cast<int>(table_.source().begin.line); }
+  bool has(std::string_view key) const { return table_.contains(key); }
+  [[noreturn]] void bad(std::string_view key, const std::string& reason) const {
+    const toml::node* node = table_.get(key);
+    wrong(file_, node ? static_cast<int>(node->source().begin.line) : line(), key, reason);
+  }
+
+  const toml::node* take(std::string_view key) {
+    taken_.emplace(key);
+    return table_.get(key);
+  }
+  double real(std::string_view key, double fallback, double low, double high) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    return check(key, *node, low, high);
+  }
+  int whole(std::string_view key, int fallback, int low, int high) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    if (!node->is_integer()) bad(key, "must be a whole number");
+    return static_cast<int>(check(key, *node, low, high));
+  }
+  Duration time(std::string_view key, double unit, double fallback, double low, double high) {
+    return from_seconds(unit * real(key, fallback, low, high));
+  }
+  // A type of two numbers, low and high.
+  template <typename Range>
+  Range range(std::string_view key, Range fallback, double low, double high) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    if (const toml::array* pair = node->as_array()) {
+      if (pair->size() != 2) bad(key, "must be a number or [low, high]");
+      const Range r{check(key, *pair->get(0), low, high), check(key, *pair->get(1), low, high)};
+      if (r.low > r.high) bad(key, "has its ends in the wrong order");
+      return r;
+    }
+    const double value = check(key, *node, low, high);
+    return {value, value};
+  }
+  std::vector<double> list(std::string_view key, std::size_t size) {
+    const toml::node* node = take(key);
+    if (!node) return std::vector<double>(size, 1.0);
+    const toml::array* all = node->as_array();
+    if (!all || all->size() != size) bad(key, "must hold a number for each zone");
+    std::vector<double> out;
+    for (const toml::node& n : *all) out.push_back(check(key, n, 0, 1e6));
+    return out;
+  }
+  std::string text(std::string_view key, const std::string& fallback) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    if (!node->is_string()) bad(key, "must be text");
+    return **node->as_string();
+  }
+  bool flag(std::string_view key, bool fallback) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    if (!node->is_boolean()) bad(key, "must be true or false");
+    return **node->as_boolean();
+  }
+  std::vector<std::string> texts(std::string_view key) {
+    const toml::node* node = take(key);
+    std::vector<std::string> out;
+    if (!node) return out;
+    const toml::array* all = node->as_array();
+    if (!all) bad(key, "must be a list of texts");
+    for (const toml::node& n : *all) {
+      if (!n.is_string()) bad(key, "must be a list of texts");
+      out.push_back(**n.as_string());
+    }
+    return out;
+  }
+  std::string name(std::string_view key) {
+    const std::string value = text(key, "");
+    if (value.empty()) bad(key, "is missing");
+    if (value.find_first_not_of(
+            "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") !=
+        std::string::npos)
+      bad(key, "may hold letters, digits, '-', '_' and '.' only");
+    return value;
+  }
+  template <typename T, std::size_t N>
+  T choice(std::string_view key, T fallback, const std::array<std::pair<const char*, T>, N>& all) {
+    const toml::node* node = take(key);
+    if (!node) return fallback;
+    const std::string value = text(key, "");
+    std::string names;
+    for (const auto& [word, meaning] : all) {
+      if (value == word) return meaning;
+      names += (names.empty() ? "" : ", ") + std::string(word);
+    }
+    bad(key, "is none of " + names);
+  }
+  // Calls `read` with the table of this name, or with an empty one.
+  template <typename Read>
+  void table(std::string_view key, Read&& read) {
+    static const toml::table kEmpty;
+    const toml::node* node = take(key);
+    if (node && !node->is_table()) bad(key, "must be a table");
+    Keys keys(node ? *node->as_table() : kEmpty, file_);
+    read(keys);
+    keys.finish();
+  }
+  template <typename Read>
+  void tables(std::string_view key, Read&& read) {
+    const toml::node* node = take(key);
+    if (!node) return;
+    const toml::array* all = node->as_array();
+    if (!all || !all->is_array_of_tables())
+      bad(key, "must be tables: [[" + std::string(key) + "]]");
+    for (const toml::node& n : *all) {
+      Keys keys(*n.as_table(), file_);
+      read(keys);
+      keys.finish();
+    }
+  }
+  // The table as text, without the keys of this name in it and in its tables.
+  std::string without(std::string_view omitted) const {
+    toml::table copy = table_;
+    copy.erase(omitted);
+    for (auto&& [key, node] : copy)
+      if (toml::array* all = node.as_array())
+        for (toml::node& n : *all)
+          if (toml::table* t = n.as_table()) t->erase(omitted);
+    std::ostringstream out;
+    out << copy;
+    return out.str();
+  }
+  void finish() const {
+    for (const auto& [key, node] : table_)
+      if (!taken_.count(std::string(key.str())))
+        wrong(file_, static_cast<int>(node.source().begin.line), key.str(), "is not known here");
+  }
+
+ private:
+  double check(std::string_view key, const toml::node& node, double low, double high) const {
+    const auto value = node.value<double>();
+    if (!value || !node.is_number()) bad(key, "must be a number");
+    if (!(*value >= low && *value <= high))
+      bad(key, "is " + number_text(*value) + "; it must lie from " + number_text(low) + " to " +
+                   number_text(high));
+    return *value;
+  }
+
+  const toml::table& table_;
+  const std::string& file_;
+  std::set<std::string, std::less<>> taken_;
+};
+
+}  // namespace silverpin
