--- a/src/cluster/router.cc
+++ b/src/cluster/router.cc
@@ -44,10 +44,11 @@
 // ---- requests
 
 void Router::begin(RequestId request, Slot slot, Reads reads) {
-  trips_[request] = {slot, reads, std::nullopt, false, {}};
+  trips_[request] = {slot, reads, std::nullopt, false, false, {}};
 }
 
-Router::Verdict Router::later() {
+Router::Verdict Router::later(Trip* trip) {
+  if (trip) trip->nowhere = true;
   ++counters_.later;
   return Verdict::kLater;
 }
@@ -58,9 +59,10 @@
   // One that names itself, or the same way a second time: to go on would only go round.
   if (from == to || again) {
     ++counters_.loops;
-    return later();
+    return later(&trip);
   }
-  if (trip.hops.size() >= static_cast<std::size_t>(settings_.most_redirections)) return later();
+  if (trip.hops.size() >= static_cast<std::size_t>(settings_.most_redirections))
+    return later(&trip);
   trip.hops.push_back(hop);
   trip.next = to;
   trip.ask = ask;
@@ -77,13 +79,13 @@
   if (word != "TRYAGAIN" && !ask) want_refresh();
   const auto it = trips_.find(request);
   const auto at = table_.find(from);
-  if (it == trips_.end() || !at) return later();
+  if (it == trips_.end()) return later(nullptr);
   Trip& trip = it->second;
-  if (wait) return later();
+  if (wait || !at) return later(&trip);
   if (elsewhere) {
     // A replica that does not take this: the owner does, where it is another by now.
     const auto owner = table_.owner(trip.slot);
-    if (!owner || *owner == *at) return later();
+    if (!owner || *owner == *at) return later(&trip);
     return redirect(trip, *at, *owner, false);
   }
   const auto named = read_redirection(error.substr(std::min(error.size(), word.size() + 1)), from);
@@ -99,7 +101,7 @@
   } else {
     ++counters_.asked;
   }
-  if (!to) return later();
+  if (!to) return later(&trip);
   return redirect(trip, *at, *to, ask);
 }
 
@@ -151,6 +153,7 @@
     return host && accept(*host);
   };
   const auto it = trips_.find(request);
+  if (it != trips_.end() && it->second.nowhere) return false;
   if (it != trips_.end() && it->second.next) return offer(*it->second.next);
   const Slot slot = static_cast<Slot>(point & kSlotMask);
   const auto owner = table_.owner(slot);
@@ -166,12 +169,11 @@
   const Reads reads = it == trips_.end() ? Reads::kPrimary : it->second.reads;
   const auto& replicas = table_.nodes()[*owner].replicas;
   if (reads == Reads::kPrimary || replicas.empty()) return offer(*owner);
-  // In turn by the request's number, the owner among them or at the end.
+  // In turn by the request's number.
   std::vector<NodeIndex> order = replicas;
   if (reads == Reads::kAny) order.push_back(*owner);
   std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(request % order.size()),
               order.end());
-  if (reads == Reads::kReplica) order.push_back(*owner);
   for (const NodeIndex n : order)
     if (offer(n)) return true;
   return false;
--- a/src/cluster/router.h
+++ b/src/cluster/router.h
@@ -26,7 +26,7 @@
 // Which nodes may serve a request.
 enum class Reads {
   kPrimary,  // its slot's owner
-  kReplica,  // a replica, or the owner where there is none
+  kReplica,  // its replicas in turn; the owner only where none is known
   kAny,      // owner and replicas in turn
 };
 
@@ -44,7 +44,7 @@
   enum class Verdict {
     kAnswer,      // not the cluster's: the client's answer
     kRedirected,  // nothing ran; walk() now offers the node that was named, and only that
-    kLater,       // nothing ran, and there is nowhere to go on to now
+    kLater,       // nothing ran, and there is nowhere to go on to now: walk() offers nothing
     kSpoilt,      // a redirection that cannot be read: proves nothing
   };
   // A whole error reply of `from`, without its type and line end.
@@ -88,11 +88,12 @@
     Reads reads;
     std::optional<NodeIndex> next;  // named by a redirection
     bool ask = false;               // and by ASK
+    bool nowhere = false;           // there is nowhere to go on to
     std::vector<std::pair<NodeIndex, NodeIndex>> hops;
   };
 
   Verdict redirect(Trip& trip, NodeIndex from, NodeIndex to, bool ask);
-  Verdict later();
+  Verdict later(Trip* trip);
   void want_refresh() { wanted_ = true; }
   std::optional<Host> host_of(NodeIndex node) const;
 
--- a/src/node/cluster_pool.cc
+++ b/src/node/cluster_pool.cc
@@ -204,11 +204,9 @@
         case Verdict::kAnswer:
           break;
         case Verdict::kRedirected:
+        case Verdict::kLater:  // and there is no further candidate: it will be refused
           result = Result::kRedirected;
           break;
-        case Verdict::kLater:
-          result = Result::kRejected;
-          break;
         case Verdict::kSpoilt:
           result = Result::kError;
       }
--- /dev/null
+++ b/src/rig/resp_cluster.cc
@@ -0,0 +1,546 @@
+#include "rig/resp_cluster.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "cluster/commands.h"
+
+namespace silverpin::rig {
+namespace {
+
+using boost::system::error_code;
+using cluster::kSlots;
+using cluster::same_word;
+using cluster::Slot;
+using resp::Command;
+using tcp = asio::ip::tcp;
+
+const resp::Bounds kBounds{
+    .bulk = 1u << 20, .elements = 1u << 16, .total = 4u << 20, .line = 64u << 10, .depth = 8};
+constexpr std::size_t kMostUnsent = 8u << 20;
+
+std::string error(std::string_view text) {
+  std::string out;
+  resp::append_error(out, text);
+  return out;
+}
+
+std::string id_of(int node) {
+  std::string id = std::to_string(node);
+  return std::string(40 - id.size(), '0') + id;
+}
+
+}  // namespace
+
+class RespCluster::Node {
+ public:
+  Node(RespCluster& all, int number) : all_(all), number_(number), acceptor_(all.io_) { listen(); }
+
+  void listen() {
+    const auto port = port_;
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind({asio::ip::make_address("127.0.0.1"), port});
+    acceptor_.listen();
+    port_ = acceptor_.local_endpoint().port();
+    accept();
+  }
+  void stop();
+  bool up() const { return acceptor_.is_open(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+  RespCluster& all_;
+  const int number_;
+  tcp::acceptor acceptor_;
+  std::uint16_t port_ = 0;
+  std::set<std::shared_ptr<Connection>> connections_;
+
+  // What this node believes.
+  Map map_{};
+  std::optional<int> primary_;  // of which it is a replica
+  std::vector<int> replicas_;
+  std::uint64_t epoch_ = 0;  // its own configuration's
+  std::map<Slot, int> migrating_, importing_;
+  std::shared_ptr<RespStore> store_;  // shared with its replicas: they are never behind
+
+ private:
+  void accept();
+};
+
+class RespCluster::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Node& node, tcp::socket socket) : node_(&node), socket_(std::move(socket)) {}
+
+  void read() {
+    socket_.async_read_some(asio::buffer(chunk_),
+                            [self = shared_from_this()](error_code e, std::size_t n) {
+                              if (!self->node_) return;
+                              if (e) return self->close();
+                              self->reader_.feed({self->chunk_.data(), n});
+                              while (self->node_ && !self->silent_) {
+                                auto item = self->reader_.next();
+                                if (!item) break;
+                                if (const auto* fault = std::get_if<resp::Fault>(&*item)) {
+                                  self->send(error("ERR " + fault->reason));
+                                  return self->close_when_sent();
+                                }
+                                self->take(std::get<Command>(*item));
+                              }
+                              if (self->node_) self->read();
+                            });
+  }
+  void close() {
+    if (!node_) return;
+    Node* node = std::exchange(node_, nullptr);
+    error_code ignored;
+    socket_.close(ignored);
+    node->connections_.erase(shared_from_this());
+  }
+
+ private:
+  void send(std::string text) {
+    out_ += text;
+    if (out_.size() > kMostUnsent) return close();
+    flush();
+  }
+  void flush() {
+    if (writing_ || out_.empty() || !node_) return;
+    writing_ = true;
+    auto held = std::make_shared<std::string>(std::exchange(out_, {}));
+    asio::async_write(socket_, asio::buffer(*held),
+                      [self = shared_from_this(), held](error_code e, std::size_t) {
+                        self->writing_ = false;
+                        if (e || (self->closing_ && self->out_.empty())) return self->close();
+                        self->flush();
+                      });
+  }
+  void close_when_sent() {
+    closing_ = true;
+    if (!writing_) close();
+  }
+
+  void take(const Command& c);
+  std::string hello(const Command& c);
+  std::string cluster(const Command& c);
+  std::string exec();
+  // The error that keeps this node from running it; empty if there is none.
+  std::string misplaced(const std::vector<std::string_view>& keys, bool write, bool asking);
+  std::string run(const cluster::CommandInfo& info, const Command& c);
+  std::vector<std::string_view> keys_of(const cluster::CommandInfo& info, const Command& c);
+
+  Node* node_;  // null once closed
+  tcp::socket socket_;
+  std::array<char, 16384> chunk_;
+  resp::CommandReader reader_{kBounds};
+  std::string out_;
+  bool writing_ = false, closing_ = false, silent_ = false;
+  int version_ = 2;
+  bool asking_ = false, readonly_ = false, in_multi_ = false, broken_ = false;
+  std::vector<std::pair<const cluster::CommandInfo*, Command>> queued_;
+};
+
+void RespCluster::Node::accept() {
+  acceptor_.async_accept([this](error_code e, tcp::socket socket) {
+    if (e) return;
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+    connections_.insert(connection);
+    connection->read();
+    accept();
+  });
+}
+
+void RespCluster::Node::stop() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& c : std::set(connections_)) c->close();
+}
+
+// ---- commands
+
+void RespCluster::Connection::take(const Command& c) {
+  const auto is = [&c](std::string_view word) { return same_word(c[0], word); };
+  if (is("HELLO")) return send(hello(c));
+  if (is("AUTH")) return send("+OK\r\n");
+  if (is("PING")) return send(c.size() > 1 ? error("ERR") : "+PONG\r\n");
+  if (is("ECHO") && c.size() == 2) {
+    std::string out;
+    resp::append_bulk(out, c[1]);
+    return send(out);
+  }
+  if (is("CLUSTER")) {
+    ++node_->all_.map_questions_;
+    return send(cluster(c));
+  }
+  if (is("READONLY") || is("READWRITE")) {
+    readonly_ = is("READONLY");
+    return send("+OK\r\n");
+  }
+  if (is("ASKING")) {
+    asking_ = true;
+    return send("+OK\r\n");
+  }
+  if (is("MULTI")) {
+    if (in_multi_) return send(error("ERR MULTI calls can not be nested"));
+    in_multi_ = true;
+    broken_ = false;
+    return send("+OK\r\n");
+  }
+  if (is("DISCARD")) {
+    if (!in_multi_) return send(error("ERR DISCARD without MULTI"));
+    in_multi_ = false;
+    queued_.clear();
+    return send("+OK\r\n");
+  }
+  auto& all = node_->all_;
+  if (!is("EXEC")) ++all.commands_;
+  const int number = node_->number_;
+  const Fault fault = all.fault ? all.fault(number, c) : Fault::kNone;
+  if (fault == Fault::kCloseBefore) return close();
+  std::string reply;
+  if (fault == Fault::kLie && c.size() > 1) {
+    reply = error("MOVED " + std::to_string(cluster::slot_of(c[1])) + " " + node_->address());
+  } else if (is("EXEC")) {
+    reply = exec();
+  } else if (const auto* info = cluster::find_command(c[0]); !info) {
+    reply = error("ERR unknown command '" + std::string(c[0].substr(0, 128)) + "'");
+    broken_ = true;
+  } else if (!cluster::arity_fits(*info, c.size())) {
+    std::string name(info->name);
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char ch) { return static_cast<char>(std::tolower(ch)); });
+    reply = error("ERR wrong number of arguments for '" + name + "' command");
+    broken_ = true;
+  } else {
+    const bool asking = std::exchange(asking_, false);
+    reply = misplaced(keys_of(*info, c), info->kind == cluster::Kind::kWrite, asking);
+    if (!reply.empty()) {
+      broken_ = true;
+    } else if (in_multi_) {
+      queued_.emplace_back(info, c);
+      reply = "+QUEUED\r\n";
+    } else {
+      reply = run(*info, c);
+    }
+  }
+  switch (fault) {
+    case Fault::kCloseAfter:
+      return close();
+    case Fault::kHalfReply:
+      send(reply.substr(0, reply.size() / 2));
+      return close_when_sent();
+    case Fault::kSilent:
+      silent_ = true;
+      return;
+    case Fault::kGarbage:
+      return send("\x01garbage\r\n" + reply);
+    default:
+      return send(std::move(reply));
+  }
+}
+
+std::vector<std::string_view> RespCluster::Connection::keys_of(const cluster::CommandInfo& info,
+                                                               const Command& c) {
+  std::vector<std::string_view> keys;
+  if (const auto places = cluster::keys_of(info, c))
+    for (const auto p : *places) keys.push_back(c[p]);
+  return keys;
+}
+
+std::string RespCluster::Connection::misplaced(const std::vector<std::string_view>& keys,
+                                               bool write, bool asking) {
+  if (keys.empty()) return {};
+  Node& n = *node_;
+  const Slot slot = cluster::slot_of(keys[0]);
+  std::size_t there = 0;
+  for (const auto key : keys) {
+    if (cluster::slot_of(key) != slot)
+      return error("CROSSSLOT Keys in request don't hash to the same slot");
+    there += n.store_->has(n.all_.now(), key);
+  }
+  const Claim& claim = n.map_[slot];
+  if (claim.epoch == 0) return error("CLUSTERDOWN Hash slot not served");
+  const auto to = [&](const char* word, int node) {
+    ++n.all_.redirections_;
+    return error(std::string(word) + " " + std::to_string(slot) + " " + n.all_.address(node));
+  };
+  if (claim.owner == n.number_) {
+    const auto moving = n.migrating_.find(slot);
+    if (moving != n.migrating_.end() && there < keys.size())
+      return there == 0 ? to("ASK", moving->second)
+                        : error("TRYAGAIN Multiple keys request during rehashing of slot");
+    return {};
+  }
+  if (asking && n.importing_.count(slot) > 0)
+    return keys.size() > 1 && there < keys.size()
+               ? error("TRYAGAIN Multiple keys request during rehashing of slot")
+               : std::string();
+  if (n.primary_ == claim.owner && readonly_ && !write) return {};
+  return to("MOVED", claim.owner);
+}
+
+std::string RespCluster::Connection::run(const cluster::CommandInfo& info, const Command& c) {
+  Node& n = *node_;
+  auto reply = n.store_->run(n.all_.now(), c, version_);
+  if (!reply) return error("ERR '" + std::string(info.name) + "' is not emulated here");
+  if (info.kind == cluster::Kind::kWrite && !reply->starts_with('-'))
+    n.all_.runs_.push_back({n.number_, std::string(info.name),
+                            c.size() > 1 ? std::string(c[1]) : std::string(),
+                            c.size() > 2 ? std::string(c[2]) : std::string()});
+  return std::move(*reply);
+}
+
+std::string RespCluster::Connection::exec() {
+  if (!in_multi_) return error("ERR EXEC without MULTI");
+  in_multi_ = false;
+  const auto queued = std::exchange(queued_, {});
+  if (broken_) return error("EXECABORT Transaction discarded because of previous errors.");
+  std::vector<std::string_view> keys;
+  bool write = false;
+  for (const auto& [info, c] : queued) {
+    for (const auto key : keys_of(*info, c)) keys.push_back(key);
+    write = write || info->kind == cluster::Kind::kWrite;
+  }
+  if (auto wrong = misplaced(keys, write, false); !wrong.empty()) return wrong;
+  std::string out;
+  resp::append_array(out, queued.size());
+  for (const auto& [info, c] : queued) out += run(*info, c);
+  return out;
+}
+
+std::string RespCluster::Connection::hello(const Command& c) {
+  if (c.size() > 1) {
+    const auto version = resp::parse_integer(c[1]);
+    if (!version || *version < 2 || *version > 3)
+      return error("NOPROTO unsupported protocol version");
+    version_ = static_cast<int>(*version);
+  }
+  std::string out;
+  resp::append_map(out, 2, version_);
+  resp::append_bulk(out, "proto");
+  resp::append_integer(out, version_);
+  resp::append_bulk(out, "mode");
+  resp::append_bulk(out, "cluster");
+  return out;
+}
+
+std::string RespCluster::Connection::cluster(const Command& c) {
+  Node& n = *node_;
+  const auto is = [&c](std::string_view word) { return c.size() >= 2 && same_word(c[1], word); };
+  std::string out;
+  if (is("MYID")) {
+    resp::append_bulk(out, id_of(n.number_));
+    return out;
+  }
+  if (is("KEYSLOT") && c.size() == 3) {
+    resp::append_integer(out, cluster::slot_of(c[2]));
+    return out;
+  }
+  if (is("INFO")) {
+    std::uint64_t newest = 0;
+    for (const Claim& claim : n.map_) newest = std::max(newest, claim.epoch);
+    resp::append_bulk(out, "cluster_enabled:1\r\ncluster_state:ok\r\ncluster_current_epoch:" +
+                               std::to_string(newest) + "\r\n");
+    return out;
+  }
+  // Ranges by owner and epoch, as this node has them.
+  struct Range {
+    Slot first, last;
+    Claim claim;
+  };
+  std::vector<Range> ranges;
+  for (std::uint32_t s = 0; s < kSlots; ++s) {
+    const Claim& claim = n.map_[s];
+    if (claim.epoch == 0) continue;
+    if (!ranges.empty() && ranges.back().last + 1u == s &&
+        ranges.back().claim.owner == claim.owner) {
+      ranges.back().last = static_cast<Slot>(s);
+    } else {
+      ranges.push_back({static_cast<Slot>(s), static_cast<Slot>(s), claim});
+    }
+  }
+  if (is("NODES")) {
+    // A node has one epoch for all its slots: the newest that this one knows of it.
+    std::string text;
+    for (int i = 0; i < n.all_.size(); ++i) {
+      Node& other = *n.all_.nodes_[static_cast<std::size_t>(i)];
+      std::string slots;
+      std::uint64_t epoch = 0;
+      for (const Range& r : ranges) {
+        if (r.claim.owner != i) continue;
+        for (std::uint32_t s = r.first; s <= r.last; ++s) epoch = std::max(epoch, n.map_[s].epoch);
+        slots += " " + std::to_string(r.first) +
+                 (r.last > r.first ? "-" + std::to_string(r.last) : std::string());
+      }
+      const bool replica = other.primary_.has_value() && slots.empty();
+      text += id_of(i) + " " + other.address() + "@1 " + (i == n.number_ ? "myself," : "") +
+              (replica ? "slave " + id_of(*other.primary_) : std::string("master -")) + " 0 0 " +
+              std::to_string(epoch) + " connected" + slots + "\n";
+    }
+    resp::append_bulk(out, text);
+    return out;
+  }
+  if (is("SLOTS")) {
+    resp::append_array(out, ranges.size());
+    const auto node = [&](int i) {
+      resp::append_array(out, 3);
+      resp::append_bulk(out, "127.0.0.1");
+      resp::append_integer(out, n.all_.nodes_[static_cast<std::size_t>(i)]->port_);
+      resp::append_bulk(out, id_of(i));
+    };
+    for (const Range& r : ranges) {
+      const auto& replicas = n.all_.nodes_[static_cast<std::size_t>(r.claim.owner)]->replicas_;
+      resp::append_array(out, 3 + replicas.size());
+      resp::append_integer(out, r.first);
+      resp::append_integer(out, r.last);
+      node(r.claim.owner);
+      for (const int replica : replicas) node(replica);
+    }
+    return out;
+  }
+  return error("ERR unknown subcommand '" + std::string(c.size() > 1 ? c[1] : "") + "'");
+}
+
+// ---- the cluster
+
+RespCluster::RespCluster(asio::io_context& io, int primaries, int replicas) : io_(io) {
+  for (int i = 0; i < primaries * (1 + replicas); ++i)
+    nodes_.push_back(std::make_unique<Node>(*this, i));
+  for (std::uint32_t s = 0; s < kSlots; ++s)
+    truth_[s] = {static_cast<int>(s * static_cast<std::uint32_t>(primaries) / kSlots), 1};
+  for (int i = 0; i < size(); ++i) {
+    Node& n = *nodes_[static_cast<std::size_t>(i)];
+    n.map_ = truth_;
+    if (i < primaries) {
+      n.store_ = std::make_shared<RespStore>();
+      n.epoch_ = 1;
+    } else {
+      const int primary = (i - primaries) % primaries;
+      n.primary_ = primary;
+      n.store_ = nodes_[static_cast<std::size_t>(primary)]->store_;
+      nodes_[static_cast<std::size_t>(primary)]->replicas_.push_back(i);
+    }
+  }
+}
+
+RespCluster::~RespCluster() {
+  for (auto& n : nodes_) n->stop();
+}
+
+std::string RespCluster::address(int node) const {
+  return nodes_[static_cast<std::size_t>(node)]->address();
+}
+
+std::vector<std::string> RespCluster::addresses() const {
+  std::vector<std::string> all;
+  for (const auto& n : nodes_) all.push_back(n->address());
+  return all;
+}
+
+const std::vector<int>& RespCluster::replicas(int primary) const {
+  return nodes_[static_cast<std::size_t>(primary)]->replicas_;
+}
+
+bool RespCluster::up(int node) const { return nodes_[static_cast<std::size_t>(node)]->up(); }
+
+void RespCluster::begin_move(Slot slot, int to) {
+  const int from = truth_[slot].owner;
+  nodes_[static_cast<std::size_t>(from)]->migrating_[slot] = to;
+  nodes_[static_cast<std::size_t>(to)]->importing_[slot] = from;
+}
+
+std::optional<int> RespCluster::moving_to(Slot slot) const {
+  const auto& from = nodes_[static_cast<std::size_t>(truth_[slot].owner)];
+  const auto it = from->migrating_.find(slot);
+  return it == from->migrating_.end() ? std::nullopt : std::optional(it->second);
+}
+
+bool RespCluster::move_key(Slot slot) {
+  Node& from = *nodes_[static_cast<std::size_t>(truth_[slot].owner)];
+  Node& to = *nodes_[static_cast<std::size_t>(from.migrating_.at(slot))];
+  for (const auto& key : from.store_->keys())
+    if (cluster::slot_of(key) == slot) return from.store_->move_to(*to.store_, key), true;
+  return false;
+}
+
+void RespCluster::end_move(Slot slot) {
+  Node& from = *nodes_[static_cast<std::size_t>(truth_[slot].owner)];
+  Node& to = *nodes_[static_cast<std::size_t>(from.migrating_.at(slot))];
+  while (move_key(slot)) {
+  }
+  truth_[slot] = {to.number_, ++epoch_};
+  to.epoch_ = epoch_;
+  from.migrating_.erase(slot);
+  to.importing_.erase(slot);
+  from.map_[slot] = to.map_[slot] = truth_[slot];
+}
+
+int RespCluster::fail_over(int primary) {
+  Node& old = *nodes_[static_cast<std::size_t>(primary)];
+  int next = -1;
+  for (const int r : old.replicas_)
+    if (next < 0 && up(r)) next = r;
+  if (next < 0) return -1;
+  Node& heir = *nodes_[static_cast<std::size_t>(next)];
+  // Moves under way end: the heir knows nothing of them.
+  for (const auto& [slot, to] : old.migrating_) {
+    Node& target = *nodes_[static_cast<std::size_t>(to)];
+    target.importing_.erase(slot);
+    for (const auto& key : target.store_->keys())
+      if (cluster::slot_of(key) == slot) target.store_->move_to(*old.store_, key);
+  }
+  for (const auto& [slot, from] : old.importing_) {
+    Node& source = *nodes_[static_cast<std::size_t>(from)];
+    source.migrating_.erase(slot);
+    for (const auto& key : old.store_->keys())
+      if (cluster::slot_of(key) == slot) old.store_->move_to(*source.store_, key);
+  }
+  old.migrating_.clear();
+  old.importing_.clear();
+  ++epoch_;
+  heir.epoch_ = epoch_;
+  heir.primary_.reset();
+  heir.replicas_ = old.replicas_;
+  std::erase(heir.replicas_, next);
+  for (std::uint32_t s = 0; s < kSlots; ++s)
+    if (truth_[s].owner == primary) heir.map_[s] = truth_[s] = {next, epoch_};
+  for (const int r : heir.replicas_) nodes_[static_cast<std::size_t>(r)]->primary_ = next;
+  // The old one keeps what it has, and is on its own until it is told.
+  heir.store_ = std::exchange(old.store_, std::make_shared<RespStore>(*old.store_));
+  return next;
+}
+
+void RespCluster::tell(int node) {
+  Node& n = *nodes_[static_cast<std::size_t>(node)];
+  int heir = -1;
+  for (std::uint32_t s = 0; s < kSlots; ++s) {
+    if (n.map_[s].owner == node && truth_[s].owner != node) heir = truth_[s].owner;
+    n.map_[s] = truth_[s];
+  }
+  const bool owns =
+      std::any_of(truth_.begin(), truth_.end(), [node](const Claim& c) { return c.owner == node; });
+  if (!n.primary_ && !owns && heir >= 0) {
+    n.primary_ = heir;
+    n.replicas_.clear();
+    Node& h = *nodes_[static_cast<std::size_t>(heir)];
+    h.replicas_.push_back(node);
+    n.store_ = h.store_;
+  }
+}
+
+void RespCluster::spread() {
+  for (int i = 0; i < size(); ++i) tell(i);
+}
+
+void RespCluster::kill(int node) { nodes_[static_cast<std::size_t>(node)]->stop(); }
+
+void RespCluster::restart(int node, bool empty_mapped) {
+  Node& n = *nodes_[static_cast<std::size_t>(node)];
+  n.stop();
+  n.listen();
+  if (empty_mapped) n.map_.fill({});
+}
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/src/rig/resp_store.cc
@@ -0,0 +1,340 @@
+#include "rig/resp_store.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "cluster/commands.h"
+
+namespace silverpin::rig {
+namespace {
+
+using cluster::same_word;
+using resp::Command;
+
+const std::string kWrongType =
+    "-WRONGTYPE Operation against a key holding the wrong kind of value\r\n";
+const std::string kNoInteger = "-ERR value is not an integer or out of range\r\n";
+const std::string kSyntax = "-ERR syntax error\r\n";
+
+std::string integer(std::int64_t n) {
+  std::string out;
+  resp::append_integer(out, n);
+  return out;
+}
+
+std::string bulk(std::string_view text) {
+  std::string out;
+  resp::append_bulk(out, text);
+  return out;
+}
+
+std::string null(int version) {
+  std::string out;
+  resp::append_null(out, version);
+  return out;
+}
+
+// Places as lists count them: negative ones from the end.
+std::int64_t place(std::int64_t at, std::size_t size) {
+  return at < 0 ? std::max<std::int64_t>(0, at + static_cast<std::int64_t>(size)) : at;
+}
+
+}  // namespace
+
+RespStore::Entry* RespStore::find(Time now, std::string_view key) {
+  const auto it = entries_.find(key);
+  if (it == entries_.end()) return nullptr;
+  if (it->second.expires && *it->second.expires <= now) {
+    entries_.erase(it);
+    return nullptr;
+  }
+  return &it->second;
+}
+
+bool RespStore::has(Time now, std::string_view key) { return find(now, key) != nullptr; }
+
+std::vector<std::string> RespStore::keys() const {
+  std::vector<std::string> all;
+  for (const auto& [key, entry] : entries_) all.push_back(key);
+  return all;
+}
+
+void RespStore::move_to(RespStore& other, const std::string& key) {
+  auto node = entries_.extract(key);
+  if (node.empty()) return;
+  other.entries_.erase(key);
+  other.entries_.insert(std::move(node));
+}
+
+template <typename T>
+T* RespStore::need(Time now, std::string_view key) {
+  Entry* e = find(now, key);
+  if (!e) e = &entries_.emplace(std::string(key), Entry{T{}, std::nullopt}).first->second;
+  return std::get_if<T>(&e->value);
+}
+
+void RespStore::drop_if_empty(std::string_view key) {
+  const auto it = entries_.find(key);
+  const bool empty = std::visit(
+      [](const auto& v) {
+        return !std::is_same_v<std::remove_cvref_t<decltype(v)>, std::string> && v.empty();
+      },
+      it->second.value);
+  if (empty) entries_.erase(it);
+}
+
+// SET key value [NX | XX] [GET] [EX s | PX ms | KEEPTTL]
+std::string RespStore::set(Time now, const Command& c, int version) {
+  bool nx = false, xx = false, get = false, keep = false;
+  std::optional<Time> expires;
+  for (std::size_t i = 3; i < c.size(); ++i) {
+    if (same_word(c[i], "NX")) {
+      nx = true;
+    } else if (same_word(c[i], "XX")) {
+      xx = true;
+    } else if (same_word(c[i], "GET")) {
+      get = true;
+    } else if (same_word(c[i], "KEEPTTL")) {
+      keep = true;
+    } else if ((same_word(c[i], "EX") || same_word(c[i], "PX")) && i + 1 < c.size()) {
+      const bool ms = same_word(c[i], "PX");
+      const auto n = resp::parse_integer(c[++i]);
+      if (!n) return kNoInteger;
+      if (*n <= 0) return "-ERR invalid expire time in 'set' command\r\n";
+      expires = now + (ms ? Duration(std::chrono::milliseconds(*n)) : std::chrono::seconds(*n));
+    } else {
+      return kSyntax;
+    }
+  }
+  if (nx && xx) return kSyntax;
+  Entry* e = find(now, c[1]);
+  std::string old = null(version);
+  if (get && e) {
+    const auto* text = std::get_if<std::string>(&e->value);
+    if (!text) return kWrongType;
+    old = bulk(*text);
+  }
+  if ((nx && e) || (xx && !e)) return get ? old : null(version);
+  if (keep && e) expires = e->expires;
+  entries_.insert_or_assign(std::string(c[1]), Entry{std::string(c[2]), expires});
+  return get ? old : "+OK\r\n";
+}
+
+std::string RespStore::count(Time now, const Command& c, std::int64_t by) {
+  auto* text = need<std::string>(now, c[1]);
+  if (!text) return kWrongType;
+  const auto old = text->empty() ? std::optional<std::int64_t>(0) : resp::parse_integer(*text);
+  std::int64_t sum = 0;
+  if (!old || __builtin_add_overflow(*old, by, &sum)) return kNoInteger;
+  *text = std::to_string(sum);
+  return integer(sum);
+}
+
+std::optional<std::string> RespStore::run(Time now, const Command& c, int version) {
+  const auto is = [&c](std::string_view word) { return same_word(c[0], word); };
+  const auto array = [](const std::vector<std::string>& items) {
+    std::string out;
+    resp::append_array(out, items.size());
+    for (const auto& item : items) out += item;
+    return out;
+  };
+  const std::size_t words = c.size();
+  if (is("GET") || is("STRLEN") || is("GETDEL")) {
+    Entry* e = find(now, c[1]);
+    if (!e) return is("STRLEN") ? integer(0) : null(version);
+    const auto* text = std::get_if<std::string>(&e->value);
+    if (!text) return kWrongType;
+    std::string reply =
+        is("STRLEN") ? integer(static_cast<std::int64_t>(text->size())) : bulk(*text);
+    if (is("GETDEL")) entries_.erase(entries_.find(c[1]));
+    return reply;
+  }
+  if (is("SET")) return set(now, c, version);
+  if (is("SETNX")) {
+    if (find(now, c[1])) return integer(0);
+    entries_.emplace(std::string(c[1]), Entry{std::string(c[2]), std::nullopt});
+    return integer(1);
+  }
+  if (is("APPEND")) {
+    auto* text = need<std::string>(now, c[1]);
+    if (!text) return kWrongType;
+    *text += c[2];
+    return integer(static_cast<std::int64_t>(text->size()));
+  }
+  if (is("INCR")) return count(now, c, 1);
+  if (is("DECR")) return count(now, c, -1);
+  if (is("INCRBY") || is("DECRBY")) {
+    const auto by = resp::parse_integer(c[2]);
+    if (!by || *by == std::numeric_limits<std::int64_t>::min()) return kNoInteger;
+    return count(now, c, is("INCRBY") ? *by : -*by);
+  }
+  if (is("MGET")) {
+    std::vector<std::string> items;
+    for (std::size_t i = 1; i < words; ++i) {
+      Entry* e = find(now, c[i]);
+      const auto* text = e ? std::get_if<std::string>(&e->value) : nullptr;
+      items.push_back(text ? bulk(*text) : null(version));
+    }
+    return array(items);
+  }
+  if (is("MSET")) {
+    for (std::size_t i = 1; i + 1 < words; i += 2)
+      entries_.insert_or_assign(std::string(c[i]), Entry{std::string(c[i + 1]), std::nullopt});
+    return "+OK\r\n";
+  }
+  if (is("DEL") || is("UNLINK") || is("EXISTS") || is("TOUCH")) {
+    std::int64_t n = 0;
+    for (std::size_t i = 1; i < words; ++i) {
+      if (!find(now, c[i])) continue;
+      ++n;
+      if (is("DEL") || is("UNLINK")) entries_.erase(entries_.find(c[i]));
+    }
+    return integer(n);
+  }
+  if (is("TYPE")) {
+    static constexpr std::string_view kNames[] = {"string", "hash", "list", "set"};
+    Entry* e = find(now, c[1]);
+    return "+" + std::string(e ? kNames[e->value.index()] : "none") + "\r\n";
+  }
+  if (is("EXPIRE") || is("PEXPIRE")) {
+    const auto n = resp::parse_integer(c[2]);
+    if (!n) return kNoInteger;
+    Entry* e = find(now, c[1]);
+    if (!e) return integer(0);
+    e->expires = now + (is("EXPIRE") ? Duration(std::chrono::seconds(*n))
+                                     : Duration(std::chrono::milliseconds(*n)));
+    return integer(1);
+  }
+  if (is("TTL") || is("PTTL")) {
+    Entry* e = find(now, c[1]);
+    if (!e) return integer(-2);
+    if (!e->expires) return integer(-1);
+    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(*e->expires - now).count();
+    return integer(is("TTL") ? (ms + 500) / 1000 : ms);
+  }
+  if (is("PERSIST")) {
+    Entry* e = find(now, c[1]);
+    const bool had = e && e->expires;
+    if (had) e->expires.reset();
+    return integer(had);
+  }
+  if (is("HSET") || is("HDEL") || is("HINCRBY")) {
+    if (is("HSET") && words % 2 != 0)
+      return "-ERR wrong number of arguments for 'hset' command\r\n";
+    auto* hash = need<Hash>(now, c[1]);
+    if (!hash) return kWrongType;
+    std::string reply;
+    if (is("HINCRBY")) {
+      const auto by = resp::parse_integer(c[3]);
+      auto& text = (*hash)[std::string(c[2])];
+      const auto old = text.empty() ? std::optional<std::int64_t>(0) : resp::parse_integer(text);
+      std::int64_t sum = 0;
+      if (!by || !old || __builtin_add_overflow(*old, *by, &sum)) return kNoInteger;
+      text = std::to_string(sum);
+      reply = integer(sum);
+    } else {
+      std::int64_t n = 0;
+      for (std::size_t i = 2; i < words; i += is("HSET") ? 2 : 1) {
+        if (is("HSET")) {
+          n += hash->insert_or_assign(std::string(c[i]), std::string(c[i + 1])).second;
+        } else {
+          n += static_cast<std::int64_t>(hash->erase(std::string(c[i])));
+        }
+      }
+      reply = integer(n);
+    }
+    drop_if_empty(c[1]);
+    return reply;
+  }
+  if (is("HGET") || is("HGETALL") || is("HLEN") || is("HEXISTS")) {
+    static const Hash kEmpty;
+    Entry* e = find(now, c[1]);
+    const Hash* hash = e ? std::get_if<Hash>(&e->value) : &kEmpty;
+    if (!hash) return kWrongType;
+    if (is("HLEN")) return integer(static_cast<std::int64_t>(hash->size()));
+    if (is("HGETALL")) {
+      std::string out;
+      resp::append_map(out, hash->size(), version);
+      for (const auto& [field, value] : *hash) out += bulk(field) + bulk(value);
+      return out;
+    }
+    const auto it = hash->find(c[2]);
+    if (is("HEXISTS")) return integer(it != hash->end());
+    return it == hash->end() ? null(version) : bulk(it->second);
+  }
+  if (is("LPUSH") || is("RPUSH")) {
+    auto* list = need<List>(now, c[1]);
+    if (!list) return kWrongType;
+    for (std::size_t i = 2; i < words; ++i) {
+      if (is("LPUSH")) {
+        list->emplace_front(c[i]);
+      } else {
+        list->emplace_back(c[i]);
+      }
+    }
+    return integer(static_cast<std::int64_t>(list->size()));
+  }
+  if (is("LPOP") || is("RPOP") || is("LLEN") || is("LRANGE") || is("LINDEX")) {
+    static List none;
+    Entry* e = find(now, c[1]);
+    List* list = e ? std::get_if<List>(&e->value) : &none;
+    if (!list) return kWrongType;
+    if (is("LLEN")) return integer(static_cast<std::int64_t>(list->size()));
+    if (is("LRANGE")) {
+      const auto from = resp::parse_integer(c[2]), to = resp::parse_integer(c[3]);
+      if (!from || !to) return kNoInteger;
+      std::vector<std::string> items;
+      const auto size = static_cast<std::int64_t>(list->size());
+      const std::int64_t end = *to < 0 ? *to + size : std::min(*to, size - 1);
+      for (std::int64_t i = place(*from, list->size()); i <= end; ++i)
+        items.push_back(bulk((*list)[static_cast<std::size_t>(i)]));
+      return array(items);
+    }
+    if (is("LINDEX")) {
+      const auto at = resp::parse_integer(c[2]);
+      if (!at) return kNoInteger;
+      const std::int64_t i = *at < 0 ? *at + static_cast<std::int64_t>(list->size()) : *at;
+      if (i < 0 || i >= static_cast<std::int64_t>(list->size())) return null(version);
+      return bulk((*list)[static_cast<std::size_t>(i)]);
+    }
+    if (words > 2) return "-ERR a count is not emulated here\r\n";
+    if (list->empty()) return null(version);
+    std::string reply = bulk(is("LPOP") ? list->front() : list->back());
+    if (is("LPOP")) {
+      list->pop_front();
+    } else {
+      list->pop_back();
+    }
+    drop_if_empty(c[1]);
+    return reply;
+  }
+  if (is("SADD") || is("SREM")) {
+    auto* all = need<Set>(now, c[1]);
+    if (!all) return kWrongType;
+    std::int64_t n = 0;
+    for (std::size_t i = 2; i < words; ++i)
+      n += is("SADD") ? all->emplace(std::string(c[i]), true).second
+                      : static_cast<std::int64_t>(all->erase(std::string(c[i])));
+    drop_if_empty(c[1]);
+    return integer(n);
+  }
+  if (is("SCARD") || is("SISMEMBER") || is("SMEMBERS")) {
+    static const Set kEmpty;
+    Entry* e = find(now, c[1]);
+    const Set* all = e ? std::get_if<Set>(&e->value) : &kEmpty;
+    if (!all) return kWrongType;
+    if (is("SCARD")) return integer(static_cast<std::int64_t>(all->size()));
+    if (is("SISMEMBER")) return integer(all->count(std::string(c[2])) > 0);
+    std::string out;
+    if (version < 3) {
+      resp::append_array(out, all->size());
+    } else {
+      out = "~" + std::to_string(all->size()) + "\r\n";
+    }
+    for (const auto& [member, unused] : *all) out += bulk(member);
+    return out;
+  }
+  return std::nullopt;
+}
+
+}  // namespace silverpin::rig
--- /dev/null
+++ b/tests/resp_node_test.cc
@@ -0,0 +1,566 @@
+// RESP clients at a real balancer, in front of an emulated cluster.
+#include <algorithm>
+#include <random>
+
+#include "cluster/slots.h"
+#include "resp_harness.h"
+
+namespace silverpin::node {
+namespace {
+
+using cluster::slot_of;
+
+TEST_F(RespNodeTest, TheBalancerAnswersForItself) {
+  begin(3, 0, "", "announce = \"127.0.0.1:7001\"\npeers = [\"127.0.0.1:7002\"]\n");
+  auto c = client();
+  const std::vector<std::pair<Words, std::string>> script = {
+      {{"PING"}, "+PONG\r\n"},
+      {{"ping", "hi"}, "$2\r\nhi\r\n"},
+      {{"ECHO", "a\r\nb"}, "$4\r\na\r\nb\r\n"},
+      {{"SELECT", "0"}, "+OK\r\n"},
+      {{"SELECT", "1"}, "-ERR SELECT is not allowed in cluster mode\r\n"},
+      {{"CLIENT", "SETNAME", "app"}, "+OK\r\n"},
+      {{"CLIENT", "GETNAME"}, "$3\r\napp\r\n"},
+      {{"CLIENT", "SETNAME", "a b"},
+       "-ERR Client names cannot contain spaces, newlines or special characters.\r\n"},
+      {{"CLIENT", "SETINFO", "LIB-NAME", "x"}, "+OK\r\n"},
+      {{"CLIENT", "NO-EVICT", "ON"}, "+OK\r\n"},
+      {{"CLIENT", "NO-TOUCH", "maybe"}, "-ERR syntax error\r\n"},
+      {{"READONLY"}, "+OK\r\n"},
+      {{"READWRITE"}, "+OK\r\n"},
+      {{"ASKING"}, "+OK\r\n"},
+      {{"CLUSTER", "KEYSLOT", "foo"}, ":12182\r\n"},
+      {{"COMMAND", "DOCS"}, "*0\r\n"},
+      {{"COMMAND", "INFO", "get", "nosuch"},
+       "*2\r\n*6\r\n$3\r\nget\r\n:2\r\n*1\r\n+readonly\r\n:1\r\n:1\r\n:1\r\n*-1\r\n"},
+      {{"GET"}, "-ERR wrong number of arguments for 'get' command\r\n"},
+      {{"nosuch"}, "-ERR unknown command 'nosuch'\r\n"},
+      {{"BLPOP", "k", "0"}, "-ERR blocking commands are not carried here\r\n"},
+      {{"XREAD", "BLOCK", "0", "STREAMS", "k", "0"}, "-ERR BLOCK is not carried here\r\n"},
+      {{"SUBSCRIBE", "k"}, "-ERR subscribing and publishing are not carried here\r\n"},
+      {{"FLUSHALL"}, "-ERR 'flushall' is not carried here\r\n"},
+      {{"WATCH", "k"}, "-ERR 'watch' is not carried here\r\n"},
+      {{"HELLO", "4"}, "-NOPROTO unsupported protocol version\r\n"},
+      {{"AUTH", "who", "x"}, "-WRONGPASS invalid username-password pair or user is disabled.\r\n"},
+      {{"RESET"}, "+RESET\r\n"},
+      {{"CLIENT", "GETNAME"}, "$-1\r\n"},
+  };
+  for (const auto& [words, reply] : script) EXPECT_EQ(c->ask(words), reply) << words[0];
+  const std::string slots_reply = c->ask({"CLUSTER", "SLOTS"});
+  const auto slots = resp::parse_reply(slots_reply, resp::Bounds{});
+  ASSERT_TRUE(slots);
+  ASSERT_EQ(slots->items.size(), 2u) << "this balancer and its peer";
+  EXPECT_EQ(slots->items[0].items[0].text, "0");
+  EXPECT_EQ(slots->items[0].items[1].text, "8191");
+  EXPECT_EQ(slots->items[1].items[2].items[1].text, "7002");
+  const std::string shards_reply = c->ask({"CLUSTER", "SHARDS"});
+  const auto shards = resp::parse_reply(shards_reply, resp::Bounds{});
+  ASSERT_TRUE(shards);
+  EXPECT_EQ(shards->items.size(), 2u);
+  const std::string nodes_reply = c->ask({"CLUSTER", "NODES"});
+  const auto nodes = resp::parse_reply(nodes_reply, resp::Bounds{});
+  ASSERT_TRUE(nodes);
+  const auto view = cluster::read_nodes(nodes->text, "127.0.0.1:1");
+  ASSERT_TRUE(view);
+  EXPECT_EQ(view->shards.size(), 2u);
+  const std::string hello_reply = c->ask({"HELLO", "3", "SETNAME", "n"});
+  const auto hello = resp::parse_reply(hello_reply, resp::Bounds{});
+  ASSERT_TRUE(hello);
+  EXPECT_EQ(hello->type, resp::Type::kMap);
+  EXPECT_EQ(c->ask({"CLIENT", "GETNAME"}), "$1\r\nn\r\n");
+  EXPECT_EQ(c->ask({"QUIT"}), "+OK\r\n");
+  EXPECT_TRUE(wait([&] { return c->closed(); }));
+  EXPECT_EQ(cluster->commands(), 0u);
+}
+
+// The same words to the balancer and to a node that owns the keys: the same replies.
+TEST_F(RespNodeTest, ConformsToANode) {
+  begin(1);
+  std::vector<Words> script = {
+      {"SET", "k", "v"},
+      {"GET", "k"},
+      {"GET", "none"},
+      {"SET", "k", "w", "NX"},
+      {"SET", "k", "w", "GET"},
+      {"SET", "t", "1", "EX", "100"},
+      {"TTL", "t"},
+      {"SET", "t", "1", "EX", "0"},
+      {"SET", "t", "1", "EX"},
+      {"INCR", "n"},
+      {"INCRBY", "n", "41"},
+      {"INCR", "k"},
+      {"DECRBY", "n", "x"},
+      {"APPEND", "k", "\r\n\x01"},
+      {"STRLEN", "k"},
+      {"MSET", "a", "1", "b", "2", "c", "3"},
+      {"MGET", "a", "none", "c", "b", "a"},
+      {"DEL", "a", "b", "none"},
+      {"EXISTS", "c", "c", "a"},
+      {"TOUCH", "c", "none"},
+      {"UNLINK", "c"},
+      {"HSET", "h", "f", "1", "g", "2"},
+      {"HGETALL", "h"},
+      {"HGET", "h", "f"},
+      {"HINCRBY", "h", "f", "5"},
+      {"HDEL", "h", "f", "g"},
+      {"HGETALL", "h"},
+      {"RPUSH", "l", "1", "2", "3"},
+      {"LPUSH", "l", "0"},
+      {"LRANGE", "l", "0", "-1"},
+      {"LPOP", "l"},
+      {"LLEN", "l"},
+      {"GET", "l"},
+      {"HGET", "l", "f"},
+      {"LINDEX", "l", "9"},
+      {"SADD", "s", "x", "y", "x"},
+      {"SMEMBERS", "s"},
+      {"SISMEMBER", "s", "x"},
+      {"TYPE", "s"},
+      {"MULTI"},
+      {"INCR", "n"},
+      {"GET", "n"},
+      {"EXEC"},
+      {"MULTI"},
+      {"SET", "n", "1"},
+      {"DISCARD"},
+      {"EXEC"},
+      {"MULTI"},
+      {"GET"},
+      {"EXEC"},
+      {"MULTI"},
+      {"MULTI"},
+      {"INCR", "k"},
+      {"GET", "n"},
+      {"EXEC"},
+      {"PERSIST", "t"},
+      {"PERSIST", "t"},
+      {"TTL", "none"},
+      {"GETDEL", "n"},
+      {"GETDEL", "n"},
+      {"SETNX", "n", "1"},
+      {"nosuch", "x"},
+      {"GET", "a", "b"},
+  };
+  // All keys of one slot, as a node takes no others in one command.
+  const Words keys = {"k", "t", "n", "a", "b", "c", "h", "l", "s", "none"};
+  Words clean = {"DEL"};
+  for (const auto& k : keys) clean.push_back("{x}" + k);
+  for (auto& words : script)
+    for (auto& w : words)
+      if (std::find(keys.begin(), keys.end(), w) != keys.end()) w = "{x}" + w;
+  for (const int version : {2, 3}) {
+    SCOPED_TRACE(version);
+    std::vector<std::vector<std::string>> replies;
+    for (const bool through : {false, true}) {
+      auto c = through ? client() : std::make_unique<RespClient>(io, cluster->address(0));
+      c->ask({"HELLO", std::to_string(version)});
+      replies.emplace_back();
+      for (const auto& words : script) replies.back().push_back(c->ask(words));
+      // And in one go.
+      std::string all;
+      for (const auto& words : script) all += wire(words);
+      c->send(all);
+      for (std::size_t i = 0; i < script.size(); ++i) replies.back().push_back(c->next());
+      c->ask(clean);
+    }
+    for (std::size_t i = 0; i < replies[0].size(); ++i)
+      EXPECT_EQ(replies[1][i], replies[0][i]) << script[i % script.size()][0] << " at " << i;
+  }
+}
+
+TEST_F(RespNodeTest, PipelinesOfThousandsKeepTheirOrder) {
+  begin(3);
+  auto c = client();
+  std::string all;
+  std::vector<std::string> expected;
+  for (int i = 0; i < 3000; ++i) {
+    const std::string key = "k" + std::to_string(i % 7), value = std::to_string(i);
+    all += wire({"SET", key, value}) + wire({"GET", key}) + wire({"PING"});
+    expected.insert(
+        expected.end(),
+        {"+OK\r\n", "$" + std::to_string(value.size()) + "\r\n" + value + "\r\n", "+PONG\r\n"});
+  }
+  c->send(all);
+  for (std::size_t i = 0; i < expected.size(); ++i) ASSERT_EQ(c->next(), expected[i]) << i;
+}
+
+TEST_F(RespNodeTest, CommandsOverSlotsAreSplitAndJoined) {
+  begin(3);
+  auto c = client();
+  Words set = {"MSET"}, get = {"MGET"}, count = {"EXISTS"}, del = {"DEL"};
+  std::string expected = "*41\r\n";
+  for (int i = 0; i < 40; ++i) {
+    const std::string key = "k" + std::to_string(i);
+    set.insert(set.end(), {key, "v" + std::to_string(i)});
+    for (auto* words : {&get, &count, &del}) words->push_back(key);
+    expected += "$" + std::to_string(i < 10 ? 2 : 3) + "\r\nv" + std::to_string(i) + "\r\n";
+  }
+  get.push_back("none");
+  EXPECT_EQ(c->ask(set), "+OK\r\n");
+  EXPECT_EQ(c->ask(get), expected + "$-1\r\n");
+  EXPECT_EQ(c->ask(count), ":40\r\n");
+  EXPECT_EQ(c->ask({"RENAME", "k1", "k2"}),
+            "-CROSSSLOT Keys in request don't hash to the same slot\r\n");
+  EXPECT_EQ(c->ask({"MSET", "k1", "x", "k2"}), "-ERR syntax error\r\n");
+  // One node is away: reads are refused as a whole, writes tell how many parts have run.
+  cluster->kill(2);
+  EXPECT_TRUE(c->ask(get).starts_with("-TRYAGAIN "));
+  const std::string part = c->ask(del);
+  EXPECT_TRUE(part.starts_with("-ERR ") && part.find("parts have run") != std::string::npos)
+      << part;
+  cluster->restart(2);
+  EXPECT_TRUE(wait([&] { return c->ask(get).starts_with("*41"); }));
+}
+
+TEST_F(RespNodeTest, TransactionsGoOutAsOneUnit) {
+  begin(3, 0, "", "most_queued = 3\n");
+  auto c = client();
+  EXPECT_EQ(c->ask({"MULTI"}), "+OK\r\n");
+  EXPECT_EQ(c->ask({"SET", "{t}a", "1"}), "+QUEUED\r\n");
+  EXPECT_EQ(c->ask({"INCR", "{t}a"}), "+QUEUED\r\n");
+  EXPECT_TRUE(cluster->runs().empty());
+  EXPECT_EQ(c->ask({"EXEC"}), "*2\r\n+OK\r\n:2\r\n");
+  EXPECT_EQ(c->ask({"MULTI"}), "+OK\r\n");
+  EXPECT_EQ(c->ask({"SET", "a", "1"}), "+QUEUED\r\n");
+  EXPECT_EQ(c->ask({"SET", "b", "1"}), "+QUEUED\r\n");
+  EXPECT_EQ(c->ask({"EXEC"}), "-CROSSSLOT Keys in request don't hash to the same slot\r\n");
+  EXPECT_EQ(c->ask({"MULTI"}), "+OK\r\n");
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(c->ask({"INCR", "{t}a"}), "+QUEUED\r\n");
+  EXPECT_TRUE(c->ask({"INCR", "{t}a"}).starts_with("-ERR too many"));
+  EXPECT_TRUE(c->ask({"EXEC"}).starts_with("-EXECABORT"));
+  EXPECT_EQ(c->ask({"GET", "{t}a"}), "$1\r\n2\r\n");
+  // Its slot has moved, and the balancer has not heard: it runs once, where it belongs.
+  const auto slot = slot_of("{t}");
+  const int to = (cluster->owner(slot) + 1) % 3;
+  cluster->begin_move(slot, to);
+  cluster->end_move(slot);
+  const auto before = cluster->runs().size();
+  c->send(wire({"MULTI"}) + wire({"INCR", "{t}a"}) + wire({"INCR", "{t}a"}) + wire({"EXEC"}));
+  for (int i = 0; i < 3; ++i) c->next();
+  EXPECT_EQ(c->next(), "*2\r\n:3\r\n:4\r\n");
+  EXPECT_EQ(cluster->runs().size(), before + 2);
+}
+
+// MOVED is followed and learnt, ASK followed; keys half moved under MGET are asked for again.
+TEST_F(RespNodeTest, ASlotOnItsWay) {
+  begin(2);
+  auto c = client();
+  Words get = {"MGET"};
+  for (int i = 0; i < 6; ++i) {
+    get.push_back("{s}" + std::to_string(i));
+    EXPECT_EQ(c->ask({"SET", get.back(), "v"}), "+OK\r\n");
+  }
+  const auto slot = slot_of("{s}");
+  const int from = cluster->owner(slot), to = 1 - from;
+  cluster->begin_move(slot, to);
+  ASSERT_TRUE(cluster->move_key(slot));
+  ASSERT_TRUE(cluster->move_key(slot));
+  for (int i = 0; i < 6; ++i) EXPECT_EQ(c->ask({"GET", get[1 + i]}), "$1\r\nv\r\n") << i;
+  EXPECT_TRUE(c->ask(get).starts_with("-TRYAGAIN ")) << "some here and some there";
+  EXPECT_EQ(c->ask({"SET", "{s}new", "1"}), "+OK\r\n");
+  EXPECT_EQ(cluster->runs().back().node, to) << "what is not there any more goes to the new owner";
+  while (cluster->move_key(slot)) {
+  }
+  EXPECT_TRUE(c->ask(get).starts_with("*6\r\n")) << "by ASK";
+  cluster->end_move(slot);
+  EXPECT_TRUE(c->ask(get).starts_with("*6\r\n")) << "by MOVED";
+  const auto redirections = cluster->redirections();
+  EXPECT_TRUE(c->ask(get).starts_with("*6\r\n"));
+  EXPECT_EQ(cluster->redirections(), redirections) << "it was learnt";
+}
+
+// A booking runs at most once, whatever becomes of the connection at and behind a redirection.
+class RespBookingTest
+    : public RespNodeTest,
+      public ::testing::WithParamInterface<std::tuple<rig::RespCluster::Fault, bool>> {};
+
+TEST_P(RespBookingTest, IsNeverReplayedAfterARedirection) {
+  const auto [fault, ask] = GetParam();
+  begin(2);
+  auto c = client();
+  const auto slot = slot_of("b");
+  const int to = 1 - cluster->owner(slot);
+  cluster->begin_move(slot, to);
+  if (!ask) cluster->end_move(slot);
+  int asked = 0;
+  cluster->fault = [&, f = fault](int node, const resp::Command&) {
+    ++asked;
+    return node == to ? f : Fault::kNone;
+  };
+  const std::string reply = c->ask({"RPUSH", "b", "id"});
+  EXPECT_TRUE(reply.starts_with("-ERR failed")) << reply;
+  EXPECT_EQ(asked, 2) << "the one that named the other, and the other, once";
+  EXPECT_LE(ran("id"), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, RespBookingTest,
+                         ::testing::Combine(::testing::Values(rig::RespCluster::Fault::kCloseBefore,
+                                                              rig::RespCluster::Fault::kCloseAfter,
+                                                              rig::RespCluster::Fault::kHalfReply,
+                                                              rig::RespCluster::Fault::kSilent,
+                                                              rig::RespCluster::Fault::kGarbage),
+                                            ::testing::Bool()));
+
+// A redirection whose text breaks off proves nothing.
+TEST_F(RespNodeTest, HalfARedirectionProvesNothing) {
+  begin(2);
+  auto c = client();
+  const auto slot = slot_of("b");
+  cluster->begin_move(slot, 1 - cluster->owner(slot));
+  cluster->end_move(slot);
+  int asked = 0;
+  cluster->fault = [&](int, const resp::Command&) {
+    return ++asked == 1 ? Fault::kHalfReply : Fault::kNone;
+  };
+  EXPECT_TRUE(c->ask({"RPUSH", "b", "x"}).starts_with("-ERR failed"));
+  EXPECT_EQ(asked, 1);
+  EXPECT_EQ(ran("x"), 0);
+}
+
+TEST_F(RespNodeTest, ANodeThatNamesItselfIsNotAskedAgainAndAgain) {
+  begin(2);
+  auto c = client();
+  cluster->fault = [](int, const resp::Command&) { return Fault::kLie; };
+  const auto before = cluster->commands();
+  EXPECT_TRUE(c->ask({"GET", "k"}).starts_with("-TRYAGAIN "));
+  EXPECT_EQ(cluster->commands(), before + 1);
+  cluster->fault = nullptr;
+  EXPECT_EQ(c->ask({"GET", "k"}), "$-1\r\n");
+}
+
+TEST_F(RespNodeTest, GarbageHarmsItsOwnRequestOnly) {
+  begin(1);
+  auto c = client(), other = client();
+  cluster->fault = [](int, const resp::Command& command) {
+    return command[1] == "bad" ? Fault::kGarbage : Fault::kNone;
+  };
+  c->send(wire({"GET", "bad"}));
+  for (int i = 0; i < 50; ++i) EXPECT_EQ(other->ask({"GET", "good"}), "$-1\r\n");
+  const auto reply = c->next();
+  EXPECT_TRUE(reply.starts_with("-")) << reply;
+  EXPECT_EQ(c->ask({"GET", "good"}), "$-1\r\n");
+}
+
+TEST_F(RespNodeTest, NodesThatForgotTheirMap) {
+  begin(2);
+  auto c = client();
+  EXPECT_EQ(c->ask({"SET", "k", "v"}), "+OK\r\n");
+  for (const int n : {0, 1}) cluster->restart(n, true);
+  EXPECT_TRUE(wait([&] {
+    return c->ask({"GET", "k"}).starts_with("-TRYAGAIN ");
+  })) << "CLUSTERDOWN: nothing ran";
+  EXPECT_EQ(router().table().assigned(), cluster::kSlots) << "an empty map takes nothing away";
+  cluster->spread();
+  EXPECT_TRUE(wait([&] { return c->ask({"GET", "k"}) == "$1\r\nv\r\n"; }));
+}
+
+TEST_F(RespNodeTest, BadInputGetsOneErrorAndAClose) {
+  begin(1);
+  for (const std::string& text :
+       {std::string("*1\r\n$104857600\r\n"), std::string("*2\r\n:1\r\n"),
+        std::string("*99999999\r\n"), "GET \"k\r\n" + std::string(), std::string(70000, 'x')}) {
+    auto c = client();
+    c->send(wire({"PING"}) + text);
+    EXPECT_EQ(c->next(), "+PONG\r\n");
+    EXPECT_TRUE(c->next().starts_with("-ERR Protocol error")) << text.substr(0, 30);
+    EXPECT_TRUE(wait([&] { return c->closed(); }));
+    EXPECT_TRUE(c->replies.empty());
+  }
+  EXPECT_EQ(cluster->commands(), 0u);
+}
+
+TEST_F(RespNodeTest, TenantsAndPasswords) {
+  begin(
+      1, 0,
+      "[[pool.tenant]]\nname = \"app\"\npassword = \"secret\"\n[[pool.tenant]]\nname = \"open\"\n",
+      "require_auth = true\n");
+  auto c = client();
+  EXPECT_EQ(c->ask({"GET", "k"}), "-NOAUTH Authentication required.\r\n");
+  EXPECT_TRUE(c->ask({"HELLO", "3"}).starts_with("-NOAUTH"));
+  EXPECT_TRUE(c->ask({"AUTH", "app", "wrong"}).starts_with("-WRONGPASS"));
+  EXPECT_TRUE(c->ask({"HELLO", "3", "AUTH", "app", "wrong"}).starts_with("-WRONGPASS"));
+  EXPECT_EQ(c->ask({"GET", "k"}), "-NOAUTH Authentication required.\r\n");
+  EXPECT_TRUE(c->ask({"HELLO", "2", "AUTH", "app", "secret"}).starts_with("*14"));
+  EXPECT_EQ(c->ask({"GET", "k"}), "$-1\r\n");
+  auto d = client();
+  EXPECT_EQ(d->ask({"AUTH", "open", "anything"}), "+OK\r\n");
+  EXPECT_EQ(d->ask({"GET", "k"}), "$-1\r\n");
+  EXPECT_EQ(d->ask({"RESET"}), "+RESET\r\n");
+  EXPECT_EQ(d->ask({"GET", "k"}), "-NOAUTH Authentication required.\r\n");
+}
+
+TEST_F(RespNodeTest, ReplicasServeReadsOfClassesThatAllowIt) {
+  begin(1, 2,
+        "[[pool.class]]\nname = \"stale\"\ncommands = [\"GET\"]\nprefix = \"rate:\"\n"
+        "reads = \"replica\"\n");
+  auto c = client();
+  EXPECT_EQ(c->ask({"SET", "rate:1", "v"}), "+OK\r\n");
+  std::vector<int> nodes(3);
+  cluster->fault = [&](int node, const resp::Command&) {
+    ++nodes[static_cast<std::size_t>(node)];
+    return Fault::kNone;
+  };
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(c->ask({"GET", "rate:1"}), "$1\r\nv\r\n");
+  EXPECT_EQ(nodes[0], 0);
+  EXPECT_GT(nodes[1], 0);
+  EXPECT_GT(nodes[2], 0);
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(c->ask({"GET", "other"}), "$-1\r\n");
+  EXPECT_EQ(nodes[0], 5) << "other classes read at the owner";
+}
+
+// The owner dies, a replica takes over; the old one comes back and still thinks that it owns them.
+TEST_F(RespNodeTest, Failover) {
+  begin(2, 1, "refresh_every_ms = 100\n");
+  auto c = client();
+  const auto slot = slot_of("k");
+  const int old = cluster->owner(slot);
+  EXPECT_EQ(c->ask({"SET", "k", "v"}), "+OK\r\n");
+  cluster->kill(old);
+  EXPECT_TRUE(c->ask({"GET", "k"}).starts_with("-TRYAGAIN ")) << "nobody has taken over yet";
+  const int heir = cluster->fail_over(old);
+  ASSERT_GE(heir, 0);
+  cluster->tell(1 - old);
+  EXPECT_TRUE(wait([&] { return c->ask({"GET", "k"}) == "$1\r\nv\r\n"; }));
+  cluster->restart(old);  // with the map of before
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_EQ(c->ask({"RPUSH", "{k}l", std::to_string(i)}), ":" + std::to_string(i + 1) + "\r\n");
+    EXPECT_EQ(cluster->runs().back().node, heir);
+    run_for(io, std::chrono::milliseconds(30));  // refreshes ask the old one too
+  }
+  EXPECT_GT(router().counters().refreshes, 5u);
+}
+
+// memcache and RESP clients in one process.
+TEST_F(RespNodeTest, BesideMemcache) {
+  FakeCache cache(io, [](const auto&, const auto& id) { return FakeCache::value(id, "m"); });
+  discovery.hosts = host_entry("h1", cache.server.dial());
+  begin(2);
+  auto c = client();
+  auto m = Peer::dial(io, balancer->local());
+  for (int i = 1; i <= 20; ++i) {
+    const std::string id = std::to_string(i);
+    m->send("mg k v O" + id + " Pc=read,t=acme,d=5000\r\n");
+    EXPECT_EQ(c->ask({"SET", "k" + id, id}), "+OK\r\n");
+    ASSERT_TRUE(wait([&] { return m->in == FakeCache::value(id, "m"); })) << m->in;
+    m->in.clear();
+  }
+}
+
+// A cluster that moves slots and fails over, under clients that each know what they have been told.
+class RespSoakTest : public RespNodeTest, public ::testing::WithParamInterface<std::uint32_t> {};
+
+TEST_P(RespSoakTest, EveryAnswerIsRightAndNoBookingRunsTwice) {
+  const std::uint32_t seed = GetParam();
+  SCOPED_TRACE(seed);
+  std::mt19937 random(seed);
+  const char* scale = std::getenv("SILVERPIN_SOAK");
+  const int moves = scale ? 200 : 20, failovers = scale ? 20 : 2;
+  begin(3, 2, "most_attempts = 12\n");
+  constexpr int kClients = 8, kKeys = 60;
+  struct User {
+    std::unique_ptr<RespClient> client;
+    std::deque<std::pair<char, int>> out;  // 'r' read, 'w' booking; which
+  };
+  std::vector<User> users(kClients);
+  for (auto& u : users) u.client = client();
+  std::map<std::string, int> served;  // bookings by id
+  std::map<int, std::string> owner_of_value;
+  int next_id = 0, asked = 0, answered = 0, reads_ok = 0, refused = 0, failed = 0;
+  std::vector<std::string> ids;
+  const auto key = [](int k) { return "key" + std::to_string(k); };
+  // Values of reads never change: any answer but this one is wrong.
+  for (int k = 0; k < kKeys; ++k)
+    ASSERT_EQ(users[0].client->ask({"SET", key(k), "value-of-" + key(k)}), "+OK\r\n");
+  const auto collect = [&](User& u) {
+    while (!u.client->replies.empty() && !u.out.empty()) {
+      const std::string reply = u.client->replies.front();
+      u.client->replies.pop_front();
+      const auto [kind, what] = u.out.front();
+      u.out.pop_front();
+      ++answered;
+      if (reply.starts_with("-TRYAGAIN ")) {
+        ++refused;
+        if (kind == 'w') {
+          EXPECT_EQ(ran(ids[static_cast<std::size_t>(what)]), 0) << "refused, and ran";
+        }
+      } else if (reply.starts_with("-ERR failed")) {
+        ++failed;
+      } else if (kind == 'r') {
+        ++reads_ok;
+        const std::string value = "value-of-" + key(what);
+        EXPECT_EQ(reply, "$" + std::to_string(value.size()) + "\r\n" + value + "\r\n");
+      } else {
+        EXPECT_TRUE(reply.starts_with(":")) << reply;
+        ++served[ids[static_cast<std::size_t>(what)]];
+      }
+    }
+  };
+  const auto step = [&] {
+    for (auto& u : users) {
+      collect(u);
+      for (int i = 0; i < 3 && u.out.size() < 20; ++i) {
+        const int k = static_cast<int>(random() % kKeys);
+        ++asked;
+        if (random() % 2) {
+          u.client->send(wire({"GET", key(k)}));
+          u.out.emplace_back('r', k);
+        } else {
+          ids.push_back("id" + std::to_string(next_id));
+          u.client->send(wire({"RPUSH", "{" + key(k) + "}log", ids.back()}));
+          u.out.emplace_back('w', next_id++);
+        }
+      }
+    }
+    for (int i = 0; i < 200; ++i)
+      if (io.poll_one() == 0) break;
+    io.run_one_for(std::chrono::milliseconds(1));
+  };
+  for (int m = 0; m < moves; ++m) {
+    const auto slot = slot_of(key(static_cast<int>(random() % kKeys)));
+    std::vector<int> others = owners();
+    std::erase_if(others, [&](int o) { return o == cluster->owner(slot) || !cluster->up(o); });
+    const int to = others[random() % others.size()];
+    cluster->begin_move(slot, to);
+    for (int i = 0; i < 4; ++i) {
+      step();
+      cluster->move_key(slot);
+    }
+    if (m % (moves / failovers) == 5) {
+      const auto all = owners();
+      const int dead = all[random() % all.size()];
+      const bool partitioned = random() % 2;  // it goes on accepting
+      if (!partitioned) cluster->kill(dead);
+      if (cluster->fail_over(dead) >= 0) {
+        for (int i = 0; i < 5; ++i) step();
+        for (int n = 0; n < cluster->size(); ++n)
+          if (n != dead) cluster->tell(n);
+        for (int i = 0; i < 20; ++i) step();
+        cluster->tell(dead);
+      }
+      if (!partitioned) cluster->restart(dead);
+    }
+    if (cluster->moving_to(slot)) cluster->end_move(slot);
+    if (random() % 3 == 0) cluster->spread();
+  }
+  cluster->spread();
+  ASSERT_TRUE(wait([&] {
+    for (auto& u : users) collect(u);
+    return answered == asked;
+  })) << asked - answered
+      << " requests were lost";
+  std::map<std::string, int> runs;
+  for (const auto& r : cluster->runs())
+    if (r.command == "RPUSH") ++runs[r.argument];
+  for (const auto& [id, n] : runs) EXPECT_EQ(n, 1) << id << " ran " << n << " times";
+  for (const auto& [id, n] : served) EXPECT_EQ(runs[id], 1) << id << " was served and did not run";
+  EXPECT_GT(reads_ok, asked / 4);
+  EXPECT_GT(served.size(), ids.size() / 2);
+  std::printf("seed %u: %d asked, %d refused, %d failed, %llu redirections, %llu refreshes\n", seed,
+              asked, refused, failed, static_cast<unsigned long long>(cluster->redirections()),
+              static_cast<unsigned long long>(router().counters().refreshes));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RespSoakTest, ::testing::Range(1u, 11u));
+
+}  // namespace
+}  // namespace silverpin::node
