Let the operator's file set how long RESP clients may rest; rig cluster; tests of the program

Need: client libraries keep connections for minutes, and lost them after 2 to 10 s; the emulated cluster could not be started alone; the operator's file was not tested, nor what a held fault delays.

--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -72,7 +72,8 @@
     // The front is known only once the port is: with port 0 the system gives one.
     const std::size_t place = resp_.size();
     side.listener.reset(new ClientListener(io_, *address, limits, clock_, servers,
-                                           [this, place] { return resp_[place].front->make(); }));
+                                           [this, place] { return resp_[place].front->make(); },
+                                           {l.idle_close, l.idle_close, l.idle_close}));
     const Endpoint local = side.listener->local();
     std::string announce = l.announce;
     if (announce.empty())
--- a/src/node/client_listener.cc
+++ b/src/node/client_listener.cc
@@ -23,13 +23,14 @@
 
 ClientListener::ClientListener(asio::io_context& io, const asio::ip::tcp::endpoint& listen,
                                Limits& limits, const Clock& clock, RequestSink& core,
-                               MakeDialect make)
+                               MakeDialect make, const SessionTimes& times)
     : io_(io),
       acceptor_(io),
       limits_(limits),
       clock_(clock),
       core_(core),
       make_(std::move(make)),
+      times_(times),
       tick_(io) {
   acceptor_.open(listen.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
@@ -60,8 +61,8 @@
     if (error == asio::error::connection_aborted || error == asio::error::interrupted) continue;
     if (error == asio::error::would_block || error == asio::error::try_again) break;
     if (error) return;  // out of descriptors or memory: to wait for readiness would spin
-    auto session =
-        std::make_shared<ClientSession>(std::move(socket), limits_, clock_, core_, owner, make_());
+    auto session = std::make_shared<ClientSession>(std::move(socket), limits_, clock_, core_, owner,
+                                                   make_(), times_);
     sessions_.insert(session);
     session->start();
     if (give_back_) give_back(*session);
--- a/src/node/client_listener.h
+++ b/src/node/client_listener.h
@@ -17,7 +17,8 @@
  public:
   // Throws boost::system::system_error if the address cannot be bound.
   ClientListener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
-                 Limits& limits, const Clock& clock, RequestSink& core, MakeDialect make);
+                 Limits& limits, const Clock& clock, RequestSink& core, MakeDialect make,
+                 const SessionTimes& times = {});
 
   std::size_t sessions() const { return sessions_.size(); }
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
@@ -41,6 +42,7 @@
   const Clock& clock_;
   RequestSink& core_;
   const MakeDialect make_;
+  const SessionTimes times_;
   std::unordered_set<std::shared_ptr<ClientSession>> sessions_;
   boost::asio::steady_timer tick_;
   bool accepting_ = false;
--- a/src/node/client_session.cc
+++ b/src/node/client_session.cc
@@ -22,10 +22,7 @@
 // Every state of a connection in which no request is open has an end. Connections that say nothing,
 // stop within a command or trickle would otherwise add up until none is left for others. A command
 // may take 2 s to write; a slower client has to come again.
-constexpr Duration kFirstByte = std::chrono::milliseconds(2100);
-constexpr Duration kFirstCommand = std::chrono::milliseconds(2600);  // all of it
 constexpr Duration kWriteCommand = std::chrono::milliseconds(2500);
-constexpr Duration kIdle = std::chrono::seconds(10);
 // Where descriptors run short, a client that has asked once and not come back keeps a place that
 // others need, and may itself be held to so many connections: those ends are waited for by requests
 // that never get here. A client that comes back later than this has to connect again; one that has
@@ -49,13 +46,14 @@
 
 ClientSession::ClientSession(asio::ip::tcp::socket socket, Limits& limits, const Clock& clock,
                              RequestSink& core, SessionOwner& owner,
-                             std::unique_ptr<Dialect> dialect)
+                             std::unique_ptr<Dialect> dialect, const SessionTimes& times)
     : socket_(std::move(socket)),
       limits_(limits),
       clock_(clock),
       core_(core),
       owner_(owner),
       dialect_(std::move(dialect)),
+      times_(times),
       descriptor_(limits.clients, 1),
       body_(limits.bytes),
       buffered_(limits.bytes),
@@ -273,10 +271,10 @@
 bool ClientSession::overdue(Time now) const {
   if (unwritten_ > 0) return writing_ && now - wrote_ > kReadAnswer;
   if (!slots_.empty()) return false;  // in work: the request has an end of its own
-  if (!served_ && now - born_ > kFirstCommand) return true;
+  if (!served_ && now - born_ > times_.first_command) return true;
   if (blocked_ || !dialect_->between_commands()) return now - since_ > kWriteCommand;
   if (answered_ == 1 && limits_.clients_short()) return now - since_ > kIdleShort;
-  return now - since_ > (served_ ? kIdle : kFirstByte);
+  return now - since_ > (served_ ? times_.idle : times_.first_byte);
 }
 
 void ClientSession::tick(Time now) {
--- a/src/node/client_session.h
+++ b/src/node/client_session.h
@@ -16,6 +16,13 @@
 
 class ClientSession;
 
+// How long a connection may go on without a request. Every state has an end.
+struct SessionTimes {
+  Duration first_byte{std::chrono::milliseconds(2100)};     // until a new client speaks
+  Duration first_command{std::chrono::milliseconds(2600)};  // until it has written a command
+  Duration idle{std::chrono::seconds(10)};                  // between requests
+};
+
 class SessionOwner {
  public:
   virtual ~SessionOwner() = default;
@@ -27,7 +34,8 @@
 class ClientSession : public Caller, public std::enable_shared_from_this<ClientSession> {
  public:
   ClientSession(boost::asio::ip::tcp::socket socket, Limits& limits, const Clock& clock,
-                RequestSink& core, SessionOwner& owner, std::unique_ptr<Dialect> dialect);
+                RequestSink& core, SessionOwner& owner, std::unique_ptr<Dialect> dialect,
+                const SessionTimes& times);
 
   void start();
 
@@ -90,6 +98,7 @@
   RequestSink& core_;
   SessionOwner& owner_;
   const std::unique_ptr<Dialect> dialect_;
+  const SessionTimes& times_;
   Lease descriptor_;
   Lease body_;      // the one that is being read
   Lease buffered_;  // what has been read and not taken yet
--- a/src/rig/main.cc
+++ b/src/rig/main.cc
@@ -2,6 +2,7 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -12,6 +13,7 @@
 
 #include "rig/rehearsal.h"
 #include "rig/report.h"
+#include "rig/resp_cluster.h"
 
 namespace {
 
@@ -42,6 +44,23 @@
   return (error ? std::filesystem::path("build") : self.parent_path()) / name;
 }
 
+// Prints the nodes' addresses, and runs until it is interrupted.
+int run_cluster(int nodes, int replicas) {
+  raise_descriptor_limit();
+  asio::io_context io(1);
+  RespCluster all(io, nodes, replicas);
+  for (const auto& address : all.addresses()) std::printf("%s\n", address.c_str());
+  std::fflush(stdout);
+  asio::signal_set signals(io, SIGINT, SIGTERM);
+  signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
+  io.run();
+  std::printf("%llu commands, %zu writes, %llu redirections, %llu questions for the map\n",
+              static_cast<unsigned long long>(all.commands()), all.runs().size(),
+              static_cast<unsigned long long>(all.redirections()),
+              static_cast<unsigned long long>(all.map_questions()));
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -76,6 +95,11 @@
   CLI::App* show =
       app.add_subcommand("report", "print an earlier run's report, make its page anew");
   show->add_option("DIR", folder, "that run's folder")->required();
+  int nodes = 3, replicas = 1;
+  CLI::App* cluster = app.add_subcommand(
+      "cluster", "an emulated RESP cluster alone, for balancers and clients that you start");
+  cluster->add_option("--nodes", nodes, "primaries")->check(CLI::Range(1, 100));
+  cluster->add_option("--replicas", replicas, "of each primary")->check(CLI::Range(0, 5));
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -83,6 +107,7 @@
   }
   try {
     if (*show) return report(folder);
+    if (*cluster) return run_cluster(nodes, replicas);
     const Scenario scenario = load_scenario(file);
     check_machine(scenario, raise_descriptor_limit());
     if (*check) {
--- a/src/settings/operator.cc
+++ b/src/settings/operator.cc
@@ -155,6 +155,7 @@
   l.require_auth = keys.flag("require_auth", false);
   l.most_bulk = static_cast<std::size_t>(keys.whole("most_bulk_kb", 512, 1, 65536)) << 10;
   l.most_queued = static_cast<std::size_t>(keys.whole("most_queued", 128, 1, 4096));
+  l.idle_close = keys.time("idle_close_ms", 1e-3, 300'000, 1000, 86'400'000);
   l.shape = keys.without("require_auth");
   all.listeners.push_back(std::move(l));
 }
--- a/src/settings/operator.h
+++ b/src/settings/operator.h
@@ -46,8 +46,9 @@
   std::string pool;
   bool require_auth = false;
   std::size_t most_bulk = 512u << 10;
-  std::size_t most_queued = 128;  // commands between MULTI and EXEC
-  std::string shape;              // as a pool's
+  std::size_t most_queued = 128;                   // commands between MULTI and EXEC
+  Duration idle_close{std::chrono::seconds(300)};  // of clients that ask for nothing
+  std::string shape;                               // as a pool's
 };
 
 struct Operator {
--- a/tests/client_session_test.cc
+++ b/tests/client_session_test.cc
@@ -55,6 +55,31 @@
   EXPECT_EQ(cache.ids, std::vector<std::string>{"1"});
 }
 
+// A client that sent nonsense is held for a moment before it hears of it. That delays no answer to
+// anything valid that it sent before: those go out as they come, also long behind the fault.
+TEST_F(ClientSessionTest, AFaultHoldsBackNoAnswer) {
+  silent_ = true;
+  auto c = client();
+  c->send(get("k", "1") + "frob\r\n");
+  ASSERT_TRUE(wait([&] { return cache.ids.size() == 1; }));
+  run_for(io, std::chrono::milliseconds(400));  // the hold would be over
+  EXPECT_EQ(c->in, "") << "an error went ahead of an answer";
+  cache.server.peers.at(0)->send(FakeCache::value("1", "val"));
+  ASSERT_TRUE(wait([&] { return c->closed; }));
+  EXPECT_TRUE(c->in.starts_with("VA 3 O1\r\nval\r\nCLIENT_ERROR ")) << c->in;
+  // And with a host that answers at once the answer comes while the fault is still held.
+  silent_ = false;
+  bool ahead = false;
+  for (int i = 0; i < 20 && !ahead; ++i) {
+    auto d = client();
+    d->send(get("k", "2") + "frob\r\n");
+    ASSERT_TRUE(wait([&] { return !d->in.empty(); }));
+    ahead = d->in == FakeCache::value("2", "val-2");
+    ASSERT_TRUE(wait([&] { return d->closed; }));
+  }
+  EXPECT_TRUE(ahead);
+}
+
 // An open request's answer must not go to another client that names its id.
 TEST_F(ClientSessionTest, AnOpenIdIsTakenOnce) {
   silent_ = true;
--- /dev/null
+++ b/tests/operator_test.cc
@@ -0,0 +1,88 @@
+// The operator's file: what is wrong is named by file, line, key and reason.
+#include "settings/operator.h"
+
+#include <gtest/gtest.h>
+
+namespace silverpin {
+namespace {
+
+const std::string kPool = "[[pool]]\nname = \"p\"\nseeds = [\"127.0.0.1:7000\"]\n";
+const std::string kListener =
+    "[[listener]]\nname = \"l\"\naddress = \"127.0.0.1:0\"\npool = \"p\"\n";
+
+std::string fault_of(const std::string& text) {
+  try {
+    parse_operator(text, "o.toml");
+    return "none";
+  } catch (const FileError& e) {
+    return e.what();
+  }
+}
+
+TEST(OperatorFile, EveryFaultIsNamed) {
+  const std::vector<std::pair<std::string, std::string>> faults = {
+      {"pool = 1\n", "o.toml:1: pool: must be tables: [[pool]]"},
+      {"[[pool]\n", "o.toml:1: "},
+      {"frob = 1\n", "o.toml:1: frob: is not known here"},
+      {kPool + "frob = 1\n", "o.toml:4: frob: is not known here"},
+      {"[[pool]]\nname = \"p\"\n", "o.toml:1: seeds: is missing"},
+      {"[[pool]]\nname = \"p\"\nseeds = [\"x\"]\n", "o.toml:3: seeds: holds what is no address: x"},
+      {"[[pool]]\nname = \"p\"\nseeds = [7]\n", "o.toml:3: seeds: must be a list of texts"},
+      {kPool + kPool, "o.toml:5: name: is that of two pools"},
+      {kPool + "most_attempts = 99\n", "o.toml:4: most_attempts: is 99; it must lie from 1 to 32"},
+      {kPool + "most_attempts = \"2\"\n", "o.toml:4: most_attempts: must be a whole number"},
+      {kPool + "user = \"u\"\n", "o.toml:4: user: has no password"},
+      {kPool + "[[pool.class]]\nname = \"c\"\n", "o.toml:4: commands: is missing"},
+      {kPool + "[[pool.class]]\nname = \"c\"\ncommands = [\"FROB\"]\n",
+       "o.toml:6: commands: FROB is no command that is known"},
+      {kPool + "[[pool.class]]\nname = \"c\"\ncommands = [\"BLPOP\"]\n",
+       "o.toml:6: commands: BLPOP is no data command"},
+      {kPool + "[[pool.class]]\nname = \"c\"\ncommands = [\"set\"]\nreads = \"any\"\n",
+       "o.toml:7: reads: replicas take no writes, and this class has some"},
+      {kPool + "[[pool.class]]\nname = \"c\"\ncommands = [\"SET\"]\neffect = \"keyed\"\n",
+       "o.toml:7: effect: keyed needs key_argument and window_ms"},
+      {kPool + "[[pool.class]]\nname = \"c\"\ncommands = [\"GET\"]\neffect = \"some\"\n",
+       "o.toml:7: effect: is none of safe, keyed, unsafe"},
+      {kPool + "[[pool.class]]\nname = \"c\"\ncommands = [\"GET\"]\naim_ms = 500\n"
+               "deadline_ms = 400\n",
+       "o.toml:8: deadline_ms: lies before the aim"},
+      {kPool + "[[listener]]\nname = \"l\"\npool = \"p\"\n", "o.toml:4: address: is missing"},
+      {kPool + "[[listener]]\nname = \"l\"\naddress = \"x\"\npool = \"p\"\n",
+       "o.toml:6: address: is no address: x"},
+      {kPool + "[[listener]]\nname = \"l\"\naddress = \"127.0.0.1:1\"\npool = \"q\"\n",
+       "o.toml:7: pool: names none of this file: q"},
+      {kPool + kListener + "require_auth = 1\n", "o.toml:8: require_auth: must be true or false"},
+  };
+  for (const auto& [text, fault] : faults)
+    EXPECT_TRUE(fault_of(text).starts_with(fault)) << fault_of(text) << "\nwanted " << fault;
+  EXPECT_EQ(fault_of(kPool + kListener), "none");
+  EXPECT_EQ(fault_of(""), "none");
+  EXPECT_THROW(load_operator("/nonexistent.toml"), FileError);
+}
+
+TEST(OperatorFile, DefaultsAreSafe) {
+  const auto all = parse_operator(
+      kPool + "[[pool.class]]\nname = \"c\"\ncommands = [\"GET\", \"SET\"]\n" + kListener,
+      "o.toml");
+  ASSERT_EQ(all.pools.size(), 1u);
+  const auto& classes = all.pools[0].site.policy.classes;
+  ASSERT_EQ(classes.size(), 3u);
+  EXPECT_EQ(classes[0].repeat, Repeat::kUnsafe) << "some of it writes";
+  EXPECT_EQ(classes[1].repeat, Repeat::kSafe);
+  EXPECT_EQ(classes[2].repeat, Repeat::kUnsafe);
+  EXPECT_FALSE(all.pools[0].site.policy.second_copies);
+}
+
+TEST(OperatorFile, OnlyPasswordsAreTakenOver) {
+  const std::string tenant = "[[pool.tenant]]\nname = \"t\"\npassword = \"";
+  auto all = parse_operator(kPool + tenant + "a\"\n" + kListener, "o.toml");
+  EXPECT_TRUE(
+      all.take_over(parse_operator(kPool + tenant + "b\"\n" + kListener, "o.toml")).empty());
+  EXPECT_EQ(all.pools[0].tenants[0].password, "b");
+  const auto wait = all.take_over(parse_operator(kPool + "most_attempts = 3\n", "o.toml"));
+  EXPECT_EQ(wait, (std::vector<std::string>{"pool p", "listener l"}));
+  EXPECT_EQ(all.pools[0].site.policy.max_attempts, 8);
+}
+
+}  // namespace
+}  // namespace silverpin
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -8,6 +8,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <string>
+#include <vector>
 
 #include "node_harness.h"
 
@@ -39,18 +41,20 @@
            "\",\"seed\":\"1f\",\"limits\":{\"memory_mb\":32,\"sockets\":256},\"settings\":" +
            test_settings() + "}";
   }
-  void launch() {
+  void launch(const std::vector<std::string>& words = {}) {
     int pipe[2];
     ASSERT_EQ(::pipe(pipe), 0);
     const std::string variable = "ROUTER_CONFIG=" + dir_ + "/config.json";
     char* const env[] = {const_cast<char*>(variable.c_str()), nullptr};
-    char* const args[] = {const_cast<char*>(SILVERPIN_PROGRAM), nullptr};
+    std::vector<char*> args = {const_cast<char*>(SILVERPIN_PROGRAM)};
+    for (const auto& w : words) args.push_back(const_cast<char*>(w.c_str()));
+    args.push_back(nullptr);
     pid_ = ::fork();
     if (pid_ == 0) {
       ::dup2(pipe[1], 2);
       ::close(pipe[0]);
       ::close(pipe[1]);
-      ::execve(SILVERPIN_PROGRAM, args, env);
+      ::execve(SILVERPIN_PROGRAM, args.data(), env);
       ::_exit(127);
     }
     ASSERT_GT(pid_, 0);
@@ -76,8 +80,7 @@
     if (run_until(io_, done)) return ::testing::AssertionSuccess();
     return ::testing::AssertionFailure() << "it never came to that; its log: " << log_;
   }
-  std::shared_ptr<Peer> client() {
-    const std::string mark = "listening on 127.0.0.1:";
+  std::shared_ptr<Peer> client(const std::string& mark = "listening on 127.0.0.1:") {
     const auto at = log_.find(mark);
     const auto port = std::strtoul(log_.c_str() + at + mark.size(), nullptr, 10);
     return Peer::dial(
@@ -139,6 +142,49 @@
   EXPECT_EQ(std::count(log_.begin(), log_.end(), '\n'), 1) << log_;
 }
 
+// The operator's file adds a RESP side; what of a changed one waits for a restart is said.
+TEST_F(ProgramTest, TheOperatorsFile) {
+  FakeDiscovery discovery(io_);
+  write_config(config_text(discovery));
+  const std::string file = dir_ + "/operator.toml";
+  const std::string text =
+      "[[pool]]\nname = \"p\"\nseeds = [\"127.0.0.1:1\"]\n[[listener]]\nname = \"l\"\n"
+      "address = \"127.0.0.1:0\"\npool = \"p\"\n";
+  std::ofstream(file) << text;
+  launch({"--operator", file});
+  ASSERT_TRUE(wait([&] { return logged("RESP on 127.0.0.1:") && log_.ends_with('\n'); }));
+  auto c = client("RESP on 127.0.0.1:");
+  c->send("PING\r\n");
+  ASSERT_TRUE(wait([&] { return c->in == "+PONG\r\n"; }));
+  std::ofstream(file) << text << "frob = 1\n";
+  ::kill(pid_, SIGHUP);
+  ASSERT_TRUE(wait([&] { return logged("not reloaded: " + file + ":8: frob: is not known"); }));
+  std::ofstream(file) << text << "most_bulk_kb = 7\n";
+  ::kill(pid_, SIGHUP);
+  ASSERT_TRUE(wait([&] { return logged("listener l has changed, and waits for a restart"); }));
+  ::kill(pid_, SIGTERM);
+  ASSERT_TRUE(wait([&] { return exited(); }));
+  EXPECT_TRUE(WIFEXITED(*status_) && WEXITSTATUS(*status_) == 0);
+}
+
+TEST_F(ProgramTest, ABadOperatorsFile) {
+  FakeDiscovery discovery(io_);
+  write_config(config_text(discovery));
+  const std::string file = dir_ + "/operator.toml";
+  std::ofstream(file) << "[[pool]]\nname = \"p\"\n";
+  for (const bool check : {false, true}) {
+    status_.reset();
+    log_.clear();
+    launch(check ? std::vector<std::string>{"check", "--operator", file}
+                 : std::vector<std::string>{"--operator", file});
+    ASSERT_TRUE(wait([&] { return exited() && log_.ends_with('\n'); }));
+    EXPECT_EQ(WEXITSTATUS(*status_), check ? 2 : 1);
+    EXPECT_NE(log_.find(file + ":1: seeds: is missing"), std::string::npos) << log_;
+    EXPECT_EQ(std::count(log_.begin(), log_.end(), '\n'), 1) << log_;
+    err_.close();
+  }
+}
+
 TEST_F(ProgramTest, TermAnswersAndExits) {
   FakeDiscovery discovery(io_);
   write_config(config_text(discovery));
