--- a/src/node/resp_front.cc
+++ b/src/node/resp_front.cc
@@ -23,6 +23,9 @@
 // One name for all, as clients compare them with what they know of servers.
 constexpr std::string_view kVersion = "7.0.0";
 constexpr std::size_t kMostName = 256;
+// Requests that one client may have in work, parts of split commands counted: what the pool may hold
+// is there for all.
+constexpr std::size_t kMostOpen = 1024;
 
 // Forty hexadecimal digits, as node names have.
 std::string node_id(std::string_view address) {
@@ -179,6 +182,7 @@
     int requests = 0, writes = 0;
   };
   std::map<Slot, Open> open_;
+  std::size_t open_requests_ = 0;
   std::map<std::uint64_t, Join> joins_;  // by place in the order of answers
 };
 
@@ -242,6 +246,7 @@
   payload->bytes = Lease(front_.limits_.bytes, payload->wire.size());
   Open& open = open_[slot];
   ++open.requests;
+  ++open_requests_;
   open.writes += write;
   Ask ask;
   ask.klass = klass;
@@ -256,6 +261,7 @@
 void RespFront::Conversation::on_final(ClientSession& session, Ticket ticket,
                                        const Payload& payload, Final final) {
   const auto& p = static_cast<const RespPayload&>(payload);
+  --open_requests_;
   if (const auto it = open_.find(p.slot); it != open_.end()) {
     it->second.writes -= p.write;
     if (--it->second.requests == 0) open_.erase(it);
@@ -368,6 +374,10 @@
   }
   if (parts.size() > 1 && info.split == Split::kNone)
     return say(session, error("CROSSSLOT Keys in request don't hash to the same slot"));
+  if (parts.size() > kMostOpen)
+    return say(session, error("ERR keys of more than " + std::to_string(kMostOpen) +
+                              " slots in one command"));
+  if (open_requests_ + parts.size() > kMostOpen) return Step::kWait;
   for (const auto& [slot, part] : parts)
     if (conflicts(slot, write)) return Step::kWait;
   if (parts.size() > 1) return take_split(session, info, command, *keys, parts);
--- a/tests/resp_node_test.cc
+++ b/tests/resp_node_test.cc
@@ -212,6 +212,20 @@
   EXPECT_TRUE(wait([&] { return c->ask(get).starts_with("*41"); }));
 }
 
+// One client cannot fill the pool by one command, or by many.
+TEST_F(RespNodeTest, PartsInWorkAreBounded) {
+  begin(3);
+  auto c = client();
+  Words get = {"MGET"};
+  for (int i = 0; i < 1100; ++i) get.push_back("k" + std::to_string(i));
+  std::string all;
+  const Words part(get.begin(), get.begin() + 700);
+  for (int i = 0; i < 5; ++i) all += wire(part);
+  c->send(all);
+  for (int i = 0; i < 5; ++i) EXPECT_TRUE(c->next().starts_with("*699\r\n")) << i;
+  EXPECT_EQ(c->ask(get).substr(0, 4), "-ERR");
+}
+
 TEST_F(RespNodeTest, TransactionsGoOutAsOneUnit) {
   begin(3, 0, "", "most_queued = 3\n");
   auto c = client();
