Hold an emulated node's port while it is away; print how soon a failover is found

Change: a node keeps its port bound without listening. The failover test prints how long the way to the heir took, with the default interval; bench/resp's relay no longer waits for full packets.

--- a/bench/resp.cc
+++ b/bench/resp.cc
@@ -7,6 +7,8 @@
 #include "proto/resp.h"
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -47,10 +49,16 @@
   return a;
 }
 
+void no_delay(int fd) {
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 int dial(int port) {
   const int fd = check(::socket(AF_INET, SOCK_STREAM, 0), "socket");
   const sockaddr_in a = loopback(port);
   check(::connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a), "connect");
+  no_delay(fd);
   return fd;
 }
 
@@ -81,6 +89,7 @@
   for (;;) {
     const int client = ::accept(listener, nullptr, nullptr);
     if (client < 0) continue;
+    no_delay(client);
     const int server = dial(to);
     pollfd both[2] = {{client, POLLIN, 0}, {server, POLLIN, 0}};
     for (bool open = true; open && ::poll(both, 2, -1) > 0;) {
--- a/src/rig/resp_cluster.cc
+++ b/src/rig/resp_cluster.cc
@@ -35,15 +35,16 @@
 
 class RespCluster::Node {
  public:
-  Node(RespCluster& all, int number) : all_(all), number_(number), acceptor_(all.io_) { listen(); }
+  Node(RespCluster& all, int number)
+      : all_(all), number_(number), port_holder_(all.io_), acceptor_(all.io_) {
+    bind(port_holder_);
+    port_ = port_holder_.local_endpoint().port();
+    listen();
+  }
 
   void listen() {
-    const auto port = port_;
-    acceptor_.open(tcp::v4());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind({asio::ip::make_address("127.0.0.1"), port});
+    bind(acceptor_);
     acceptor_.listen();
-    port_ = acceptor_.local_endpoint().port();
     accept();
   }
   void stop();
@@ -52,6 +53,8 @@
 
   RespCluster& all_;
   const int number_;
+  tcp::acceptor port_holder_;  // bound and never listening: while the node is away nobody else
+                               // is given its port, and who connects is refused
   tcp::acceptor acceptor_;
   std::uint16_t port_ = 0;
   std::set<std::shared_ptr<Connection>> connections_;
@@ -65,6 +68,11 @@
   std::shared_ptr<RespStore> store_;  // shared with its replicas: they are never behind
 
  private:
+  void bind(tcp::acceptor& a) const {
+    a.open(tcp::v4());
+    a.set_option(asio::socket_base::reuse_address(true));
+    a.bind({asio::ip::make_address("127.0.0.1"), port_});
+  }
   void accept();
 };
 
--- a/tests/resp_harness.h
+++ b/tests/resp_harness.h
@@ -87,7 +87,10 @@
     std::string seeds;
     for (const auto& a : cluster->addresses()) seeds += (seeds.empty() ? "\"" : ", \"") + a + "\"";
     Operator added = parse_operator(
-        "[[pool]]\nname = \"history\"\nseeds = [" + seeds + "]\nrefresh_interval_ms = 20\n" + pool +
+        "[[pool]]\nname = \"history\"\nseeds = [" + seeds + "]\n" +
+            (pool.find("refresh_interval_ms") == std::string::npos ? "refresh_interval_ms = 20\n"
+                                                                   : "") +
+            pool +
             "\n[[listener]]\nname = \"resp\"\naddress = \"127.0.0.1:0\"\npool = \"history\"\n" +
             listener,
         "test.toml");
--- a/tests/resp_node_test.cc
+++ b/tests/resp_node_test.cc
@@ -424,7 +424,7 @@
 
 // The owner dies, a replica takes over; the old one comes back and still thinks that it owns them.
 TEST_F(RespNodeTest, Failover) {
-  begin(2, 1, "refresh_every_ms = 100\n");
+  begin(2, 1, "refresh_interval_ms = 100\nrefresh_every_ms = 100\n");
   auto c = client();
   const auto slot = slot_of("k");
   const int old = cluster->owner(slot);
@@ -434,7 +434,13 @@
   const int heir = cluster->fail_over(old);
   ASSERT_GE(heir, 0);
   cluster->tell(1 - old);
+  const auto since = std::chrono::steady_clock::now();
+  const auto refreshes = router().counters().refreshes;
   EXPECT_TRUE(wait([&] { return c->ask({"GET", "k"}) == "$1\r\nv\r\n"; }));
+  std::printf(
+      "found after %.0f ms and %llu refreshes\n",
+      std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - since).count(),
+      static_cast<unsigned long long>(router().counters().refreshes - refreshes));
   cluster->restart(old);  // with the map of before
   for (int i = 0; i < 30; ++i) {
     EXPECT_EQ(c->ask({"RPUSH", "{k}l", std::to_string(i)}), ":" + std::to_string(i + 1) + "\r\n");
