Give each pool of the operator's file a bound on its connections

Cause: all pools draw on one budget of descriptors; nodes of a RESP pool that take connections and say nothing could hold all of it, and memcache requests then found none. Names and wildcard addresses in the operator's file passed its check and failed, or misled clients, later.

Change: most_connections (128) per pool; addresses must be IP addresses, and a wildcard one needs announce.

--- a/src/node/server_pool.cc
+++ b/src/node/server_pool.cc
@@ -15,7 +15,7 @@
   constexpr Duration kConnect = std::chrono::seconds(1), kIdle = std::chrono::seconds(15);
   return {site.connect_timeout > Duration{0} ? site.connect_timeout : kConnect,
           (site.idle_close > Duration{0} ? site.idle_close : kIdle) / kRetirePart,
-          site.streams_per_connection};
+          site.streams_per_connection, site.most_connections};
 }
 
 }  // namespace
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -24,13 +24,14 @@
 }  // namespace
 
 UpstreamPool::UpstreamPool(asio::io_context& io, Limits& limits, AttemptEvents& events,
-                           const UpstreamTimes& times, const Dial& dial,
+                           const UpstreamTimes& times, const Dial& dial, std::size_t& open,
                            FreeDescriptor free_descriptor)
     : io_(io),
       limits_(limits),
       events_(events),
       times_(times),
       make_(dial),
+      open_(open),
       free_descriptor_(std::move(free_descriptor)) {}
 
 void UpstreamPool::set_host(const ListedHost& host) {
@@ -53,8 +54,10 @@
     connection->start(attempt);
     return true;
   }
-  if (dial_ && (limits_.upstreams.room_for(1) || free_descriptor_())) {
+  const bool room = open_ < times_.most && limits_.upstreams.room_for(1);
+  if (dial_ && (room || free_descriptor_())) {
     const auto connection = make_(origin_, events_, *this);
+    ++open_;
     all_.push_back(connection);
     connection->start(attempt);
     connection->connect(*dial_, times_.connect_timeout);
@@ -126,6 +129,7 @@
 void UpstreamPool::on_closed(const std::shared_ptr<UpstreamConnection>& connection) {
   erase(idle_, connection);
   erase(all_, connection);
+  --open_;
   pump_soon();
 }
 
@@ -178,7 +182,7 @@
     }
     Member& member = members_[host.id];
     if (!member.pool)
-      member.pool = std::make_unique<UpstreamPool>(io_, limits_, events_, times_, dial_,
+      member.pool = std::make_unique<UpstreamPool>(io_, limits_, events_, times_, dial_, open_,
                                                    [this] { return free_descriptor(); });
     member.gone = false;
     member.pool->set_host(host);
@@ -210,7 +214,7 @@
     if (since && (!oldest || *since < *oldest->oldest_idle())) oldest = member.pool.get();
   }
   if (oldest) oldest->close_oldest_idle();
-  return oldest && limits_.upstreams.room_for(1);
+  return oldest && open_ < times_.most && limits_.upstreams.room_for(1);
 }
 
 void Upstreams::arm_tick() {
--- a/src/node/upstream_pool.h
+++ b/src/node/upstream_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -15,6 +16,7 @@
   Duration connect_timeout;
   Duration retire_idle;  // well before the host would close it
   int streams = 1;
+  std::size_t most = SIZE_MAX;  // connections of the whole pool at once
 };
 
 // Makes a connection of the pool's dialect, to the origin or to another server.
@@ -26,8 +28,10 @@
  public:
   using FreeDescriptor = std::function<bool()>;
 
+  // `open` counts the connections of all hosts.
   UpstreamPool(boost::asio::io_context& io, Limits& limits, AttemptEvents& events,
-               const UpstreamTimes& times, const Dial& dial, FreeDescriptor free_descriptor);
+               const UpstreamTimes& times, const Dial& dial, std::size_t& open,
+               FreeDescriptor free_descriptor);
 
   void set_host(const ListedHost& host);
   void start(AttemptPtr attempt);
@@ -58,6 +62,7 @@
   AttemptEvents& events_;
   const UpstreamTimes& times_;
   const Dial& make_;
+  std::size_t& open_;
   FreeDescriptor free_descriptor_;
   std::optional<Endpoint> dial_;
   std::optional<Time> started_at_;
@@ -93,6 +98,7 @@
   AttemptEvents& events_;
   const UpstreamTimes times_;
   const Dial dial_;
+  std::size_t open_ = 0;
   std::map<std::string, Member, std::less<>> members_;
   boost::asio::steady_timer tick_;
 };
--- a/src/settings/operator.cc
+++ b/src/settings/operator.cc
@@ -1,5 +1,7 @@
 #include "settings/operator.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -23,10 +25,15 @@
      {"any", cluster::Reads::kAny}}};
 constexpr std::size_t kMostClasses = 64, kMostTenants = 1024;
 
-// "127.0.0.1:6400" or "[::1]:6400".
+// "127.0.0.1:6400" or "[::1]:6400"; names are not looked up.
 bool is_address(const std::string& text, bool port_zero) {
   const auto colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0) return false;
+  if (colon == std::string::npos) return false;
+  std::string host = text.substr(0, colon);
+  const bool six = host.starts_with('[') && host.ends_with(']');
+  if (six) host = host.substr(1, host.size() - 2);
+  unsigned char bytes[16];
+  if (::inet_pton(six ? AF_INET6 : AF_INET, host.c_str(), bytes) != 1) return false;
   unsigned port = 0;
   const char* end = text.data() + text.size();
   const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
@@ -115,6 +122,8 @@
   pool.site.connect_timeout = keys.time("connect_timeout_ms", 1e-3, 250, 1, 60'000);
   pool.site.idle_close = keys.time("idle_close_ms", 1e-3, 15'000, 100, 3'600'000);
   pool.site.streams_per_connection = keys.whole("streams_per_connection", 32, 1, 1024);
+  pool.site.most_connections =
+      static_cast<std::size_t>(keys.whole("most_connections", 128, 1, 20'000));
   pool.site.most_held = keys.whole("most_held", 20'000, 1, 1'000'000);
   Settings& policy = pool.site.policy;
   policy.balancers = keys.whole("balancers", 1, 1, 1000);
@@ -149,6 +158,8 @@
     if (other.address == l.address && !l.address.ends_with(":0"))
       keys.bad("address", "is that of two listeners");
   l.announce = address(keys, "announce", "", false);
+  if (l.announce.empty() && (l.address.starts_with("0.0.0.0:") || l.address.starts_with("[::]:")))
+    keys.bad("announce", "is needed: clients cannot be told " + l.address);
   l.peers = addresses(keys, "peers");
   l.pool = keys.name("pool");
   if (!all.pool(l.pool)) keys.bad("pool", "names none of this file: " + l.pool);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,6 +20,7 @@
   Duration connect_timeout{0};
   Duration idle_close{0};  // hosts close connections that have stood idle for this long
   int streams_per_connection = 1;
+  std::size_t most_connections = SIZE_MAX;  // to all hosts together
   std::int64_t most_held = 0;  // requests that may be open at once; 0: no limit is stated
 };
 
--- a/tests/resp_node_test.cc
+++ b/tests/resp_node_test.cc
@@ -466,6 +466,35 @@
   }
 }
 
+// Nodes that take connections and say nothing hold as many of them as their pool may have: what is
+// left is there for memcache. Without the bound they held all, and memcache requests found none.
+TEST_F(RespNodeTest, AJamLeavesTheOtherPoolItsConnections) {
+  FakeCache cache(io, [](const auto&, const auto& id) { return FakeCache::value(id, "m"); });
+  discovery.hosts = host_entry("h1", cache.server.dial());
+  begin(2, 0,
+        "most_connections = 20\nstreams_per_connection = 1\n"
+        "[[pool.class]]\nname = \"slow\"\ncommands = [\"GET\"]\ndeadline_ms = 3000\n");
+  cluster->fault = [](int, const resp::Command&) { return Fault::kSilent; };
+  std::vector<std::unique_ptr<RespClient>> crowd;
+  for (int i = 0; i < 5; ++i) {
+    crowd.push_back(client());
+    for (int k = 0; k < 60; ++k) crowd.back()->send(wire({"GET", "k" + std::to_string(k)}));
+  }
+  ASSERT_TRUE(wait([&] { return cluster->commands() >= 20; }));
+  run_for(io, std::chrono::milliseconds(50));
+  EXPECT_EQ(cluster->commands(), 20u) << "the pool went over its bound";
+  auto m = Peer::dial(io, balancer->local());
+  for (int i = 1; i <= 50; ++i) {
+    const std::string id = std::to_string(i);
+    m->send("mg k v O" + id + " Pc=read,t=acme,d=5000\r\n");
+    ASSERT_TRUE(wait([&] { return m->in.ends_with("\r\n"); }));
+    ASSERT_EQ(m->in, FakeCache::value(id, "m"));
+    m->in.clear();
+  }
+  for (auto& c : crowd)
+    for (int k = 0; k < 60; ++k) EXPECT_TRUE(c->next().starts_with("-")) << "each has its end";
+}
+
 // A cluster that moves slots and fails over, under clients that each know what they have been told.
 class RespSoakTest : public RespNodeTest, public ::testing::WithParamInterface<std::uint32_t> {};
 
