--- a/src/node/cluster_pool.cc
+++ b/src/node/cluster_pool.cc
@@ -43,13 +43,8 @@
     });
     socket_.async_connect(*to, [self = shared_from_this()](const error_code& e) {
       if (e) return self->finish(std::nullopt);
-      const RespLogin& login = self->pool_->login_;
-      std::string out;
-      if (!login.password.empty()) {
-        out = login.user.empty() ? resp::Command::of({"AUTH", login.password}).wire()
-                                 : resp::Command::of({"AUTH", login.user, login.password}).wire();
-        self->skip_ = 1;
-      }
+      const std::string out = login_command(self->pool_->login_);
+      if (!out.empty()) self->skip_ = 1;
       self->send(out + resp::Command::of({"CLUSTER", "NODES"}).wire() +
                  resp::Command::of({"CLUSTER", "INFO"}).wire());
       self->read();
--- a/src/node/resp_connection.cc
+++ b/src/node/resp_connection.cc
@@ -11,6 +11,12 @@
 
 }  // namespace
 
+std::string login_command(const RespLogin& login) {
+  if (login.password.empty()) return {};
+  if (login.user.empty()) return resp::Command::of({"AUTH", login.password}).wire();
+  return resp::Command::of({"AUTH", login.user, login.password}).wire();
+}
+
 void RespConnection::encode(Outgoing& out) {
   const auto& payload = static_cast<const RespPayload&>(*out.attempt->payload);
   std::size_t before = 0;
@@ -19,11 +25,8 @@
     ++before;
   };
   if (!logged_in_ && !login_.password.empty()) {
-    if (login_.user.empty()) {
-      say({"AUTH", login_.password});
-    } else {
-      say({"AUTH", login_.user, login_.password});
-    }
+    out.head += login_command(login_);
+    ++before;
   }
   logged_in_ = true;
   if (payload.version != version_) {
--- a/src/node/resp_connection.h
+++ b/src/node/resp_connection.h
@@ -13,6 +13,9 @@
   std::string user, password;  // no password: none is sent
 };
 
+// The AUTH command that says it; empty if there is no password.
+std::string login_command(const RespLogin& login);
+
 // A request as it goes to a RESP server.
 struct RespPayload : Payload {
   std::string wire;         // one command, or MULTI, commands and EXEC
--- a/tests/resp_node_test.cc
+++ b/tests/resp_node_test.cc
@@ -403,6 +403,18 @@
   EXPECT_EQ(d->ask({"GET", "k"}), "-NOAUTH Authentication required.\r\n");
 }
 
+// What a connection says first (AUTH, HELLO) is left out of what its requests get, also when the
+// version changes from request to request.
+TEST_F(RespNodeTest, WhatConnectionsSayFirstIsLeftOut) {
+  begin(1, 0, "user = \"proxy\"\npassword = \"x\"\n");
+  auto c = client(), d = client();
+  EXPECT_TRUE(d->ask({"HELLO", "3"}).starts_with("%"));
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(c->ask({"GET", "none"}), "$-1\r\n");
+    EXPECT_EQ(d->ask({"GET", "none"}), "_\r\n");
+  }
+}
+
 TEST_F(RespNodeTest, ReplicasServeReadsOfClassesThatAllowIt) {
   begin(1, 2,
         "[[pool.class]]\nname = \"stale\"\ncommands = [\"GET\"]\nprefix = \"rate:\"\n"
