Make what counts as slow a setting, and test pipelines with it in every build

Three tests of shared connections rested on measured times and were left out with sanitizers; the look at an idle connection was not shown by its test.

slow_after_ms (2 unless given) is a key of a pool. The pipeline tests set it to 400 ms and assert strictly, without rounds that may be tried again. The test of noise is one of the pool's own, with the event loop held still. A default class that a class of the file covers whole is left out: its aim of 100 ms set the policy's target although nothing was of it.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -22,6 +22,7 @@
   times.sharing.most_depth = static_cast<std::size_t>(std::max(1, site.streams_per_connection));
   times.sharing.shared = site.shared_connections && times.sharing.most_depth > 1;
   times.sharing.most_unsafe = site.most_unsafe;
+  times.sharing.slow_after = site.slow_after;
   return times;
 }
 
--- a/src/pool/sharing.cc
+++ b/src/pool/sharing.cc
@@ -16,17 +16,15 @@
 // One that has answered so often stays open behind answers.
 constexpr std::size_t kProven = 2;
 
-// An answer is slow at so many times the usual, and never below what a busy host's queue or a pause
-// of this process may come to.
+// An answer is slow at so many times the usual, and never below the settings' own bound.
 constexpr int kSlowTimes = 8;
-constexpr Duration kSlowFloor = milliseconds(2);
 // Answers over which shares and the usual time are learnt; a kind's share over fewer, as it need
 // not be exact.
 constexpr double kSamples = 512, kUsualSamples = 64, kKindSamples = 16;
 
 }  // namespace
 
-Duration Sharing::slow_after() const { return std::max(kSlowFloor, kSlowTimes * usual_); }
+Duration Sharing::slow_after() const { return std::max(settings_.slow_after, kSlowTimes * usual_); }
 
 std::size_t Sharing::shared_depth() const {
   if (!settings_.shared) return 1;
--- a/src/pool/sharing.h
+++ b/src/pool/sharing.h
@@ -39,6 +39,9 @@
   std::size_t spread = 4;
   // The share of attempts that may come to wait behind another client's slow one.
   double stall_share = 0.002;
+  // No answer that took less is slow: above what a busy server's queue or a pause of this process
+  // may come to.
+  Duration slow_after{std::chrono::milliseconds(2)};
   Duration retire_idle{std::chrono::seconds(5)};  // no attempt goes to one that has rested longer
 };
 
--- a/src/settings/operator.cc
+++ b/src/settings/operator.cc
@@ -106,8 +106,12 @@
   pool.classes.push_back(std::move(c));
 }
 
-// What no class of the file is for.
+// What no class of the file is for. Where one is for all of it the default has no part in the
+// policy either, whose targets follow the shortest aim.
 void add_default_class(RespPool& pool, const std::string& name, const char* word, Repeat repeat) {
+  for (const RespClass& c : pool.classes)
+    if (c.prefix.empty() && std::find(c.commands.begin(), c.commands.end(), word) != c.commands.end())
+      return;
   RequestClass r;
   r.repeat = repeat;
   r.aim = std::chrono::milliseconds(100);
@@ -138,6 +142,7 @@
   pool.site.most_unsafe = static_cast<std::size_t>(keys.whole("most_unsafe", 64, 1, 1024));
   pool.site.most_connections =
       static_cast<std::size_t>(keys.whole("most_connections", 128, 1, 20'000));
+  pool.site.slow_after = keys.time("slow_after_ms", 1e-3, 2, 0.05, 60'000);
   pool.site.most_held = keys.whole("most_held", 20'000, 1, 1'000'000);
   Settings& policy = pool.site.policy;
   policy.balancers = keys.whole("balancers", 1, 1, 1000);
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <thread>
 
 #include "resp_harness.h"
 #include "scripted_node.h"
@@ -9,13 +10,9 @@
 namespace silverpin::node {
 namespace {
 
-// What is shared, and for how long, follows from measured times. With sanitizers and beside other
-// tests answers take longer than what counts as slow, and there is nothing to show.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool kSlowBuild = true;
-#else
-constexpr bool kSlowBuild = false;
-#endif
+// What is shared, and for how long, follows from measured times. Here only what takes this long is
+// slow: far more than an instrumented program on a busy machine takes for an answer.
+constexpr std::chrono::milliseconds kSlow{400};
 
 std::string bulk(const std::string& text) {
   std::string out;
@@ -30,10 +27,12 @@
     a.on_command = b.on_command = [this](Peer& p, const Words& w) { answer(p, w); };
     Operator added = parse_operator(
         "[[pool]]\nname = \"p\"\nseeds = [\"" + a.server.dial() +
-            "\"]\nrefresh_interval_ms = 20\n[[pool.class]]\nname = \"any\"\ncommands = "
-            "[\"HGET\"]\nreads = \"any\"\n[[pool.class]]\nname = \"reads\"\ncommands = "
-            "[\"READ\"]\ndeadline_ms = "
-            "20000\n[[listener]]\nname = \"l\"\naddress = "
+            "\"]\nrefresh_interval_ms = 20\nslow_after_ms = " +
+            std::to_string(kSlow.count()) + "\n[[pool.class]]\nname = \"any\"\ncommands = "
+            "[\"HGET\"]\nreads = \"any\"\naim_ms = 20000\ndeadline_ms = 20000\n[[pool.class]]\nname "
+            "= \"reads\"\ncommands = [\"READ\"]\naim_ms = 20000\ndeadline_ms = 20000\n"
+            "[[pool.class]]\nname = \"writes\"\ncommands = [\"WRITE\"]\naim_ms = 20000\n"
+            "deadline_ms = 20000\n[[listener]]\nname = \"l\"\naddress = "
             "\"127.0.0.1:0\"\npool = \"p\"\n",
         "test.toml");
     limits = std::make_unique<Limits>(config.sockets, config.memory_mb);
@@ -88,12 +87,10 @@
 // 40 requests out on one connection, 3 of them bookings, and it breaks at each byte of the last
 // booking, after the node has run what came whole. Reads go out again; a booking never does.
 TEST_F(PipelineTest, ABreakAtAnyByteReplaysNoBooking) {
-  if (kSlowBuild) GTEST_SKIP() << "its times are too long for this build";
   const auto booking = [](int round, int i) {
     return "b" + std::to_string(1000 + round) + std::to_string(i);
   };
   const std::size_t length = wire({"RPUSH", "booking", booking(0, 3)}).size();
-  int served = 0;
   for (std::size_t cut = 0; cut < length; ++cut) {
     SCOPED_TRACE("cut at byte " + std::to_string(cut));
     const int round = static_cast<int>(cut);
@@ -123,59 +120,45 @@
       if (i == 5 || i == 20) {
         EXPECT_TRUE(c->replies[at++].starts_with("-ERR failed"));
       }
-      // A busy machine looks like a slow node, whose reads may be refused: nothing has run.
-      const std::string& reply = c->replies[at++];
-      served += reply == bulk("key" + std::to_string(i));
-      EXPECT_TRUE(reply == bulk("key" + std::to_string(i)) || reply.starts_with("-TRYAGAIN "))
-          << reply;
+      EXPECT_EQ(c->replies[at++], bulk("key" + std::to_string(i)));
     }
     EXPECT_TRUE(c->replies[39].starts_with("-ERR failed")) << c->replies[39];
     EXPECT_EQ(runs[booking(round, 1)], 1);
     EXPECT_EQ(runs[booking(round, 2)], 1);
     EXPECT_EQ(runs[booking(round, 3)], 0);
   }
-  EXPECT_GT(served, 37) << "reads did not go out again";
 }
 
 TEST_F(PipelineTest, AStallKeepsNobodyElseWaiting) {
-  if (kSlowBuild) GTEST_SKIP() << "its times are too long for this build";
-  // A machine that is busy at the wrong moment may not have found the stall in time: then once
-  // more.
-  bool passed_by = false;
-  for (int round = 0; round < 20 && !passed_by; ++round) {
-    a.on_command = [this](Peer& p, const Words& w) { answer(p, w); };
-    ASSERT_TRUE(warm(8));
-    Peer* stalled = nullptr;
-    std::vector<Words> held;
-    a.on_command = [&](Peer& p, const Words& w) {
-      if (w[1] == "slow") stalled = &p;
-      if (stalled == &p) return held.push_back(w);
-      answer(p, w);
-    };
-    auto c = client(), other = client();
-    std::string out;
-    for (int i = 0; i < 10; ++i) out += wire({"GET", i == 2 ? "slow" : "k" + std::to_string(i)});
-    c->send(out);
-    ASSERT_TRUE(wait([&] { return held.size() == 8 && c->replies.size() == 2; }));
-    run_for(io, std::chrono::milliseconds(20));  // overdue by now
-    // Neither another client nor this one's next request goes there.
-    other->send(wire({"GET", "x"}));
-    c->send(wire({"GET", "late"}));
-    ASSERT_TRUE(wait([&] { return held.size() > 8 || !other->replies.empty(); }));
-    run_for(io, std::chrono::milliseconds(5));
-    passed_by = held.size() == 8 && !other->replies.empty() && other->replies[0] == bulk("x");
-    EXPECT_EQ(c->replies.size(), 2u) << "answers out of order";
-    const std::vector<Words> waiting = std::exchange(held, {});
-    a.on_command = [this](Peer& p, const Words& w) { answer(p, w); };
-    for (const auto& w : waiting) stalled->send(bulk(w[1]));
-    ASSERT_TRUE(wait([&] { return c->replies.size() == 11; }));
-    EXPECT_EQ(c->replies[2], bulk("slow"));
-    EXPECT_EQ(c->replies[9], bulk("k9"));
-    if (passed_by) {
-      EXPECT_EQ(c->replies[10], bulk("late"));
-    }
+  ASSERT_TRUE(warm(8));
+  Peer* stalled = nullptr;
+  std::vector<Words> held;
+  a.on_command = [&](Peer& p, const Words& w) {
+    if (w[1] == "slow") stalled = &p;
+    if (stalled == &p) return held.push_back(w);
+    answer(p, w);
+  };
+  auto c = client(), other = client();
+  std::string out;
+  for (int i = 0; i < 10; ++i) out += wire({"GET", i == 2 ? "slow" : "k" + std::to_string(i)});
+  c->send(out);
+  ASSERT_TRUE(wait([&] { return held.size() == 8 && c->replies.size() == 2; }));
+  run_for(io, kSlow + std::chrono::milliseconds(50));  // overdue by now
+  // Neither another client nor this one's next request goes there.
+  for (int i = 0; i < 10; ++i) {
+    const std::string key = "x" + std::to_string(i);
+    EXPECT_EQ(other->ask({"GET", key}), bulk(key));
   }
-  EXPECT_TRUE(passed_by);
+  c->send(wire({"GET", "late"}));
+  run_for(io, std::chrono::milliseconds(20));
+  EXPECT_EQ(held.size(), 8u) << "more was written behind the stall";
+  EXPECT_EQ(c->replies.size(), 2u) << "answers out of order";
+  a.on_command = [this](Peer& p, const Words& w) { answer(p, w); };
+  for (const auto& w : held) stalled->send(bulk(w[1]));
+  ASSERT_TRUE(wait([&] { return c->replies.size() == 11; }));
+  EXPECT_EQ(c->replies[2], bulk("slow"));
+  EXPECT_EQ(c->replies[9], bulk("k9"));
+  EXPECT_EQ(c->replies[10], bulk("late"));
 }
 
 // Half of a pipeline answered, then MOVED for the rest but two, then a close.
@@ -210,48 +193,77 @@
 // Clients on shared connections, every second one of which goes away before its answer: the others
 // get theirs, each its own.
 TEST_F(PipelineTest, ClientsThatLeaveTakeNoAnswerOfOthers) {
-  if (kSlowBuild) GTEST_SKIP() << "its times are too long for this build";
-  std::size_t fewest = 24;
-  // They share as long as the answers that are held back are not overdue yet, which a busy machine
-  // may miss: then once more.
-  for (int round = 0; round < 20 && fewest >= 12; ++round) {
-    a.on_command = [this](Peer& p, const Words& w) { answer(p, w); };
-    ASSERT_TRUE(warm(24));
+  ASSERT_TRUE(warm(24));
+  for (int round = 0; round < 20; ++round) {
     std::vector<std::pair<Peer*, std::string>> held;
     a.on_command = [&](Peer& p, const Words& w) { held.emplace_back(&p, w[1]); };
     std::vector<std::unique_ptr<RespClient>> all;
     for (int i = 0; i < 24; ++i) all.push_back(client());
-    run_for(io, std::chrono::milliseconds(5));
     for (std::size_t i = 0; i < all.size(); ++i)
       all[i]->send(wire({"GET", "mine" + std::to_string(i)}));
     ASSERT_TRUE(wait([&] { return held.size() == 24; }));
     std::set<Peer*> used;
     for (const auto& [peer, key] : held) used.insert(peer);
-    fewest = std::min(fewest, used.size());
+    EXPECT_LT(used.size(), 12u) << "they did not share";
     for (std::size_t i = 1; i < all.size(); i += 2) all[i].reset();
-    run_for(io, std::chrono::milliseconds(20));
+    run_for(io, std::chrono::milliseconds(5));
     for (const auto& [peer, key] : held) peer->send(bulk(key));
     for (std::size_t i = 0; i < all.size(); i += 2)
       EXPECT_EQ(all[i]->next(), bulk("mine" + std::to_string(i)));
   }
-  EXPECT_LT(fewest, 12u) << "they never shared";
 }
 
-// Noise behind an answer, in a packet of its own: it must not become the next request's answer.
-TEST_F(PipelineTest, NoiseOnAnIdleConnectionIsNobodysAnswer) {
+// Noise behind an answer, in a packet of its own that comes while the event loop is elsewhere: the
+// next attempt must not take it for its answer.
+TEST(UpstreamNoiseTest, OnAnIdleConnectionIsNobodysAnswer) {
+  struct Events : AttemptEvents {
+    Clock clock;
+    std::vector<std::pair<Result, std::string>> ends;
+    Time now() const override { return clock.now(); }
+    bool wanted(const Attempt&) const override { return true; }
+    void on_end(const AttemptPtr& attempt, Result result, std::string value) override {
+      if (!std::exchange(attempt->ended, true)) ends.emplace_back(result, std::move(value));
+    }
+  } events;
+  Limits limits(256, 32);
+  asio::io_context io(1);
+  ScriptedNode node(io);
   Peer* used = nullptr;
-  a.on_command = [&](Peer& p, const Words& w) {
+  node.on_command = [&](Peer& p, const Words& w) {
     used = &p;
-    answer(p, w);
+    p.send(bulk(w[1]));
   };
-  auto c = client();
-  for (int i = 0; i < 5; ++i) {
-    EXPECT_EQ(c->ask({"GET", "k" + std::to_string(i)}), bulk("k" + std::to_string(i)));
-    used->send("$5\r\nwrong\r\n");
-    // The balancer's own wait may not have told it yet when the next request comes.
-    c->send(wire({"GET", "next"}));
-    EXPECT_EQ(c->next(), bulk("next"));
-  }
+  const RespLogin login;
+  UpstreamTimes times{.connect_timeout = std::chrono::seconds(5), .retire_idle = {}, .sharing = {}};
+  times.sharing.shared = true;
+  times.sharing.most_depth = 8;
+  Upstreams upstreams(io, limits, events, times,
+                      [&](bool, AttemptEvents& e, UpstreamOwner& o) {
+                        return std::make_shared<RespConnection>(io, limits, e, o, login,
+                                                                resp::Bounds{});
+                      });
+  HostList list;
+  list.whole = true;
+  list.hosts.push_back({.id = "n", .dial = node.server.local(), .started_at = {}});
+  upstreams.apply(list);
+  const auto ask = [&](const std::string& key) {
+    auto payload = std::make_shared<RespPayload>();
+    payload->wire = wire({"GET", key});
+    auto attempt = std::make_shared<Attempt>();
+    attempt->host = "n";
+    attempt->payload = payload;
+    attempt->until = events.now() + std::chrono::seconds(20);
+    upstreams.start(attempt, "n");
+  };
+  ask("first");
+  ASSERT_TRUE(run_until(io, [&] { return events.ends.size() == 1; }));
+  ASSERT_EQ(node.server.peers.size(), 1u);
+  used->send("$5\r\nwrong\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(5));  // the loop does not run
+  ask("second");
+  ASSERT_TRUE(run_until(io, [&] { return events.ends.size() == 2; }));
+  EXPECT_EQ(events.ends[1], std::pair(Result::kOk, bulk("second")));
+  EXPECT_EQ(node.server.peers.size(), 2u) << "the connection with noise on it was used again";
 }
 
 // Nodes that do not tell their map in the words asked for first. By SHARDS a replica that is still
