Judge RESP clusters in rehearsals: clients that pipeline, slots that move, failovers

Load tool and judge knew only memcache, so a slot that moves in a surge was never held against the four rules with the rest.

A class names its cluster; RESP clients carry up to a given number of requests on a connection, plain or in cluster mode, and every command tells the judge which request it is of. Emulated nodes take time, one command after the other, and replicas may be behind by a stated lag. Incidents move slots, fail primaries over (dead, or living on beside the heir) and freeze a cluster.

--- a/src/rig/balancer_process.cc
+++ b/src/rig/balancer_process.cc
@@ -23,7 +23,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr Duration kLook = std::chrono::milliseconds(20);
-const std::string kListening = "listening on 127.0.0.1:";
+const std::string kListening = "listening on 127.0.0.1:", kResp = "RESP on 127.0.0.1:";
 
 std::string read_file(const std::string& file) {
   std::ifstream in(file);
@@ -57,12 +57,11 @@
 }
 
 BalancerProcess::BalancerProcess(Context& context, std::string program, std::string folder,
-                                 int number,
-                                 std::function<std::string(const std::string&)> configuration)
+                                 int number, Files files)
     : context_(context),
       program_(std::move(program)),
       folder_(std::move(folder)),
-      configuration_(std::move(configuration)),
+      files_(std::move(files)),
       address_(asio::ip::make_address("127.0.0.1"), 0) {
   figures_.name = "n" + std::to_string(number);
 }
@@ -75,10 +74,14 @@
 }
 
 void BalancerProcess::write_configuration() {
-  const std::string file = folder_ + "/" + name() + ".json";
-  std::ofstream(file + ".new") << configuration_(address_.address().to_string() + ":" +
-                                                 std::to_string(address_.port()));
-  std::filesystem::rename(file + ".new", file);
+  const auto write = [](const std::string& file, const std::string& text) {
+    std::ofstream(file + ".new") << text;
+    std::filesystem::rename(file + ".new", file);
+  };
+  if (files_.platform)
+    write(folder_ + "/" + name() + ".json",
+          files_.platform(address_.address().to_string() + ":" + std::to_string(address_.port())));
+  if (files_.added) write(folder_ + "/" + name() + ".toml", files_.added());
 }
 
 void BalancerProcess::start(std::function<void()> ready) {
@@ -88,8 +91,10 @@
   const std::string variable = "ROUTER_CONFIG=" + folder_ + "/" + name() + ".json";
   std::string program = program_;
   std::string env = variable;
-  char* const args[] = {program.data(), nullptr};
-  char* const environment[] = {env.data(), nullptr};
+  std::string option = "--operator", added = folder_ + "/" + name() + ".toml";
+  char* const args[] = {program.data(), files_.added ? option.data() : nullptr, added.data(),
+                        nullptr};
+  char* const environment[] = {files_.platform ? env.data() : nullptr, nullptr};
   pid_ = ::fork();
   if (pid_ < 0) throw std::runtime_error("cannot start another process");
   if (pid_ == 0) {
@@ -115,16 +120,17 @@
   context_.after(kLook, [this, life, ready = std::move(ready)]() mutable {
     if (life != life_ || !running()) return;
     const std::string log = read_file(folder_ + "/" + name() + ".log");
-    const auto at = log.find(kListening, log_from_);
+    const std::string& line = files_.platform ? kListening : kResp;
+    const auto at = log.find(line, log_from_);
     if (at == std::string::npos || log.find('\n', at) == std::string::npos)
       return await_listening(life, std::move(ready));
-    const auto port = std::strtoul(log.c_str() + at + kListening.size(), nullptr, 10);
+    const auto port = std::strtoul(log.c_str() + at + line.size(), nullptr, 10);
     address_.port(static_cast<std::uint16_t>(port));
     await_answer(life, std::move(ready));
   });
 }
 
-// It is in use once it has answered `mn`, as on the platform.
+// It is in use once it has answered `mn`, as on the platform, or PING.
 void BalancerProcess::await_answer(int life, std::function<void()> ready) {
   struct Ask {
     explicit Ask(asio::io_context& io) : socket(io) {}
@@ -136,13 +142,15 @@
       address_, [this, life, ask, ready = std::move(ready)](const error_code& e) mutable {
         if (life != life_) return;
         if (e) return await_listening(life, std::move(ready));
-        asio::async_write(ask->socket, asio::buffer("mn\r\n", 4),
+        asio::async_write(ask->socket,
+                          files_.platform ? asio::buffer("mn\r\n", 4) : asio::buffer("PING\r\n", 6),
                           [ask](const error_code&, std::size_t) {});
         asio::async_read(
             ask->socket, asio::buffer(ask->answer),
             [this, life, ask, ready = std::move(ready)](const error_code& error, std::size_t) {
               if (life != life_) return;
-              if (error || std::string_view(ask->answer.data(), 4) != "MN\r\n")
+              if (error ||
+                  std::string_view(ask->answer.data(), 4) != (files_.platform ? "MN\r\n" : "+PON"))
                 return await_listening(life, ready);
               ready();
             });
--- a/src/rig/balancer_process.h
+++ b/src/rig/balancer_process.h
@@ -16,9 +16,13 @@
 // in the run's folder.
 class BalancerProcess {
  public:
-  // `configuration`: of its next start; called each time.
+  // What it is started with. Each is called for each start.
+  struct Files {
+    std::function<std::string(const std::string& listen)> platform;  // none: it has only the other
+    std::function<std::string()> added;                              // the operator's; none: none
+  };
   BalancerProcess(Context& context, std::string program, std::string folder, int number,
-                  std::function<std::string(const std::string& listen)> configuration);
+                  Files files);
   ~BalancerProcess();
   BalancerProcess(const BalancerProcess&) = delete;
   BalancerProcess& operator=(const BalancerProcess&) = delete;
@@ -44,7 +48,7 @@
 
   Context& context_;
   const std::string program_, folder_;
-  std::function<std::string(const std::string&)> configuration_;
+  const Files files_;
   BalancerFigures figures_;
   pid_t pid_ = 0;
   int life_ = 0;
--- a/src/rig/load/load.cc
+++ b/src/rig/load/load.cc
@@ -18,24 +18,8 @@
 constexpr Duration kLeastBudget = milliseconds(5);
 constexpr Duration kRudeOwed = std::chrono::seconds(3);
 
-void reset(tcp::socket& socket) {
-  error_code ignored;
-  socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket.close(ignored);
-}
-
 }  // namespace
 
-struct Load::Call {
-  Wish wish;
-  double worth = 0;
-  int tries = 0;
-  Time ends{0};  // the client's patience over all tries
-  Random random{0};
-  bool honours = true;
-  bool leaves = false;
-};
-
 // A connection carries one request at a time.
 class Load::Connection : public std::enable_shared_from_this<Connection> {
  public:
@@ -46,7 +30,7 @@
         timer_(load.context_.io),
         zone_(zone),
         balancer_(balancer),
-        life_(load.targets_[static_cast<std::size_t>(balancer)].life) {}
+        life_(load.life(balancer)) {}
 
   // Opens it for this call. `again`: the number of a request that goes out once more.
   void open(CallPtr call, Time until, std::optional<RequestNumber> again) {
@@ -86,10 +70,7 @@
     std::erase(load_.idle_[static_cast<std::size_t>(zone_)], shared_from_this());
     load_.all_.erase(shared_from_this());
   }
-  bool dead() const {
-    const Target& target = load_.targets_[static_cast<std::size_t>(balancer_)];
-    return target.killed || target.life != life_;
-  }
+  bool dead() const { return load_.dead(balancer_, life_); }
 
  private:
   void arm_timer() {
@@ -335,7 +316,8 @@
   std::array<char, 512> chunk_;
 };
 
-Load::Load(Context& context, Tally& tally, std::vector<tcp::endpoint> balancers)
+Load::Load(Context& context, Tally& tally, std::vector<tcp::endpoint> balancers,
+           const std::vector<std::vector<tcp::endpoint>>& resp)
     : context_(context),
       tally_(tally),
       arrivals_(context.scenario),
@@ -345,6 +327,10 @@
   const int zones = static_cast<int>(context.scenario.zones.size());
   for (std::size_t b = 0; b < balancers.size(); ++b)
     targets_.push_back({balancers[b], static_cast<int>(b) % zones});
+  Front& front = *this;
+  for (std::size_t c = 0; c < resp.size(); ++c)
+    resp_.push_back(
+        std::make_unique<RespClients>(context, tally, front, static_cast<int>(c), resp[c]));
 }
 
 Load::~Load() { close_all(); }
@@ -356,6 +342,7 @@
   for (const auto& c : all) c->close();
   const auto rude = rude_clients_;
   for (const auto& c : rude) c->end();
+  for (const auto& c : resp_) c->close_all();
 }
 
 void Load::start() {
@@ -420,6 +407,7 @@
   const Time until = std::min(call->ends, begun + patience);
   ++call->tries;
   if (until - now < kLeastBudget) return end(call, End::kFailed);
+  if (klass.cluster >= 0) return resp_[static_cast<std::size_t>(klass.cluster)]->start(call);
   auto& idle = idle_[static_cast<std::size_t>(call->wish.zone)];
   if (!idle.empty()) {
     const std::size_t i = random_.below(idle.size());
@@ -453,6 +441,18 @@
   connection->open(call, until, request);
 }
 
+std::uint64_t Load::connections() const {
+  std::uint64_t all = connections_;
+  for (const auto& c : resp_) all += c->connections();
+  return all;
+}
+
+std::uint64_t Load::unreachable() const {
+  std::uint64_t all = unreachable_;
+  for (const auto& c : resp_) all += c->unreachable();
+  return all;
+}
+
 void Load::try_over(const CallPtr& call, Over over, Duration retry_after) {
   const Time now = context_.now();
   const ClassSpec& klass = context_.scenario.classes[static_cast<std::size_t>(call->wish.klass)];
@@ -514,7 +514,7 @@
         "ms k 2 Oabc Pc=x,d=5\r\nabcdef\r\n",
         "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
     };
-    const int balancer = deal(0);
+    const int balancer = context_.scenario.memcache() ? deal(0) : -1;
     if (balancer >= 0 && rude_clients_.size() < 500) {
       ++rude_;
       const auto client = std::make_shared<RudeClient>(*this);
--- a/src/rig/load/load.h
+++ b/src/rig/load/load.h
@@ -7,19 +7,24 @@
 #include <string>
 #include <vector>
 
-#include "rig/model/arrivals.h"
 #include "rig/judge/context.h"
-#include "rig/model/histogram.h"
 #include "rig/judge/tally.h"
+#include "rig/load/call.h"
+#include "rig/load/resp_clients.h"
+#include "rig/model/arrivals.h"
+#include "rig/model/histogram.h"
 
 namespace silverpin::rig {
 
 // The clients and the simple front before the balancers. An open loop: wishes come when they are
 // due, whatever became of those before. A client keeps its connection and opens another when all of
 // its site are busy; the front deals new ones out among the balancers of the site.
-class Load {
+class Load : private Front {
  public:
-  Load(Context& context, Tally& tally, std::vector<asio::ip::tcp::endpoint> balancers);
+  // `balancers`: where each takes memcache clients; `resp`: by cluster, where each takes its RESP
+  // clients.
+  Load(Context& context, Tally& tally, std::vector<asio::ip::tcp::endpoint> balancers,
+       const std::vector<std::vector<asio::ip::tcp::endpoint>>& resp = {});
   ~Load();
 
   void start();  // wishes come from now on, counted from the run's begin, until the scenario's end
@@ -35,23 +40,27 @@
   const Histogram& lateness() const { return lateness_; }
   std::uint64_t rude() const { return rude_; }
   std::uint64_t rude_unanswered() const { return rude_unanswered_; }
-  std::uint64_t connections() const { return connections_; }
-  std::uint64_t unreachable() const { return unreachable_; }
+  std::uint64_t connections() const;
+  std::uint64_t unreachable() const;
 
  private:
-  struct Call;
   class Connection;
   class RudeClient;
-  using CallPtr = std::shared_ptr<Call>;
   using ConnectionPtr = std::shared_ptr<Connection>;
-  enum class Over { kServed, kRefused, kFailed, kUnreachable, kLeft };
 
   void arm();
   void begin(Wish wish);
   void start_try(const CallPtr& call);
-  void try_over(const CallPtr& call, Over over, Duration retry_after);
+  // Front
+  void try_over(const CallPtr& call, Over over, Duration retry_after) override;
+  int deal(int zone) override;
+  int life(int balancer) const override { return target(balancer).life; }
+  bool dead(int balancer, int life) const override {
+    return target(balancer).killed || target(balancer).life != life;
+  }
+  bool listed(int balancer) const override { return target(balancer).listed; }
+
   void end(const CallPtr& call, End end);
-  int deal(int zone);  // -1: the front knows no balancer
   void send_again(const CallPtr& call, RequestNumber request);
   void arm_rude();
 
@@ -65,8 +74,10 @@
     bool listed = true, killed = false;
     int life = 0;  // counts its kills
   };
+  const Target& target(int balancer) const { return targets_[static_cast<std::size_t>(balancer)]; }
   std::vector<Target> targets_;
-  std::vector<std::vector<ConnectionPtr>> idle_;  // by zone
+  std::vector<std::unique_ptr<RespClients>> resp_;  // by cluster
+  std::vector<std::vector<ConnectionPtr>> idle_;    // by zone
   std::set<ConnectionPtr> all_;
   std::set<std::shared_ptr<RudeClient>> rude_clients_;
   std::size_t next_target_ = 0;
--- a/src/rig/model/scenario.cc
+++ b/src/rig/model/scenario.cc
@@ -11,7 +11,7 @@
 namespace silverpin::rig {
 namespace {
 
-constexpr std::array<std::pair<const char*, What>, 19> kWhats{{
+constexpr std::array<std::pair<const char*, What>, 22> kWhats{{
     {"kill", What::kKill},
     {"restart", What::kRestart},
     {"replace", What::kReplace},
@@ -31,12 +31,17 @@
     {"balancer-restart", What::kBalancerRestart},
     {"balancer-kill", What::kBalancerKill},
     {"balancer-reload", What::kBalancerReload},
+    {"move-slots", What::kMoveSlots},
+    {"failover", What::kFailover},
+    {"jam", What::kJam},
 }};
 
 constexpr std::array<std::pair<const char*, Cancel>, 3> kCancels{
     {{"none", Cancel::kNone}, {"queued", Cancel::kQueued}, {"all", Cancel::kAll}}};
 constexpr std::array<std::pair<const char*, Effect>, 3> kEffects{
     {{"safe", Effect::kSafe}, {"keyed", Effect::kKeyed}, {"unsafe", Effect::kUnsafe}}};
+constexpr std::array<std::pair<const char*, Reads>, 3> kReads{
+    {{"primary", Reads::kPrimary}, {"replica", Reads::kReplica}, {"any", Reads::kAny}}};
 constexpr std::array<std::pair<const char*, Backoff>, 3> kBackoffs{
     {{"none", Backoff::kNone}, {"fixed", Backoff::kFixed}, {"exp", Backoff::kExponential}}};
 constexpr std::array<std::pair<const char*, bool>, 2> kWarms{{{"time", false}, {"work", true}}};
@@ -76,6 +81,40 @@
 }
 
 bool strikes_hosts(What what) { return what <= What::kFlush; }
+bool strikes_clusters(What what) { return what >= What::kMoveSlots; }
+
+int find_cluster(Keys& k, const Scenario& s, const std::string& name) {
+  for (std::size_t i = 0; i < s.clusters.size(); ++i)
+    if (s.clusters[i].name == name) return static_cast<int>(i);
+  k.bad("cluster", "no cluster has the name '" + name + "'");
+}
+
+void read_cluster(Keys& k, Scenario& s) {
+  ClusterSpec c;
+  c.name = k.name("name");
+  for (const ClusterSpec& other : s.clusters)
+    if (other.name == c.name) k.bad("name", "is that of two clusters");
+  c.primaries = k.whole("primaries", 3, 1, 64);
+  c.replicas = k.whole("replicas", 0, 0, 5);
+  c.lag = k.time("replica_lag_ms", 1e-3, 0, 0, 60'000);
+  c.speed = k.range<Range>("speed", {1, 1}, 0.01, 100);
+  c.pipeline = k.whole("pipeline", 1, 1, 256);
+  c.by_slot = k.flag("by_slot", false);
+  c.slow_after_ms = k.real("slow_after_ms", 2, 0.05, 60'000);
+  s.clusters.push_back(c);
+}
+
+// At a cluster a read is told from a write by its command, and one class from another by its keys.
+void read_class_of_cluster(Keys& k, const Scenario& s, ClassSpec& c) {
+  c.cluster = find_cluster(k, s, k.text("cluster", ""));
+  c.prefix = k.text("prefix", "");
+  c.reads = k.choice("reads", Reads::kPrimary, kReads);
+  if (c.effect == Effect::kKeyed) k.bad("effect", "nodes of a cluster discard no repeats");
+  if (c.write() && c.reads != Reads::kPrimary) k.bad("reads", "replicas take no writes");
+  for (const ClassSpec& other : s.classes)
+    if (other.cluster == c.cluster && other.write() == c.write() && other.prefix == c.prefix)
+      k.bad("prefix", "is that of '" + other.name + "' too: the two cannot be told apart");
+}
 
 void read_incident(Keys& k, Scenario& s) {
   IncidentSpec i;
@@ -91,6 +130,7 @@
   i.share = k.real("share", 1, 0, 1);
   i.factor = k.real("factor", 1, 0, 1000);
   i.balancer = k.whole("balancer", -1, 0, 1000);
+  if (strikes_clusters(i.what)) i.cluster = find_cluster(k, s, k.text("cluster", ""));
   i.stagger = k.time("stagger_s", 1, 0, 0, 600);
   i.drain = k.time("drain_s", 1, 0, 0, 600);
   const auto named = [](const auto& all, const std::string& name) {
@@ -115,8 +155,11 @@
                      i.what == What::kErrors || i.what == What::kResets ||
                      i.what == What::kRefuse || i.what == What::kSilent || i.what == What::kSpoil ||
                      i.what == What::kBurst || i.what == What::kDemand ||
-                     i.what == What::kDiscoveryDown;
+                     i.what == What::kDiscoveryDown || i.what == What::kMoveSlots ||
+                     i.what == What::kJam;
   if (lasts && i.length == Duration{0}) k.bad("for_s", "is missing: this one needs a length");
+  if (i.what == What::kFailover && s.clusters[static_cast<std::size_t>(i.cluster)].replicas == 0)
+    k.bad("cluster", "has no replica that could take over");
   s.incidents.push_back(i);
 }
 
@@ -140,6 +183,7 @@
     s.zones.push_back({z.name("name"), z.real("clients", 1, 0, 1e6)});
   });
   if (s.zones.empty()) s.zones.push_back({"a", 1});
+  k.tables("cluster", [&](Keys& c) { read_cluster(c, s); });
   k.tables("class", [&](Keys& c) {
     ClassSpec spec;
     spec.name = c.name("name");
@@ -154,6 +198,7 @@
     spec.late_worth = c.real("late_worth", 0, 0, 1);
     spec.effect = c.choice("effect", Effect::kSafe, kEffects);
     spec.window = c.time("window_ms", 1e-3, 10'000, 1, 600'000);
+    if (c.has("cluster")) read_class_of_cluster(c, s, spec);
     s.classes.push_back(spec);
   });
   if (s.classes.empty()) k.bad("class", "there is none");
@@ -182,7 +227,7 @@
     spec.error_rate = h.real("error_rate", 0, 0, 1);
     s.kinds.push_back(spec);
   });
-  if (s.kinds.empty()) k.bad("kind", "there is none");
+  if (s.kinds.empty() && s.memcache()) k.bad("kind", "there is none");
   HostSpec origin;
   origin.cores = 8;
   origin.slots = 16;
@@ -221,10 +266,17 @@
   return n;
 }
 
+bool Scenario::memcache() const {
+  return std::any_of(classes.begin(), classes.end(),
+                     [](const ClassSpec& c) { return c.cluster < 0; });
+}
+
 long Scenario::descriptors() const {
   // Listeners; what the balancers may hold to hosts; clients' connections, both ends of which count
   // where they meet the emulator; the log pipes and some for the program itself.
-  return hosts() + balancers * (3L + sockets) + 64;
+  long nodes = 0;
+  for (const ClusterSpec& c : clusters) nodes += 2L * c.primaries * (1 + c.replicas) + balancers;
+  return hosts() + nodes + balancers * (3L + sockets) + 64;
 }
 
 Scenario parse_scenario(const std::string& text, const std::string& file) {
--- a/src/rig/model/scenario.h
+++ b/src/rig/model/scenario.h
@@ -20,8 +20,13 @@
 enum class Cancel { kNone, kQueued, kAll };  // what a closed connection stops
 enum class Backoff { kNone, kFixed, kExponential };
 
+enum class Reads { kPrimary, kReplica, kAny };  // which nodes of a cluster may answer
+
 struct ClassSpec {
   std::string name;
+  int cluster = -1;    // the RESP cluster that it is asked of; -1: the memcache fleet
+  std::string prefix;  // of its keys, at a cluster
+  Reads reads = Reads::kPrimary;
   double share = 1;       // of first tries
   double work_ms = 10;    // on one core of speed 1, on average
   double cv = 1;          // of the work; log-normal
@@ -73,6 +78,17 @@
   double clients = 1;  // share of the load that starts here
 };
 
+// A RESP cluster: each node does one command at a time.
+struct ClusterSpec {
+  std::string name;
+  int primaries = 3, replicas = 0;
+  Duration lag{0};  // of replicas behind their primary
+  Range speed{1, 1};
+  int pipeline = 1;      // requests that a client may have out on a connection
+  bool by_slot = false;  // clients in cluster mode: each request to the balancer named for its slot
+  double slow_after_ms = 2;  // as the balancers' file has it
+};
+
 struct OriginSpec {
   HostSpec host;
   double read_ms = 20, write_ms = 40, cv = 0.6;
@@ -120,7 +136,10 @@
   kDiscoveryDown,
   kBalancerRestart,
   kBalancerKill,
-  kBalancerReload
+  kBalancerReload,
+  kMoveSlots,
+  kFailover,
+  kJam
 };
 
 struct IncidentSpec {
@@ -128,11 +147,12 @@
   Time at{0};
   Duration length{0};
   std::string host, kind, zone, tenant;  // whom it strikes; "origin" is a host here
-  double share = 1;                      // of those that fit
-  double factor = 1;                     // how slow, how likely, how much
-  int balancer = -1;                     // -1: all, one after the other
-  Duration stagger{0};                   // between balancers, or between hosts
-  Duration drain{0};                     // before a kill, restart or replacement
+  int cluster = -1;
+  double share = 1;     // of those that fit
+  double factor = 1;    // how slow, how likely, how much
+  int balancer = -1;    // -1: all, one after the other
+  Duration stagger{0};  // between balancers, or between hosts
+  Duration drain{0};    // before a kill, restart or replacement
   int line = 0;
 };
 
@@ -153,6 +173,7 @@
   std::vector<TenantSpec> tenants;
   std::vector<ZoneSpec> zones;
   std::vector<KindSpec> kinds;
+  std::vector<ClusterSpec> clusters;
   OriginSpec origin;
   DiscoverySpec discovery;
   RuleSpec rules;
@@ -162,6 +183,7 @@
   std::vector<IncidentSpec> incidents;
 
   int hosts() const;
+  bool memcache() const;  // whether any class is asked of the memcache fleet
   // Descriptors that the emulator and the load may hold at once, by the bounds above.
   long descriptors() const;
 };
--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -5,15 +5,17 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <cstdio>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <memory>
 #include <stdexcept>
 
 #include "rig/balancer_process.h"
-#include "rig/servers/fleet.h"
 #include "rig/load/load.h"
 #include "rig/report/report.h"
+#include "rig/servers/fleet.h"
+#include "rig/servers/resp_fleet.h"
 
 namespace silverpin::rig {
 namespace {
@@ -137,6 +139,48 @@
          ",\"settings\":" + fleet.settings_json() + "}\n";
 }
 
+// The operator's file of a balancer, whose RESP listeners, one for each cluster, are at these
+// ports.
+std::string operator_file(const Scenario& s,
+                          const std::vector<std::unique_ptr<RespFleet>>& clusters,
+                          const std::vector<std::vector<std::uint16_t>>& ports,
+                          std::size_t balancer) {
+  const auto ms = [](Duration d) { return std::to_string(millis(d)); };
+  const auto name = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
+  std::string text = "[process]\nname = \"n" + std::to_string(balancer) +
+                     "\"\nmemory_mb = " + std::to_string(s.memory_mb) +
+                     "\nsockets = " + std::to_string(s.sockets) + "\n";
+  for (std::size_t c = 0; c < clusters.size(); ++c) {
+    const ClusterSpec& spec = s.clusters[c];
+    text += "[[pool]]\nname = \"" + spec.name + "\"\nseeds = [";
+    for (const auto& seed : clusters[c]->addresses()) text += "\"" + seed + "\", ";
+    text += "]\nbalancers = " + std::to_string(s.balancers) +
+            "\nmost_attempts = " + std::to_string(std::clamp(s.max_attempts, 1, 32)) +
+            "\nmost_retry_after_ms = " +
+            ms(std::min<Duration>(s.max_retry_after, std::chrono::seconds(60))) +
+            "\nslow_after_ms = " + std::to_string(spec.slow_after_ms) + "\n";
+    for (const ClassSpec& k : s.classes) {
+      if (k.cluster != static_cast<int>(c)) continue;
+      const char* const reads = k.reads == Reads::kPrimary   ? "primary"
+                                : k.reads == Reads::kReplica ? "replica"
+                                                             : "any";
+      text += "[[pool.class]]\nname = \"" + k.name + "\"\ncommands = [\"" +
+              (k.write() ? "RPUSH" : "LRANGE") + "\"]\nprefix = \"" + k.prefix +
+              "\"\naim_ms = " + ms(k.aim) + "\ndeadline_ms = " + ms(k.deadline) + "\nreads = \"" +
+              reads + "\"\neffect = \"" + (k.write() ? "unsafe" : "safe") + "\"\n";
+    }
+  }
+  for (std::size_t c = 0; c < clusters.size(); ++c) {
+    text += "[[listener]]\nname = \"" + s.clusters[c].name +
+            "\"\naddress = " + name(ports[c][balancer]) + "\npool = \"" + s.clusters[c].name +
+            "\"\npeers = [";
+    for (std::size_t b = 0; b < ports[c].size(); ++b)
+      if (b != balancer) text += name(ports[c][b]) + ", ";
+    text += "]\n";
+  }
+  return text;
+}
+
 int write_report(const RunFigures& figures, const std::string& folder) {
   const std::string json = report_json(figures);
   const std::string text = report_text(json);
@@ -152,11 +196,25 @@
   Rehearsal(const Scenario& s, const RehearsalOptions& options)
       : s_(s), options_(options), run_(s, options), fleet_(run_.context), seeds_(s.seed, 4) {
     fleet_.warm_with(Arrivals(s).popular());
-    for (int b = 0; b < s.balancers; ++b)
-      balancers_.push_back(std::make_unique<BalancerProcess>(
-          run_.context, options.program, options.folder, b, [this, b](const std::string& listen) {
-            return configuration(s_, fleet_, b, seeds_.next(), listen);
-          }));
+    for (std::size_t c = 0; c < s.clusters.size(); ++c) {
+      clusters_.push_back(std::make_unique<RespFleet>(run_.context, static_cast<int>(c)));
+      clusters_.back()->fill(Arrivals(s).popular());
+      ports_.emplace_back();
+      for (int b = 0; b < s.balancers; ++b) ports_.back().push_back(hold_port());
+    }
+    for (int b = 0; b < s.balancers; ++b) {
+      BalancerProcess::Files files;
+      if (s.memcache())
+        files.platform = [this, b](const std::string& listen) {
+          return configuration(s_, fleet_, b, seeds_.next(), listen);
+        };
+      if (!clusters_.empty())
+        files.added = [this, b] {
+          return operator_file(s_, clusters_, ports_, static_cast<std::size_t>(b));
+        };
+      balancers_.push_back(std::make_unique<BalancerProcess>(run_.context, options.program,
+                                                             options.folder, b, std::move(files)));
+    }
   }
 
   int operator()() {
@@ -173,7 +231,13 @@
     run_.until([&] { return run_.context.now() >= kClientsCome; }, kClientsCome);
     std::vector<asio::ip::tcp::endpoint> addresses;
     for (const auto& b : balancers_) addresses.push_back(b->address());
-    run_.load = std::make_unique<Load>(run_.context, run_.tally, addresses);
+    std::vector<std::vector<asio::ip::tcp::endpoint>> resp;
+    for (const auto& ports : ports_) {
+      resp.emplace_back();
+      for (const auto port : ports)
+        resp.back().emplace_back(asio::ip::make_address("127.0.0.1"), port);
+    }
+    run_.load = std::make_unique<Load>(run_.context, run_.tally, addresses, resp);
     run_.each_second = [this] {
       for (auto& b : balancers_) b->sample();
     };
@@ -194,8 +258,9 @@
     run_.load->close_all();
     if (run_.interrupted()) run_.io.restart();
     end_balancers();
-    RunFigures figures{s_, run_.context.auditor, run_.tally, *run_.load, fleet_,
+    RunFigures figures{s_, run_.context.auditor, run_.tally, *run_.load, fleet_, {},
                        {}, run_.samples,         run_.lag};
+    for (const auto& c : clusters_) figures.clusters.push_back(c.get());
     for (const auto& b : balancers_) figures.balancers.push_back(b->figures());
     const int verdict = write_report(figures, options_.folder);
     return run_.interrupted() ? 2 : verdict;
@@ -219,6 +284,7 @@
 
   void strike(const IncidentSpec& i) {
     if (i.what == What::kDemand || i.what == What::kBurst) return;  // the arrivals know
+    if (i.cluster >= 0) return clusters_[static_cast<std::size_t>(i.cluster)]->strike(i);
     if (i.what != What::kBalancerRestart && i.what != What::kBalancerKill &&
         i.what != What::kBalancerReload)
       return fleet_.strike(i);
@@ -275,10 +341,23 @@
     });
   }
 
+  // A port that nobody else is given, though nobody listens there yet: clients are told all
+  // balancers' ports before any is up.
+  std::uint16_t hold_port() {
+    auto& holder = held_.emplace_back(run_.io);
+    holder.open(asio::ip::tcp::v4());
+    holder.set_option(asio::socket_base::reuse_address(true));
+    holder.bind({asio::ip::make_address("127.0.0.1"), 0});
+    return holder.local_endpoint().port();
+  }
+
   const Scenario& s_;
   const RehearsalOptions& options_;
   Run run_;
   Fleet fleet_;
+  std::vector<std::unique_ptr<RespFleet>> clusters_;
+  std::vector<std::vector<std::uint16_t>> ports_;  // of each cluster's listeners, by balancer
+  std::deque<asio::ip::tcp::acceptor> held_;
   Random seeds_;
   std::vector<std::unique_ptr<BalancerProcess>> balancers_;
   int restarting_ = 0;
@@ -291,6 +370,8 @@
 }
 
 int run_fleet(const Scenario& s, const RehearsalOptions& options) {
+  if (!s.clusters.empty())
+    throw ScenarioError(s.file + ": cluster: only `rehearse` plays clusters");
   Run run(s, options);
   run.context.adopt_strangers();
   Fleet fleet(run.context);
@@ -311,6 +392,8 @@
 
 int run_load(const Scenario& s, const std::vector<std::string>& balancers,
              const RehearsalOptions& options) {
+  if (!s.clusters.empty())
+    throw ScenarioError(s.file + ": cluster: only `rehearse` plays clusters");
   std::vector<asio::ip::tcp::endpoint> addresses;
   for (const std::string& text : balancers) {
     const auto colon = text.rfind(':');
@@ -333,7 +416,7 @@
             s.length + longest_deadline(s) + std::chrono::seconds(2));
   run.load->close_all();
   return write_report(
-      {s, run.context.auditor, run.tally, *run.load, none, {}, run.samples, run.lag},
+      {s, run.context.auditor, run.tally, *run.load, none, {}, {}, run.samples, run.lag},
       options.folder);
 }
 
--- a/src/rig/report/report.cc
+++ b/src/rig/report/report.cc
@@ -168,6 +168,9 @@
   j.count("attempts_lost", t.attempts > useful ? t.attempts - useful : 0);
   j.count("repeats_discarded", t.repeats_discarded).count("excused", t.excused);
   j.count("rude", run.load.rude()).count("rude_unanswered", run.load.rude_unanswered());
+  std::uint64_t redirections = 0;
+  for (const RespFleet* cluster : run.clusters) redirections += cluster->redirections();
+  j.count("redirections", redirections);
   j.count("client_connections", run.load.connections());
   j.count("unreachable", run.load.unreachable()).close('}');
 
@@ -183,6 +186,17 @@
         .count("served", h.served)
         .count("turned_away", h.turned_away)
         .close('}');
+  for (const RespFleet* cluster : run.clusters)
+    for (const RespFleet::NodeFigures& n : cluster->figures())
+      j.open('{')
+          .text("name", n.name)
+          .text("kind", "node")
+          .text("zone", "")
+          .number("speed", n.speed)
+          .number("work_s", n.work_done)
+          .count("served", n.commands)
+          .count("turned_away", 0)
+          .close('}');
   j.close(']').key("origin").open('{');
   j.count("reads", run.fleet.origin().reads()).count("writes", run.fleet.origin().writes());
   j.count("turned_away", run.fleet.origin().turned_away());
@@ -268,6 +282,8 @@
   if (num(t, "rude") > 0)
     print(out, "rude clients %.0f, left with neither error nor close %.0f\n", num(t, "rude"),
           num(t, "rude_unanswered"));
+  if (num(t, "redirections") > 0)
+    print(out, "redirections by nodes: %.0f\n", num(t, "redirections"));
   const element o = sub(root, "origin");
   print(out, "origin: %.0f reads, %.0f writes, %.0f turned away\n", num(o, "reads"),
         num(o, "writes"), num(o, "turned_away"));
--- a/src/rig/report/report.h
+++ b/src/rig/report/report.h
@@ -4,9 +4,10 @@
 #include <vector>
 
 #include "rig/judge/auditor.h"
-#include "rig/servers/fleet.h"
-#include "rig/load/load.h"
 #include "rig/judge/tally.h"
+#include "rig/load/load.h"
+#include "rig/servers/fleet.h"
+#include "rig/servers/resp_fleet.h"
 
 namespace silverpin::rig {
 
@@ -30,6 +31,7 @@
   const Tally& tally;
   const Load& load;
   const Fleet& fleet;
+  std::vector<const RespFleet*> clusters;
   std::vector<BalancerFigures> balancers;
   std::vector<ProcessSample> rig;
   Histogram loop_lag;  // of the emulator's own event loop
--- a/src/rig/servers/fleet.cc
+++ b/src/rig/servers/fleet.cc
@@ -267,6 +267,7 @@
   const Scenario& s = context_.scenario;
   std::string classes, tenants;
   for (const ClassSpec& c : s.classes) {
+    if (c.cluster >= 0) continue;
     const char* semantics = c.effect == Effect::kSafe    ? "read_like"
                             : c.effect == Effect::kKeyed ? "idempotency_key"
                                                          : "non_idempotent";
--- a/src/rig/servers/resp_cluster.cc
+++ b/src/rig/servers/resp_cluster.cc
@@ -65,7 +65,7 @@
   std::vector<int> replicas_;
   std::uint64_t epoch_ = 0;  // its own configuration's
   std::map<Slot, int> migrating_, importing_;
-  std::shared_ptr<RespStore> store_;  // shared with its replicas: they are never behind
+  std::shared_ptr<RespStore> store_;  // shared with its replicas where they are never behind
 
  private:
   void bind(tcp::acceptor& a) const {
@@ -132,6 +132,7 @@
   }
 
   void take(const Command& c);
+  std::string carry_out(const Command& c, bool& ran);  // and sends its reply
   std::string hello(const Command& c);
   std::string cluster(const Command& c);
   std::string exec();
@@ -207,9 +208,33 @@
   }
   auto& all = node_->all_;
   if (!is("EXEC")) ++all.commands_;
+  if (!all.observer || in_multi_ || is("EXEC")) {
+    bool ran = false;
+    carry_out(c, ran);
+    return;
+  }
+  paused_ = true;
+  const auto held = std::make_shared<const Command>(c);
+  const auto name = std::make_shared<int>(-1);
+  *name = all.observer->on_command(
+      node_->number_, *held, [self = shared_from_this(), held, name, number = node_->number_] {
+        if (!self->node_) return;
+        auto& cluster = self->node_->all_;
+        bool ran = false;
+        const std::string reply = self->carry_out(*held, ran);
+        cluster.observer->on_reply(number, *held, *name, ran, reply);
+        if (!self->node_) return;
+        self->paused_ = false;
+        self->work();
+      });
+}
+
+std::string RespCluster::Connection::carry_out(const Command& c, bool& ran) {
+  const auto is = [&c](std::string_view word) { return same_word(c[0], word); };
+  auto& all = node_->all_;
   const int number = node_->number_;
   const Fault fault = all.fault ? all.fault(number, c) : Fault::kNone;
-  if (fault == Fault::kCloseBefore) return close();
+  if (fault == Fault::kCloseBefore) return close(), std::string();
   std::string reply;
   if (fault == Fault::kLie && c.size() > 1) {
     reply = error("MOVED " + std::to_string(cluster::slot_of(c[1])) + " " + node_->address());
@@ -234,17 +259,20 @@
       reply = "+QUEUED\r\n";
     } else {
       reply = run(*info, c);
+      ran = true;
     }
   }
   switch (fault) {
     case Fault::kCloseAfter:
-      return close();
+      close();
+      break;
     case Fault::kHalfReply:
       send(reply.substr(0, reply.size() / 2));
-      return close_when_sent();
+      close_when_sent();
+      break;
     case Fault::kSilent:
       silent_ = true;
-      return;
+      break;
     case Fault::kSlow: {
       paused_ = true;
       const auto timer = std::make_shared<asio::steady_timer>(all.io_, all.slow_by);
@@ -254,13 +282,15 @@
         self->send(reply);
         self->work();
       });
-      return;
+      break;
     }
     case Fault::kGarbage:
-      return send("\x01garbage\r\n" + reply);
+      send("\x01garbage\r\n" + reply);
+      break;
     default:
-      return send(std::move(reply));
+      send(reply);
   }
+  return reply;
 }
 
 std::vector<std::string_view> RespCluster::Connection::keys_of(const cluster::CommandInfo& info,
@@ -307,10 +337,13 @@
   Node& n = *node_;
   auto reply = n.store_->run(n.all_.now(), c, version_);
   if (!reply) return error("ERR '" + std::string(info.name) + "' is not emulated here");
-  if (info.kind == cluster::Kind::kWrite && !reply->starts_with('-'))
-    n.all_.runs_.push_back({n.number_, std::string(info.name),
-                            c.size() > 1 ? std::string(c[1]) : std::string(),
-                            c.size() > 2 ? std::string(c[2]) : std::string()});
+  if (info.kind == cluster::Kind::kWrite) {
+    if (!reply->starts_with('-'))
+      n.all_.runs_.push_back({n.number_, std::string(info.name),
+                              c.size() > 1 ? std::string(c[1]) : std::string(),
+                              c.size() > 2 ? std::string(c[2]) : std::string()});
+    for (const auto key : keys_of(info, c)) n.all_.replicate(n, key);
+  }
   return std::move(*reply);
 }
 
@@ -427,7 +460,8 @@
 
 // ---- the cluster
 
-RespCluster::RespCluster(asio::io_context& io, int primaries, int replicas) : io_(io) {
+RespCluster::RespCluster(asio::io_context& io, int primaries, int replicas, Duration lag)
+    : io_(io), lag_(lag) {
   for (int i = 0; i < primaries * (1 + replicas); ++i)
     nodes_.push_back(std::make_unique<Node>(*this, i));
   for (std::uint32_t s = 0; s < kSlots; ++s)
@@ -441,7 +475,7 @@
     } else {
       const int primary = (i - primaries) % primaries;
       n.primary_ = primary;
-      n.store_ = nodes_[static_cast<std::size_t>(primary)]->store_;
+      follow(n, *nodes_[static_cast<std::size_t>(primary)]);
       nodes_[static_cast<std::size_t>(primary)]->replicas_.push_back(i);
     }
   }
@@ -451,6 +485,40 @@
   for (auto& n : nodes_) n->stop();
 }
 
+// ---- replicas
+
+void RespCluster::follow(Node& replica, Node& primary) {
+  std::erase_if(news_, [&](const News& n) { return n.to == replica.number_; });
+  replica.store_ =
+      lag_ == Duration{0} ? primary.store_ : std::make_shared<RespStore>(*primary.store_);
+}
+
+void RespCluster::replicate(Node& primary, std::string_view key) {
+  if (lag_ == Duration{0}) return;
+  const auto copy = primary.store_->copy(key);
+  for (const int r : primary.replicas_) news_.push_back({now() + lag_, r, std::string(key), copy});
+  if (!news_.empty() && news_.size() == primary.replicas_.size()) deliver();
+}
+
+void RespCluster::deliver() {
+  for (; !news_.empty() && news_.front().at <= now(); news_.pop_front())
+    nodes_[static_cast<std::size_t>(news_.front().to)]->store_->put(news_.front().key,
+                                                                    *news_.front().copy);
+  if (news_.empty()) return;
+  news_timer_.expires_at(began_ + news_.front().at);
+  news_timer_.async_wait([this](error_code e) {
+    if (!e) deliver();
+  });
+}
+
+void RespCluster::fill(const resp::Command& command) {
+  Node& owner = *nodes_[static_cast<std::size_t>(truth_[cluster::slot_of(command[1])].owner)];
+  owner.store_->run(now(), command, 2);
+  if (lag_ > Duration{0})
+    for (const int r : owner.replicas_)
+      nodes_[static_cast<std::size_t>(r)]->store_->run(now(), command, 2);
+}
+
 std::string RespCluster::address(int node) const {
   return nodes_[static_cast<std::size_t>(node)]->address();
 }
@@ -483,7 +551,12 @@
   Node& from = *nodes_[static_cast<std::size_t>(truth_[slot].owner)];
   Node& to = *nodes_[static_cast<std::size_t>(from.migrating_.at(slot))];
   for (const auto& key : from.store_->keys())
-    if (cluster::slot_of(key) == slot) return from.store_->move_to(*to.store_, key), true;
+    if (cluster::slot_of(key) == slot) {
+      from.store_->move_to(*to.store_, key);
+      replicate(from, key);
+      replicate(to, key);
+      return true;
+    }
   return false;
 }
 
@@ -511,13 +584,20 @@
     Node& target = *nodes_[static_cast<std::size_t>(to)];
     target.importing_.erase(slot);
     for (const auto& key : target.store_->keys())
-      if (cluster::slot_of(key) == slot) target.store_->move_to(*old.store_, key);
+      if (cluster::slot_of(key) == slot) {
+        target.store_->move_to(*old.store_, key);
+        replicate(target, key);
+        heir.store_->put(key, *old.store_->copy(key));
+      }
   }
   for (const auto& [slot, from] : old.importing_) {
     Node& source = *nodes_[static_cast<std::size_t>(from)];
     source.migrating_.erase(slot);
     for (const auto& key : old.store_->keys())
-      if (cluster::slot_of(key) == slot) old.store_->move_to(*source.store_, key);
+      if (cluster::slot_of(key) == slot) {
+        old.store_->move_to(*source.store_, key);
+        replicate(source, key);
+      }
   }
   old.migrating_.clear();
   old.importing_.clear();
@@ -528,9 +608,17 @@
   std::erase(heir.replicas_, next);
   for (std::uint32_t s = 0; s < kSlots; ++s)
     if (truth_[s].owner == primary) heir.map_[s] = truth_[s] = {next, epoch_};
-  for (const int r : heir.replicas_) nodes_[static_cast<std::size_t>(r)]->primary_ = next;
-  // The old one keeps what it has, and is on its own until it is told.
-  heir.store_ = std::exchange(old.store_, std::make_shared<RespStore>(*old.store_));
+  // The old one keeps what it has, and is on its own until it is told. What the heir had not heard
+  // of is lost, as with the real thing.
+  old.replicas_.clear();
+  std::erase_if(news_, [next](const News& n) { return n.to == next; });
+  if (lag_ == Duration{0})
+    heir.store_ = std::exchange(old.store_, std::make_shared<RespStore>(*old.store_));
+  for (const int r : heir.replicas_) {
+    Node& other = *nodes_[static_cast<std::size_t>(r)];
+    other.primary_ = next;
+    follow(other, heir);
+  }
   return next;
 }
 
@@ -548,7 +636,7 @@
     n.replicas_.clear();
     Node& h = *nodes_[static_cast<std::size_t>(heir)];
     h.replicas_.push_back(node);
-    n.store_ = h.store_;
+    follow(n, h);
   }
 }
 
--- a/src/rig/servers/resp_cluster.h
+++ b/src/rig/servers/resp_cluster.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,8 +27,9 @@
 // log of what ran where.
 class RespCluster {
  public:
-  // Ports are given by the system. Node i < primaries is a primary; its replicas follow in turn.
-  RespCluster(asio::io_context& io, int primaries, int replicas);
+  // Ports are given by the system. Node i < primaries is a primary; its replicas follow in turn,
+  // and come to know of each change `lag` after their primary; at 0 they are never behind.
+  RespCluster(asio::io_context& io, int primaries, int replicas, Duration lag = Duration{0});
   ~RespCluster();
   RespCluster(const RespCluster&) = delete;
   RespCluster& operator=(const RespCluster&) = delete;
@@ -71,6 +73,22 @@
   Duration slow_by{std::chrono::milliseconds(50)};
   std::function<Fault(int node, const resp::Command& command)> fault;
 
+  // Whoever times and judges the data commands of clients, transactions left out. Without one each
+  // runs as it comes.
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+    // One has come whole. Calls `run` when its turn has come, once, at once or from the event loop;
+    // until then nothing behind it on its connection is looked at. Returns its own name for it.
+    virtual int on_command(int node, const resp::Command& command, std::function<void()> run) = 0;
+    // Answered with `reply`, having run here, or not.
+    virtual void on_reply(int node, const resp::Command& command, int name, bool ran,
+                          std::string_view reply) = 0;
+  };
+  Observer* observer = nullptr;
+  // As if it had been written to its slot's owner, and its replicas knew.
+  void fill(const resp::Command& command);
+
   struct Run {
     int node;
     std::string command, key, argument;  // the second word behind the name, if there is one
@@ -89,10 +107,24 @@
   };
   using Map = std::array<Claim, cluster::kSlots>;
 
+  // What replicas are still to hear of: of `node`'s store, at this time.
+  struct News {
+    Time at;
+    int to;
+    std::string key;
+    std::shared_ptr<const RespStore::Copy> copy;
+  };
+  void replicate(Node& primary, std::string_view key);
+  void follow(Node& replica, Node& primary);
+  void deliver();
+
   Time now() const { return std::chrono::steady_clock::now() - began_; }
 
   asio::io_context& io_;
   const std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
+  const Duration lag_;
+  std::deque<News> news_;  // in the order of their times
+  asio::steady_timer news_timer_{io_};
   Map truth_;
   std::uint64_t epoch_ = 1;
   std::vector<std::unique_ptr<Node>> nodes_;
--- a/src/rig/servers/resp_store.cc
+++ b/src/rig/servers/resp_store.cc
@@ -66,6 +66,24 @@
   other.entries_.insert(std::move(node));
 }
 
+struct RespStore::Copy {
+  std::optional<Entry> entry;
+};
+
+std::shared_ptr<const RespStore::Copy> RespStore::copy(std::string_view key) const {
+  const auto it = entries_.find(key);
+  return std::make_shared<Copy>(
+      Copy{it == entries_.end() ? std::nullopt : std::optional(it->second)});
+}
+
+void RespStore::put(std::string_view key, const Copy& copy) {
+  if (copy.entry) {
+    entries_.insert_or_assign(std::string(key), *copy.entry);
+  } else if (const auto it = entries_.find(key); it != entries_.end()) {
+    entries_.erase(it);
+  }
+}
+
 template <typename T>
 T* RespStore::need(Time now, std::string_view key) {
   Entry* e = find(now, key);
--- a/src/rig/servers/resp_store.h
+++ b/src/rig/servers/resp_store.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,10 @@
   std::vector<std::string> keys() const;
   // Takes the key out of this store into another.
   void move_to(RespStore& other, const std::string& key);
+  // Makes the key what it is in another store, which may be nothing.
+  struct Copy;
+  std::shared_ptr<const Copy> copy(std::string_view key) const;
+  void put(std::string_view key, const Copy& copy);
   void clear() { entries_.clear(); }
 
  private:
--- a/tests/rig/program_test.cc
+++ b/tests/rig/program_test.cc
@@ -61,6 +61,33 @@
   EXPECT_NE(out_.find("requests lost 0"), std::string::npos);
 }
 
+// Both dialects behind the same balancers, and the RESP one alone, while slots move, a primary
+// fails over and balancers restart.
+TEST_F(RigProgramTest, RehearsalsWithClusters) {
+  const std::string cluster =
+      "[[cluster]]\nname = \"c\"\nreplicas = 1\npipeline = 8\nby_slot = true\n"
+      "replica_lag_ms = 5\nslow_after_ms = 400\n";
+  const std::string classes =
+      "[[class]]\nname = \"cread\"\ncluster = \"c\"\nwork_ms = 0.5\naim_ms = 2000\n"
+      "deadline_ms = 4000\n[[class]]\nname = \"cbook\"\ncluster = \"c\"\nwork_ms = 0.5\n"
+      "aim_ms = 2000\ndeadline_ms = 4000\neffect = \"unsafe\"\n";
+  const std::string incidents =
+      "[[incident]]\nwhat = \"move-slots\"\ncluster = \"c\"\nat_s = 1\nfor_s = 2\nfactor = 40\n"
+      "[[incident]]\nwhat = \"failover\"\ncluster = \"c\"\nat_s = 1.5\n"
+      "[[incident]]\nwhat = \"failover\"\ncluster = \"c\"\nat_s = 2\nfor_s = 0.5\n"
+      "[[incident]]\nwhat = \"jam\"\ncluster = \"c\"\nat_s = 2.6\nfor_s = 0.2\n";
+  const std::string rest = "[rules]\nanswer_slack_ms = 400\n";
+  write("name = \"t\"\nlength_s = 4\nwarm_up_s = 0\n[balancers]\ncount = 2\n" + cluster + classes +
+        "[load]\nrate = 300\nkeys = 50\nretries = 2\n" + rest + incidents +
+        "[[incident]]\nwhat = \"balancer-restart\"\nbalancer = 1\nat_s = 1.2\n");
+  EXPECT_EQ(run(rehearse()), 0) << out_;
+  EXPECT_NE(out_.find("requests lost 0, effects twice 0"), std::string::npos) << out_;
+  EXPECT_NE(out_.find("balancer n1: 2 start(s)"), std::string::npos) << out_;
+  write(scenario_text(classes + incidents, "[balancers]\ncount = 2\n" + cluster));
+  EXPECT_EQ(run(rehearse()), 0) << out_;
+  EXPECT_NE(out_.find("requests lost 0, effects twice 0"), std::string::npos) << out_;
+}
+
 TEST_F(RigProgramTest, BadInputEndsWithTwoBeforeAnythingStarts) {
   EXPECT_EQ(run("rehearse " + dir_ + "/none.toml"), 2);
   EXPECT_NE(out_.find("none.toml: cannot be read"), std::string::npos) << out_;
