--- a/src/rig/group_net.cc
+++ b/src/rig/group_net.cc
@@ -84,7 +84,9 @@
   text += "]\nnetworks = [\"127.0.0.0/8\"]\nkey_file = \"" + folder_ + "/group.key\"\nfolder = \"" +
           folder_ + "/" + name_of(instance) + "\"\nvoters = [";
   for (int i = 0; i < voters_; ++i) text += "\"" + name_of(i) + "\", ";
-  text += "]\n[[address]]\nname = \"" + std::string(kService) + "\"\nprefix = \"" +
+  text += "]\noverlap_ms = " +
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(kOverlap).count()) +
+          "\n[[address]]\nname = \"" + std::string(kService) + "\"\nprefix = \"" +
           asio::ip::address_v4(prefix_.address).to_string() + "\"\n";
   text += "[bgp]\nas = " + std::to_string(kAs) + "\nid = \"" + ip_of(instance) +
           "\"\nnext_hop = \"" + ip_of(instance) + "\"\nsource = \"" + ip_of(instance) +
--- a/src/rig/group_net.h
+++ b/src/rig/group_net.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -20,6 +21,8 @@
 class GroupNet {
  public:
   static constexpr const char* kService = "svc";
+  // For how long both may serve where the address is handed over.
+  static constexpr Duration kOverlap = std::chrono::milliseconds(300);
 
   // The first `voters` instances vote. Folders are made in `folder`, and what was in them is gone.
   GroupNet(asio::io_context& io, const std::string& folder, int instances, int voters,
