--- a/src/rig/moves.cc
+++ b/src/rig/moves.cc
@@ -376,7 +376,8 @@
         serve = std::max(serve, millis(r.two_serve));
         failed += r.failed_probes;
         late += !r.late_serving.empty();
-        too_long += r.two_serve > may_overlap(fault);
+        // Under any trouble another hand-over may follow, where a loop is late for example.
+        too_long += r.two_serve > GroupNet::kOverlap;
         std::vector<double> late_ms;
         for (const Duration d : r.late_serving) late_ms.push_back(millis(d));
         all.push_back({{"fault", name},
--- a/src/rig/moves.h
+++ b/src/rig/moves.h
@@ -20,9 +20,9 @@
 // What is wrong with them; empty: nothing.
 std::string check_moves(const MoveOptions& options);
 
-// Returns the exit code: 0; 1 where nobody took an address over within 20 s, or two served at once for
-// longer than the overlap of an orderly move, or at all where it was none; 2 where it could not be
-// carried out. The report has the other times; none of them is judged.
+// Returns the exit code: 0; 1 where nobody took an address over within 20 s, two served at once for
+// longer than the overlap of an orderly move, or the old one beside its successor where it hands
+// nothing over; 2 where it could not be carried out. The report has the other times; none of them is judged.
 int run_moves(const MoveOptions& options);
 
 }  // namespace silverpin::rig
