--- /dev/null
+++ b/src/trace/quantile_sketch.cc
@@ -0,0 +1,93 @@
+#include "trace/quantile_sketch.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+namespace silverpin::trace {
+namespace {
+
+constexpr double kLeast = 1e-12, kMost = 1e18;
+
+}  // namespace
+
+QuantileSketch::QuantileSketch(double accuracy, std::size_t most_buckets) : accuracy_(accuracy) {
+  if (!(accuracy >= 1e-4 && accuracy <= 0.5) || most_buckets < 16 || most_buckets > 65536)
+    throw std::invalid_argument("a sketch whose accuracy or size is out of bounds");
+  log_gamma_ = std::log1p(2 * accuracy / (1 - accuracy));
+  buckets_.resize(most_buckets);
+}
+
+void QuantileSketch::add(double value, std::uint64_t times) {
+  if (times == 0) return;
+  count_ += times;
+  if (!(value >= kLeast)) {
+    zeros_ += times;
+    return;
+  }
+  // Bucket i holds what lies above gamma^(i-1) and up to gamma^i.
+  add_to(static_cast<int>(std::ceil(std::log(std::min(value, kMost)) / log_gamma_)), times);
+}
+
+void QuantileSketch::add_to(int index, std::uint64_t times) {
+  reach(index);
+  const int at = std::max(index, first_);
+  lowest_ = std::min(lowest_, at);
+  buckets_[static_cast<std::size_t>(at - first_)] += times;
+}
+
+void QuantileSketch::reach(int index) {
+  const int size = static_cast<int>(buckets_.size());
+  if (highest_ < lowest_) {
+    first_ = index - size / 2;
+    lowest_ = highest_ = index;
+    return;
+  }
+  const int high = std::max(highest_, index);
+  // The window's place: as low as it must be for `index`, but never below what `high` leaves.
+  const int low = std::max(std::min(lowest_, index), high - size + 1);
+  int to = first_;
+  if (low < first_) to = low;
+  if (high >= first_ + size) to = high - size + 1;
+  if (index < low) collapsed_ = true;
+  if (to != first_) {
+    std::vector<std::uint64_t> moved(buckets_.size());
+    for (int i = lowest_; i <= highest_; ++i) {
+      const int at = std::max(i, to);
+      if (i < to && buckets_[static_cast<std::size_t>(i - first_)] > 0) collapsed_ = true;
+      moved[static_cast<std::size_t>(at - to)] += buckets_[static_cast<std::size_t>(i - first_)];
+    }
+    buckets_.swap(moved);
+    first_ = to;
+    lowest_ = std::max(lowest_, to);
+  }
+  highest_ = high;
+}
+
+bool QuantileSketch::merge(const QuantileSketch& other) {
+  if (other.accuracy_ != accuracy_) return false;
+  if (&other == this) return merge(QuantileSketch(other));
+  // From the top, so that what is drawn together is the lowest of both.
+  for (int i = other.highest_; i >= other.lowest_; --i)
+    if (const auto n = other.buckets_[static_cast<std::size_t>(i - other.first_)]; n > 0) add_to(i, n);
+  zeros_ += other.zeros_;
+  count_ += other.count_;
+  collapsed_ = collapsed_ || other.collapsed_;
+  return true;
+}
+
+double QuantileSketch::quantile(double q) const {
+  if (count_ == 0) return 0;
+  const double rank = std::floor(std::clamp(q, 0.0, 1.0) * static_cast<double>(count_ - 1));
+  auto left = static_cast<std::uint64_t>(rank);
+  if (left < zeros_) return 0;
+  left -= zeros_;
+  for (int i = lowest_; i <= highest_; ++i) {
+    const std::uint64_t n = buckets_[static_cast<std::size_t>(i - first_)];
+    if (left < n) return 2 * std::exp(i * log_gamma_) / (std::exp(log_gamma_) + 1);
+    left -= n;
+  }
+  return 2 * std::exp(highest_ * log_gamma_) / (std::exp(log_gamma_) + 1);
+}
+
+}  // namespace silverpin::trace
