Hear operators: take cache hosts out and back, send clients away, healthcheck

Need: the operators' staff run the balancer by calls at an address of their own.

Sketch: src/front/admin parses and answers (Boost.Beast, one call a connection, its own descriptors and bytes, callers bounded and sent away oldest first after 20 ms); the word on a host is an input of the module beside discovery's lists; sending away is the listener's drain, which can now be taken back. Rejected: calls over the clients' listener by a path of their own (a crowd of clients would keep operators out), and words kept outside the module as a filter over the lists (a retry decided before the word would still go out, and a host put back would keep its ejection).

Change: Policy::on_maintenance, words() and restore(); a host put back is cold from then on.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -255,6 +255,10 @@
   forget_finished();
 }
 
+bool ServerPool::maintain(std::string_view host, bool out) {
+  return policy_.on_maintenance(now(), host, out);
+}
+
 void ServerPool::on_list_refused() {
   policy_.on_hosts(now(), ListKind::kRefused, {});
   forget_finished();
--- a/src/core/server_pool.h
+++ b/src/core/server_pool.h
@@ -50,6 +50,10 @@
 
   void on_list(const HostList& list);
   void on_list_refused();
+  // An operator's words on hosts; see Policy.
+  bool maintain(std::string_view host, bool out);
+  const std::map<std::string, Policy::Word, std::less<>>& words() const { return policy_.words(); }
+  void restore(std::string_view host, Policy::Word word) { policy_.restore(now(), host, word); }
 
   // RequestSink
   void submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) override;
--- /dev/null
+++ b/src/front/admin/admin_server.cc
@@ -0,0 +1,201 @@
+#include "front/admin/admin_server.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+namespace silverpin::admin {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t kMaxHead = 8u << 10;
+constexpr std::size_t kMaxBody = 16u << 10;
+// A whole call is due by then, and its answer to be taken.
+constexpr std::chrono::seconds kCall{5}, kTake{1};
+// A caller has at least so long to send its call before it may be sent away for others: with the
+// callers that there may be at once, 750 half-made calls a second pass by.
+constexpr std::chrono::milliseconds kGrace{20};
+// The listener looks again after this where nobody can go yet, or the system has no descriptor.
+constexpr std::chrono::milliseconds kRetry{5};
+constexpr int kBacklog = 1024;
+// Accepted at one go. Fewer than the callers that there may be, so that none goes before what it
+// sent with its connection has been looked at.
+constexpr int kAcceptBatch = 8;
+
+}  // namespace
+
+class AdminServer::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(asio::ip::tcp::socket socket, AdminServer& server)
+      : stream_(std::move(socket)), server_(&server) {}
+
+  void start() {
+    parser_.header_limit(kMaxHead);
+    parser_.body_limit(kMaxBody);
+    stream_.expires_after(kCall);
+    http::async_read(stream_, in_, parser_,
+                     [self = shared_from_this()](const error_code& e, std::size_t) {
+                       if (self->server_) self->on_call(e);
+                     });
+  }
+
+  void end() {
+    if (!server_) return;
+    AdminServer& server = *std::exchange(server_, nullptr);
+    error_code ignored;
+    stream_.socket().close(ignored);
+    server.on_ended(*this);
+  }
+
+  // Whether a whole call has come.
+  bool called() const { return called_; }
+  bool may_go() const { return called_ || std::chrono::steady_clock::now() - born_ >= kGrace; }
+
+ private:
+  void on_call(const error_code& e) {
+    called_ = true;
+    if (!e) {
+      const auto method = parser_.get().method_string(), target = parser_.get().target();
+      return write(answer({method.data(), method.size()}, {target.data(), target.size()},
+                          server_->operations_));
+    }
+    if (e == beast::error::timeout) return end();  // its stream is closed
+    if (e == http::error::header_limit || e == http::error::buffer_overflow)
+      return write(error(431, "the head is too long"));
+    if (e == http::error::body_limit) return write(error(413, "the body is too long"));
+    if (e.category() == http::make_error_code(http::error::bad_method).category() &&
+        e != http::error::end_of_stream)
+      return write(error(400, "not a call that can be read: " + e.message()));
+    end();
+  }
+
+  void write(const Answer& a) {
+    response_.version(11);
+    response_.result(a.status);
+    response_.set(http::field::content_type, "application/json");
+    response_.set(http::field::cache_control, "no-store");
+    if (!a.allow.empty()) response_.set(http::field::allow, a.allow);
+    response_.keep_alive(false);
+    response_.body() = a.body;
+    response_.prepare_payload();
+    if (parser_.is_header_done() && parser_.get().method() == http::verb::head)
+      response_.body().clear();  // its length is still told
+    stream_.expires_after(kTake);
+    http::async_write(stream_, response_,
+                      [self = shared_from_this()](const error_code& e, std::size_t) {
+                        if (!self->server_) return;
+                        if (e) return self->end();
+                        error_code ignored;
+                        self->stream_.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+                        self->stream_.expires_after(kTake);
+                        self->discard();
+                      });
+  }
+
+  // To close with input unread would reset the connection, and the answer might be lost.
+  void discard() {
+    stream_.async_read_some(asio::buffer(rest_),
+                            [self = shared_from_this()](const error_code& e, std::size_t n) {
+                              if (!self->server_) return;
+                              self->discarded_ += n;
+                              if (e || self->discarded_ > kMaxBody) return self->end();
+                              self->discard();
+                            });
+  }
+
+  beast::tcp_stream stream_;
+  AdminServer* server_;  // none once ended
+  beast::flat_buffer in_{kMaxHead + kMaxBody};
+  http::request_parser<http::string_body> parser_;
+  http::response<http::string_body> response_;
+  std::array<char, 1024> rest_{};
+  std::size_t discarded_ = 0;
+  bool called_ = false;
+  const std::chrono::steady_clock::time_point born_ = std::chrono::steady_clock::now();
+};
+
+AdminServer::AdminServer(asio::io_context& io, const asio::ip::tcp::endpoint& listen,
+                         Operations operations)
+    : io_(io), acceptor_(io), retry_(io), operations_(std::move(operations)) {
+  try {
+    acceptor_.open(listen.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(listen);
+    acceptor_.listen(kBacklog);
+    acceptor_.non_blocking(true);
+  } catch (const boost::system::system_error& e) {
+    std::ostringstream text;
+    text << "admin " << listen << ": " << e.code().message();
+    throw std::runtime_error(text.str());
+  }
+  arm_accept();
+}
+
+AdminServer::~AdminServer() { close(); }
+
+void AdminServer::arm_accept() {
+  acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, [this](const error_code& e) {
+    if (!e) on_acceptable();
+  });
+}
+
+void AdminServer::accept_later() {
+  retry_.expires_after(kRetry);
+  retry_.async_wait([this](const error_code& cancelled) {
+    if (!cancelled) on_acceptable();
+  });
+}
+
+void AdminServer::on_acceptable() {
+  for (int i = 0; i < kAcceptBatch; ++i) {
+    if (sessions_.size() >= kMostCallers && !make_room()) return accept_later();
+    asio::ip::tcp::socket socket(io_);
+    error_code e;
+    acceptor_.accept(socket, e);
+    if (e == asio::error::connection_aborted || e == asio::error::interrupted) continue;
+    if (e == asio::error::would_block || e == asio::error::try_again) break;
+    if (e) return accept_later();  // out of descriptors in spite of the set-aside
+    const auto session = std::make_shared<Session>(std::move(socket), *this);
+    sessions_.push_back(session);
+    session->start();
+  }
+  arm_accept();
+}
+
+// One whose call is answered has only its close to wait for, and goes before one that may still be
+// writing.
+bool AdminServer::make_room() {
+  auto oldest =
+      std::find_if(sessions_.begin(), sessions_.end(), [](const auto& s) { return s->called(); });
+  if (oldest == sessions_.end()) oldest = sessions_.begin();
+  const auto going = *oldest;
+  if (!going->may_go()) return false;
+  going->end();
+  return true;
+}
+
+void AdminServer::on_ended(const Session& session) {
+  sessions_.remove_if([&session](const auto& s) { return s.get() == &session; });
+}
+
+void AdminServer::close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  retry_.cancel();
+  while (!sessions_.empty()) {
+    const auto session = sessions_.front();
+    session->end();
+  }
+}
+
+}  // namespace silverpin::admin
--- /dev/null
+++ b/src/front/admin/admin_server.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <memory>
+
+#include "front/admin/calls.h"
+
+namespace silverpin::admin {
+
+// Operators' HTTP/1.1: one call to a connection. Its descriptors and bytes are set aside from the
+// clients', so no crowd of those can use them up; its own callers are bounded in number and time,
+// and one that has sent no whole call goes, oldest first, before another has to wait.
+class AdminServer {
+ public:
+  // Of its connections, and with the listener of its descriptors.
+  static constexpr std::size_t kMostCallers = 15;
+  static constexpr std::size_t kDescriptors = kMostCallers + 1;
+
+  // Listens when it returns. Throws std::runtime_error if it cannot.
+  AdminServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
+              Operations operations);
+  ~AdminServer();
+
+  boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+  void close();  // at once
+
+ private:
+  class Session;
+
+  void arm_accept();
+  void accept_later();
+  void on_acceptable();
+  bool make_room();
+  void on_ended(const Session& session);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer retry_;
+  const Operations operations_;
+  std::list<std::shared_ptr<Session>> sessions_;  // oldest first
+};
+
+}  // namespace silverpin::admin
--- a/src/front/memcache/memcache_front.cc
+++ b/src/front/memcache/memcache_front.cc
@@ -40,7 +40,7 @@
     }
     Command& command = std::get<Command>(*item);
     if (command.kind == Command::Kind::kNoop) {
-      session.answer(session.open_slot(), "MN\r\n");
+      session.answer(session.open_slot(), front_.away_ ? "SERVER_ERROR draining\r\n" : "MN\r\n");
       return Step::kTaken;
     }
     fault_ = front_.submit(session, std::move(command));
--- a/src/front/memcache/memcache_front.h
+++ b/src/front/memcache/memcache_front.h
@@ -35,6 +35,8 @@
   MemcacheFront& operator=(const MemcacheFront&) = delete;
 
   std::unique_ptr<Dialect> make();
+  // Whether clients are told to come here: what `mn` answers.
+  void send_away(bool away) { away_ = away; }
 
  private:
   class Conversation;
@@ -44,6 +46,7 @@
 
   const SiteSettings& site_;
   RequestSink& core_;
+  bool away_ = false;
   std::unordered_set<std::string_view> ids_;  // the clients' own, of open requests, which hold them
 };
 
--- a/src/net/client_listener.cc
+++ b/src/net/client_listener.cc
@@ -163,6 +163,11 @@
   for (const auto& session : all) give_back(*session);
 }
 
+void ClientListener::keep() {
+  give_back_.reset();
+  for (const auto& session : sessions_) session->keep();
+}
+
 void ClientListener::stop() {
   if (!acceptor_.is_open()) return;
   on_acceptable();  // those in the backlog count as accepted
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -32,6 +32,8 @@
   // Goes on accepting until stop(), and gives the connections back between requests: spread evenly
   // from `first` to `last`, those that come later too.
   void drain(Time first, Time last);
+  // Ends a drain: connections are kept again.
+  void keep();
   void stop();  // accepts nobody any more
   void close_all();
 
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -71,6 +71,7 @@
   // Closes at the first moment between requests from `leave_at` on; one that never asked for
   // anything, soon.
   void drain(Time leave_at);
+  void keep() { leave_at_.reset(); }  // takes drain() back
   void tick(Time now);
 
  private:
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -26,6 +26,9 @@
 // before it, that its last request has time for an answer: this and kDrainAnswer.
 constexpr int kGiveBackPart = 2;
 constexpr milliseconds kGiveBackLast{200};
+// Where an operator sends clients away: who deals them out asks every 0.1 s and sends new ones for
+// 0.2 s more, and 2 s after the call no connection may take another request.
+constexpr milliseconds kAwayFirst{300}, kAwayLast{1800};
 // Clients of an address that was lost are sent away within this; what they ask for is refused.
 constexpr milliseconds kLostGiveBack{200};
 
@@ -43,13 +46,14 @@
           },
           [this] { discovery.subscribe(); }),
       front(site, pool),
-      discovery(io, config.discovery, site, config.known ? config.known->seq : 0,
-                {[this](const HostList& list) { take(list); },
-                 [this] { pool.on_list_refused(); }}) {
+      discovery(
+          io, config.discovery, site, config.known ? config.known->seq : 0,
+          {[this](const HostList& list) { take(list); }, [this] { pool.on_list_refused(); }}) {
   if (config.known) take(*config.known);
 }
 
 void Balancer::MemcacheSide::take(const HostList& list) {
+  listed = true;
   if (list.whole) caches.clear();
   for (const ListedHost& h : list.hosts) {
     if (h.origin) continue;
@@ -64,7 +68,13 @@
 
 Balancer::Balancer(boost::asio::io_context& io, const std::optional<Config>& config, Limits& limits,
                    Operator added, Log log)
-    : io_(io), added_(std::move(added)), drain_timer_(io) {
+    : io_(io), added_(std::move(added)), drain_timer_(io), log_(log) {
+  if (config && config->admin)
+    admin_ = std::make_unique<admin::AdminServer>(
+        io, *config->admin,
+        admin::Operations{[this] { return memcache_ && memcache_->listed && !leaving_; },
+                          [this](std::string_view host, bool out) { return maintain(host, out); },
+                          [this](bool away) { return send_away(away); }});
   if (config) {
     memcache_ = std::make_unique<MemcacheSide>(io, *config, clock_, limits);
     const std::string service = added_.group ? added_.group->memcache_service : "";
@@ -97,7 +107,8 @@
     // The front is known only once the port is: with port 0 the system gives one.
     const std::size_t place = resp_.size();
     side.listener = std::make_unique<ClientListener>(
-        io_, *address, limits, clock_, servers, [this, place] { return resp_[place].front->make(); },
+        io_, *address, limits, clock_, servers,
+        [this, place] { return resp_[place].front->make(); },
         SessionTimes{l.idle_close, l.idle_close, l.idle_close}, gate(l.service));
     if (l.service.empty()) side.listener->open();
     const Endpoint local = side.listener->local();
@@ -161,9 +172,9 @@
 
 void Balancer::unlisten(const std::string& service, bool in_order) {
   const Time last =
-      clock_.now() + (in_order ? added_.group->drain - std::min<Duration>(kGiveBackLast,
-                                                                          added_.group->drain / 2)
-                               : Duration{kLostGiveBack});
+      clock_.now() +
+      (in_order ? added_.group->drain - std::min<Duration>(kGiveBackLast, added_.group->drain / 2)
+                : Duration{kLostGiveBack});
   each_of(service, [last](ClientListener& l) { l.shut(last); });
 }
 
@@ -179,6 +190,30 @@
   return true;
 }
 
+// ---- operators' calls
+
+bool Balancer::maintain(std::string_view host, bool out) {
+  if (!memcache_ || !memcache_->pool.maintain(host, out)) return false;
+  log_("cache host " + std::string(host) + (out ? " taken out" : " put back") + " by an operator");
+  return true;
+}
+
+bool Balancer::send_away(bool away) {
+  if (leaving_) return false;
+  if (std::exchange(away_, away) == away) return true;
+  log_(away ? "clients are sent away, by an operator" : "clients are taken in again");
+  if (memcache_) memcache_->front.send_away(away);
+  const Time now = clock_.now();
+  each_listener([&](ClientListener& l) {
+    if (away) {
+      l.drain(now + kAwayFirst, now + kAwayLast);
+    } else {
+      l.keep();
+    }
+  });
+  return true;
+}
+
 // ---- the end
 
 void Balancer::drain() {
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/server_pool.h"
+#include "front/admin/admin_server.h"
 #include "front/memcache/memcache_front.h"
 #include "front/resp/cluster_pool.h"
 #include "front/resp/resp_front.h"
@@ -33,8 +34,9 @@
   // Listens when it returns, but for service addresses. Throws std::runtime_error if it cannot.
   // `config`: the platform's; without it there is no memcache side.
   // `limits` outlives the event loop, whose last handlers hold leases.
-  Balancer(boost::asio::io_context& io, const std::optional<Config>& config, Limits& limits,
-           Operator added = {}, Log log = [](const std::string&) {});
+  Balancer(
+      boost::asio::io_context& io, const std::optional<Config>& config, Limits& limits,
+      Operator added = {}, Log log = [](const std::string&) {});
 
   Endpoint local() const { return memcache_->listener->local(); }
   // Of the operator's listeners, in the order of the file.
@@ -49,6 +51,10 @@
   // Hands service addresses over, answers what has been taken, then stops the event loop.
   void drain();
   const member::Member* member() const { return member_.get(); }
+  Endpoint admin() const { return admin_->local(); }
+  // The operators' calls. See admin::Operations.
+  bool maintain(std::string_view host, bool out);
+  bool send_away(bool away);
 
  private:
   struct MemcacheSide {
@@ -62,6 +68,7 @@
     void take(const HostList& list);
 
     std::set<std::string> caches;  // that are listed as serving
+    bool listed = false;           // a list has come
     std::unique_ptr<ClientListener> listener;
   };
 
@@ -96,6 +103,7 @@
   boost::asio::steady_timer drain_timer_;
   Duration longest_deadline_{0};
   bool leaving_ = false;
+  bool away_ = false;  // clients are sent away, by an operator's call
   std::optional<Time> draining_since_;
   struct RespSide {
     std::unique_ptr<RespFront> front;
@@ -104,6 +112,8 @@
   std::vector<RespSide> resp_;
   std::unique_ptr<member::Member> member_;
   std::unique_ptr<member::StatusSocket> status_;
+  const Log log_;
+  std::unique_ptr<admin::AdminServer> admin_;
 };
 
 }  // namespace silverpin::node
--- a/src/node/config.cc
+++ b/src/node/config.cc
@@ -59,6 +59,8 @@
     config.name = text_or_variable(o, "name", "ROUTER_NAME");
     config.listen = endpoint(o, "listen", "ROUTER_LISTEN");
     config.discovery = endpoint(o, "discovery", "ROUTER_DISCOVERY");
+    if (!text_or_variable(o, "admin", "ROUTER_ADMIN").empty())
+      config.admin = endpoint(o, "admin", "ROUTER_ADMIN");
     config.seed = read_seed(o);
     if (const auto e = find(o, "limits")) {
       const auto limits = as<object>(*e, "limits");
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -13,6 +13,7 @@
   std::string name;
   Endpoint listen;
   Endpoint discovery;
+  std::optional<Endpoint> admin;  // for operators; none: they are not heard
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   std::size_t memory_mb = 192;
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -88,6 +88,8 @@
   if (all.config)
     std::printf("memcache on %s, cache hosts as listed by %s\n",
                 text_of(all.config->listen).c_str(), text_of(all.config->discovery).c_str());
+  if (all.config && all.config->admin)
+    std::printf("operators on %s\n", text_of(*all.config->admin).c_str());
   for (const auto& l : all.added.listeners)
     std::printf("RESP on %s, pool %s%s%s\n", l.address.c_str(), l.pool.c_str(),
                 l.require_auth ? ", with passwords" : "",
@@ -172,8 +174,8 @@
     path = silverpin::member::status_path(*all.group);
   }
   const std::string answer = silverpin::member::ask_member(path, line);
-  std::printf("%s", c.json ? (answer + "\n").c_str()
-                           : silverpin::member::status_text(answer).c_str());
+  std::printf("%s",
+              c.json ? (answer + "\n").c_str() : silverpin::member::status_text(answer).c_str());
   return silverpin::member::outcome_good(answer) ? 0 : 1;
 }
 
@@ -252,7 +254,10 @@
     open_log(process.log);
     const char* const name = process.name.c_str();
     const std::size_t listeners = all.added.listeners.size();
-    limits.emplace(process.sockets, process.memory_mb, all.added.group ? kMemberSockets : 0);
+    const bool admin = all.config && all.config->admin;
+    limits.emplace(process.sockets, process.memory_mb,
+                   (all.added.group ? kMemberSockets : 0) +
+                       (admin ? silverpin::admin::AdminServer::kDescriptors : 0));
     Balancer balancer(io, all.config, *limits, std::move(all.added), log_of(process.name));
     std::function<void()> await_signal = [&] {
       signals.async_wait([&](const boost::system::error_code& e, int number) {
@@ -270,6 +275,9 @@
     if (all.config)
       std::fprintf(stderr, "silverpin %s: listening on %s\n", name,
                    text_of(balancer.local()).c_str());
+    if (admin)
+      std::fprintf(stderr, "silverpin %s: operators on %s\n", name,
+                   text_of(balancer.admin()).c_str());
     for (std::size_t i = 0; i < listeners; ++i)
       std::fprintf(stderr, "silverpin %s: RESP on %s\n", name, text_of(balancer.local(i)).c_str());
     io.run();
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -37,6 +37,8 @@
 constexpr Duration kDemandPeriod = std::chrono::seconds(15);
 constexpr Duration kFirstCallBackoff = milliseconds(250);
 constexpr Duration kResendBackoff = milliseconds(50);
+constexpr std::size_t kMostWords =
+    1024;  // of operators; a host that none was ever said of has none
 constexpr Duration kRetryAfter = milliseconds(500);  // one sampling period of the gate
 
 Duration origin_target(const Settings& settings) {
@@ -57,7 +59,7 @@
       gate_(origin_target(settings), now - from_seconds(0.5 * uniform())),
       cache_gate_(kMostSlow, now - from_seconds(0.5 * uniform())),
       placement_(placement ? *placement : ring_),
-      demand_since_(now),
+      demand_(kDemandPeriod, now),
       cache_work_at_(now),
       retry_budget_(kRetryDepth) {
   // Full; the first request brings them down to their depth.
@@ -71,21 +73,11 @@
 double Policy::uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
 
 std::uint64_t Policy::timer(Time at, TimerKind kind, RequestId id) {
-  timers_.push_back({kind, id});
-  const std::uint64_t tag = first_tag_ + timers_.size() - 1;
+  const std::uint64_t tag = timers_.push({kind, id});
   sink_.set_timer(at, tag);
   return tag;
 }
 
-Policy::Timer Policy::take_timer(std::uint64_t tag) {
-  Timer t{TimerKind::kNone, 0};
-  if (tag < first_tag_ || tag - first_tag_ >= timers_.size()) return t;
-  std::swap(t, timers_[tag - first_tag_]);
-  for (; !timers_.empty() && timers_.front().kind == TimerKind::kNone; ++first_tag_)
-    timers_.pop_front();
-  return t;
-}
-
 // ---- the host list
 
 void Policy::on_hosts(Time now, ListKind kind, const std::vector<HostEntry>& entries) {
@@ -124,6 +116,8 @@
       host.started_at = e.started_at;
       if (e.started_at) host.health.on_start(*e.started_at, uniform());
     }
+    if (is_new)
+      if (const auto word = words_.find(e.id); word != words_.end()) heed(host, word->second);
     const bool on_ring = !host.origin && host.state != HostState::kGone;
     if (on_ring && !was_on_ring) {
       if (settings_.static_weights) host.weight = bounded_weight(e.weight);
@@ -145,6 +139,36 @@
   }
 }
 
+// Facts beside the lists': a host is used only where both allow it, and leaving a list or coming
+// back on one changes nothing.
+bool Policy::on_maintenance(Time now, std::string_view id, bool out) {
+  std::erase_if(words_, [&](const auto& w) {
+    return !w.second.out && now - w.second.at > settings_.cold.warm_after;
+  });
+  const auto listed = host_index_.find(std::string(id));
+  const bool known = listed != host_index_.end() && !hosts_[listed->second].origin;
+  const auto word = words_.find(id);
+  if (word == words_.end() && (!known || words_.size() >= kMostWords)) return false;
+  if (out != (word != words_.end() && word->second.out)) restore(now, id, {out, now});
+  return true;
+}
+
+void Policy::restore(Time now, std::string_view id, Word word) {
+  now_ = now;
+  words_.insert_or_assign(std::string(id), word);
+  const auto listed = host_index_.find(std::string(id));
+  if (listed != host_index_.end()) heed(hosts_[listed->second], word);
+}
+
+// One that comes back was restarted meanwhile, also where no list has told so: it is cold, and what
+// was learnt of the old process must not keep it unused.
+void Policy::heed(Host& host, const Word& word) {
+  host.out = word.out;
+  if (!word.out)
+    host.health.on_start(std::max(word.at, host.started_at.value_or(word.at)), uniform());
+  sink_.close_idle(host.id);
+}
+
 // In a fleet whose hosts are always new the table would grow for as long as the balancer runs. A
 // host that comes back under its id is told from its start like any other.
 void Policy::forget_if_gone(HostIndex index) {
@@ -198,9 +222,9 @@
   Host& host = hosts_[index];
   if (r.over || r.streaming || now_ >= r.deadline) return false;  // answered once
   if (static_cast<int>(r.attempts.size()) >= settings_.max_attempts) return false;
-  if (host.state != HostState::kServing) return false;  // drains
-  if (!repeat_allowed(r, host)) return false;           // no effect twice
-  if (!may_take(r, index)) return false;                // cold hosts
+  if (!host.takes_new()) return false;         // drains
+  if (!repeat_allowed(r, host)) return false;  // no effect twice
+  if (!may_take(r, index)) return false;       // cold hosts
   ++host.held;
   host.health.take(r.work);
   host.health.on_sent(now_);
@@ -257,12 +281,7 @@
     send_write(r);
   } else {
     gate_.on_read(now);
-    if (now - demand_since_ >= kDemandPeriod) {
-      past_demand_ = std::exchange(demand_, {});
-      demand_since_ = now;
-    }
-    ++demand_.by_key[r.key];
-    demand_.total += 1;
+    demand_.add(r.key, now);
     // Among hundreds of balancers each sees too little of any one host to judge it. Where most
     // answers of all are slow, what none of the jammed hosts can answer in time must not reach
     // them.
@@ -300,7 +319,7 @@
   auto skip = retry ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(points));
   auto accept = [&](HostIndex i) {
     Host& host = hosts_[i];
-    if (host.state != HostState::kServing || !repeat_allowed(r, host)) return false;
+    if (!host.takes_new() || !repeat_allowed(r, host)) return false;
     for (const Attempt& a : r.attempts)
       if (a.host == i && a.fate != Fate::kMissed && !a.redirected && !broke) return false;
     // Slow start key by key: each key comes back once, as the host warms, and the rest stay where
@@ -346,13 +365,9 @@
 // many requests as there are ordinary parts are added to the total, so that a chance repeat, or the
 // first one after a start, does not make a key hot.
 std::size_t Policy::replicas(std::uint64_t key) {
-  const auto seen = [key](const Demand& d) {
-    const auto it = d.by_key.find(key);
-    return it == d.by_key.end() ? 0 : it->second;
-  };
-  const double n = seen(demand_) + seen(past_demand_);
+  const auto n = static_cast<double>(demand_.count(key));
   const double parts = static_cast<double>(hosts_.size()) / kHotShare;
-  const double share = (n - std::sqrt(n)) / (demand_.total + past_demand_.total + parts);
+  const double share = (n - std::sqrt(n)) / (static_cast<double>(demand_.total()) + parts);
   return static_cast<std::size_t>(std::max(1.0, std::ceil(share * parts)));
 }
 
@@ -535,13 +550,13 @@
 
 void Policy::on_timer(Time now, std::uint64_t tag) {
   now_ = now;
-  const Timer t = take_timer(tag);
-  if (t.kind == TimerKind::kNone) return;
-  if (t.kind == TimerKind::kSubscribe) return sink_.subscribe();
-  const auto at = active_.find(t.id);
+  const auto t = timers_.take(tag);
+  if (!t) return;
+  if (t->kind == TimerKind::kSubscribe) return sink_.subscribe();
+  const auto at = active_.find(t->id);
   if (at == active_.end() || at->second.over) return;
   Active& r = at->second;
-  switch (t.kind) {
+  switch (t->kind) {
     case TimerKind::kDeadline:
       finish(r);
       break;
@@ -560,7 +575,7 @@
     default:
       if (count(r, Fate::kOut) == 0) send_write(r);
   }
-  erase_if_done(t.id);
+  erase_if_done(t->id);
 }
 
 // A request stays known until its last attempt has ended: late outcomes still tell of the hosts.
@@ -569,7 +584,7 @@
   if (it == active_.end() || !it->second.over || count(it->second, Fate::kOut) > 0) return;
   const auto attempts = std::move(it->second.attempts);
   for (const std::uint64_t tag : {it->second.deadline_tag, it->second.slow_tag})
-    if (take_timer(tag).kind != TimerKind::kNone) sink_.drop_timer(tag);
+    if (timers_.take(tag)) sink_.drop_timer(tag);
   active_.erase(it);
   for (const Attempt& a : attempts) {
     --hosts_[a.host].held;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -13,6 +12,8 @@
 #include "policy/hash_ring.h"
 #include "policy/host_health.h"
 #include "policy/origin_gate.h"
+#include "structures/numbered_queue.h"
+#include "structures/recent_counts.h"
 
 // The decisions of one balancer. Events go in, actions come out through the sink; nothing here
 // does I/O, reads a clock, starts a thread or shares state with another instance.
@@ -114,6 +115,18 @@
   void on_withdrawn(Time now, RequestId id);
   void on_timer(Time now, std::uint64_t tag);
 
+  // An operator's word on a cache host: it takes nothing new until it is called back, whatever
+  // lists say meanwhile. False if neither lists nor operators know the host.
+  bool on_maintenance(Time now, std::string_view host, bool out);
+  struct Word {
+    bool out;
+    Time at;  // it came to hold
+  };
+  // In force; of hosts called back as long as they may be cold. Bounded.
+  const std::map<std::string, Word, std::less<>>& words() const { return words_; }
+  // A word given to the process whose place this one takes, on whatever host.
+  void restore(Time now, std::string_view host, Word word);
+
   std::size_t host_places() const { return hosts_.size(); }
 
  private:
@@ -125,9 +138,11 @@
     int zone = 0;
     int cell = 0;
     HostState state = HostState::kGone;
+    bool out = false;  // by an operator's word
     double weight = 1;
     std::optional<Time> started_at;
     HostHealth health;
+    bool takes_new() const { return state == HostState::kServing && !out; }
     int held = 0;  // attempts of active requests that name it
   };
 
@@ -156,7 +171,7 @@
     std::uint64_t deadline_tag = 0, slow_tag = 0;  // of its timers
   };
 
-  enum class TimerKind { kNone, kDeadline, kSlow, kResend, kSubscribe };
+  enum class TimerKind { kDeadline, kSlow, kResend, kSubscribe };
   struct Timer {
     TimerKind kind;
     RequestId id;
@@ -186,10 +201,10 @@
   bool may_take(const Active& r, HostIndex host);
   std::optional<HostIndex> origin() const;
   void forget_if_gone(HostIndex index);
+  void heed(Host& host, const Word& word);
 
   std::uint64_t timer(Time at, TimerKind kind, RequestId id = 0);  // its tag
-  Timer take_timer(std::uint64_t tag);
-  double uniform();  // in [0, 1)
+  double uniform();                                                // in [0, 1)
   const RequestClass& class_of(const Active& r) const { return settings_.classes[r.klass]; }
 
   const Settings settings_;
@@ -204,22 +219,16 @@
   std::vector<Host> hosts_;
   std::vector<HostIndex> free_;  // places of forgotten hosts, for new ones
   std::unordered_map<std::string, HostIndex> host_index_;
+  std::map<std::string, Word, std::less<>> words_;
   std::unordered_map<RequestId, Active> active_;
   struct Fetch {
     RequestId leader;
     std::vector<RequestId> followers;
   };
   std::unordered_map<std::uint64_t, Fetch> fetches_;  // by key
-  std::deque<Timer> timers_;  // from the tag below on; those that fired go once they are first
-  std::uint64_t first_tag_ = 1;
-  // How often each key was asked for, in this period and the one before.
-  struct Demand {
-    std::unordered_map<std::uint64_t, int> by_key;
-    double total = 0;
-  };
-  Demand demand_, past_demand_;
-  Time demand_since_;
-  int refused_calls_ = 0;  // list calls refused in a row
+  NumberedQueue<Timer> timers_;                       // by tag
+  RecentCounts demand_;                               // how often each key was asked for
+  int refused_calls_ = 0;                             // list calls refused in a row
   double cache_work_ = 0;  // seconds of work sent to caches lately, decayed
   Time cache_work_at_;
   double retry_budget_;
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -73,6 +74,104 @@
   EXPECT_NE(sink.sent[4].host, owner) << "three in a row, and not ejected";
 }
 
+// ---- operators' words on hosts
+
+std::string other(const std::string& host) { return host == "a" ? "b" : "a"; }
+
+TEST_F(PolicyTest, AHostTakenOutGetsNothingNewWhateverListsSay) {
+  policy.on_request(seconds(2), request(1, 0, false));
+  const std::string owner = sink.sent.at(0).host;
+  EXPECT_TRUE(policy.on_maintenance(seconds(2), owner, true));
+  EXPECT_TRUE(policy.on_maintenance(seconds(2), owner, true)) << "twice is once";
+  EXPECT_EQ(sink.closed.back(), owner) << "its idle connections are kept";
+  // What is out there may end; the retry goes elsewhere.
+  policy.on_outcome(seconds(2), {1, 0, Result::kReset, false});
+  ASSERT_EQ(sink.sent.size(), 2u);
+  EXPECT_EQ(sink.sent[1].host, other(owner));
+  // Off the list, on it again with a new start, and by a whole list.
+  HostEntry gone = entry(owner), back = entry(owner);
+  gone.state = HostState::kGone;
+  back.started_at = seconds(3);
+  policy.on_hosts(seconds(3), ListKind::kChanges, {gone});
+  policy.on_hosts(seconds(4), ListKind::kChanges, {back});
+  policy.on_hosts(seconds(5), ListKind::kWhole, {entry("a"), entry("b"), origin()});
+  for (RequestId id = 2; id < 40; ++id)
+    policy.on_request(seconds(6), request(id, 0, false, "k" + std::to_string(id)));
+  for (std::size_t i = 2; i < sink.sent.size(); ++i) EXPECT_NE(sink.sent[i].host, owner);
+  // Out twice, back once is back.
+  EXPECT_TRUE(policy.on_maintenance(seconds(60), owner, false));
+  const auto before = sink.sent.size();
+  for (RequestId id = 100; id < 140; ++id)
+    policy.on_request(seconds(90), request(id, 0, false, "k" + std::to_string(id)));
+  EXPECT_TRUE(std::any_of(sink.sent.begin() + static_cast<std::ptrdiff_t>(before), sink.sent.end(),
+                          [&](const auto& s) { return s.host == owner; }));
+}
+
+TEST_F(PolicyTest, OperatorsAreToldOfHostsThatNobodyKnows) {
+  EXPECT_FALSE(policy.on_maintenance(seconds(2), "nobody", true));
+  EXPECT_FALSE(policy.on_maintenance(seconds(2), "nobody", false));
+  EXPECT_FALSE(policy.on_maintenance(seconds(2), "origin", true)) << "that is no cache host";
+  EXPECT_TRUE(policy.on_maintenance(seconds(2), "a", true));
+  policy.on_hosts(seconds(3), ListKind::kWhole, {entry("b"), origin()});
+  EXPECT_TRUE(policy.on_maintenance(seconds(4), "a", false)) << "an operator knows it";
+  EXPECT_TRUE(policy.words().contains("a"));
+  // Once it cannot be cold any more nothing of it is kept.
+  EXPECT_FALSE(policy.on_maintenance(seconds(100), "a", true));
+  EXPECT_TRUE(policy.words().empty());
+}
+
+// On its return it is cold, whatever it was before, and what was learnt of the old process does not
+// keep it unused.
+TEST_F(PolicyTest, AHostPutBackIsColdAndNotEjected) {
+  policy.on_request(seconds(2), request(1, 0, false));
+  const std::string owner = sink.sent.at(0).host;
+  for (RequestId id = 2; id < 8; ++id) {  // ejected, for as long as it can be
+    policy.on_request(seconds(2), request(id, 0, false));
+    policy.on_outcome(seconds(2), {id, 0, Result::kConnectFailed, false});
+  }
+  policy.on_maintenance(seconds(2), owner, true);
+  policy.on_maintenance(seconds(3), owner, false);
+  // At a fifth of its capacity it gets some of its keys and not all.
+  int there = 0, all = 0;
+  for (RequestId id = 1000; id < 1400; ++id) {
+    const auto before = sink.sent.size();
+    const Time now = seconds(3) + milliseconds(5 * static_cast<int>(id - 1000));
+    policy.on_request(now, request(id, 0, false, "k" + std::to_string(id)));
+    if (sink.sent.size() == before) continue;
+    ++all;
+    there += sink.sent.back().host == owner;
+    policy.on_outcome(now, {id, 0, Result::kOk, false});
+  }
+  EXPECT_GT(there, 0) << "unused";
+  EXPECT_LT(there, all / 4) << "as if it were warm";
+}
+
+// A process that takes another's place is told its words before it has a list.
+TEST(PolicyWords, HoldForHostsThatAreListedLater) {
+  FakeSink sink;
+  Policy policy(settings(), 1, seconds(1), sink);
+  policy.restore(seconds(1), "a", {true, milliseconds(500)});
+  policy.on_hosts(seconds(2), ListKind::kWhole,
+                  {PolicyTest::entry("a"), PolicyTest::entry("b"), PolicyTest::origin()});
+  for (RequestId id = 1; id < 40; ++id)
+    policy.on_request(seconds(2), PolicyTest::request(id, 0, false, "k" + std::to_string(id)));
+  for (const auto& s : sink.sent) EXPECT_NE(s.host, "a");
+  EXPECT_FALSE(sink.sent.empty());
+}
+
+// Words on hosts are bounded by the hosts that were ever listed, and by a number.
+TEST_F(PolicyTest, OperatorsWordsAreBounded) {
+  int taken = 0;
+  for (int i = 0; i < 3000; ++i) {
+    const std::string id = "h" + std::to_string(i);
+    policy.on_hosts(seconds(2), ListKind::kWhole, {entry(id), origin()});
+    taken += policy.on_maintenance(seconds(2), id, true);
+  }
+  EXPECT_EQ(policy.words().size(), static_cast<std::size_t>(taken));
+  EXPECT_LE(taken, 1024);
+  EXPECT_GE(taken, 1000);
+}
+
 // Hosts that are always new must not make the table of hosts grow; one that a request still names
 // stays until that has ended.
 TEST_F(PolicyTest, GoneHostsAreForgotten) {
