--- a/src/core/server_pool.h
+++ b/src/core/server_pool.h
@@ -59,6 +59,8 @@
   void submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) override;
   void withdraw(Caller& caller) override;
 
+  void shed() { upstreams_.shed(); }
+  std::size_t open() const { return open_; }
   // What is taken from now on is answered by `end`.
   void drain(Time end) { drain_end_ = end; }
   // Fails what is still open; a failure promises nothing.
--- a/src/front/memcache/memcache_front.cc
+++ b/src/front/memcache/memcache_front.cc
@@ -51,6 +51,7 @@
                 Final final) override {
     session.answer(ticket.slot, text_of(command_of(payload), std::move(final)));
   }
+  std::optional<std::string> unread() const override { return reader_.unread(); }
   void forget() override { reader_ = {}; }
   std::size_t buffered() const override { return reader_.buffered(); }
   bool between_commands() const override { return reader_.between_commands(); }
--- a/src/net/client_listener.cc
+++ b/src/net/client_listener.cc
@@ -1,6 +1,10 @@
 #include "net/client_listener.h"
 
+#include <fcntl.h>
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -39,11 +43,15 @@
   arm_tick();
 }
 
-void ClientListener::open() {
+void ClientListener::open(bool reuse_port) {
   if (acceptor_.is_open()) return;
   try {
     acceptor_.open(listen_.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address(true));
+    const int on = 1;
+    if (reuse_port &&
+        ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0)
+      throw boost::system::system_error(errno, boost::system::system_category());
     acceptor_.bind(listen_);
     acceptor_.listen(kBacklog);
     acceptor_.non_blocking(true);
@@ -57,6 +65,16 @@
   arm_accept();
 }
 
+void ClientListener::open(Descriptor listening) {
+  if (acceptor_.is_open()) return;
+  acceptor_.assign(listen_.protocol(), listening.get());
+  listening.release();
+  acceptor_.non_blocking(true);
+  local_ = acceptor_.local_endpoint();
+  give_back_.reset();
+  arm_accept();
+}
+
 void ClientListener::shut(Time last) {
   stop();
   const Time now = clock_.now();
@@ -64,16 +82,16 @@
 }
 
 void ClientListener::arm_accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
+  if (accepting_ || paused_ || !acceptor_.is_open()) return;
   accepting_ = true;
   acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, [this](const error_code& e) {
     accepting_ = false;
-    if (!e) on_acceptable();
+    if (!e && !paused_) return on_acceptable();
+    arm_accept();
   });
 }
 
 void ClientListener::on_acceptable() {
-  SessionOwner& owner = *this;
   for (int i = 0; i < kAcceptBatch; ++i) {
     // With nobody to make room, new clients wait in the backlog; the tick looks again.
     if (!limits_.clients.room_for(1) && !make_room()) return;
@@ -83,15 +101,71 @@
     if (error == asio::error::connection_aborted || error == asio::error::interrupted) continue;
     if (error == asio::error::would_block || error == asio::error::try_again) break;
     if (error) return;  // out of descriptors or memory: to wait for readiness would spin
-    auto session = std::make_shared<ClientSession>(std::move(socket), limits_, clock_, core_, owner,
-                                                   make_(), times_, may_go_out_);
-    sessions_.insert(session);
+    const auto session = make_session(std::move(socket));
     session->start();
     if (give_back_) give_back(*session);
   }
   arm_accept();
 }
 
+std::shared_ptr<ClientSession> ClientListener::make_session(asio::ip::tcp::socket socket) {
+  SessionOwner& owner = *this;
+  const auto session = std::make_shared<ClientSession>(std::move(socket), limits_, clock_, core_,
+                                                       owner, make_(), times_, may_go_out_);
+  sessions_.insert(session);
+  return session;
+}
+
+// ---- beside another process
+
+void ClientListener::pause() {
+  paused_ = true;
+  if (!accepting_ || !acceptor_.is_open()) return;
+  error_code ignored;
+  acceptor_.cancel(ignored);
+}
+
+void ClientListener::resume() {
+  if (std::exchange(paused_, false)) arm_accept();
+}
+
+Descriptor ClientListener::listening() const {
+  if (!acceptor_.is_open()) return {};
+  auto& acceptor = const_cast<asio::ip::tcp::acceptor&>(acceptor_);
+  return Descriptor(::fcntl(acceptor.native_handle(), F_DUPFD_CLOEXEC, 0));
+}
+
+void ClientListener::pass_on(MayPass may, Pass pass) {
+  may_pass_ = std::move(may);
+  pass_ = std::move(pass);
+  if (!may_pass_) return;
+  const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all)
+    if (session->can_release()) take_over(*session);
+}
+
+bool ClientListener::take_over(ClientSession& session) {
+  if (!may_pass_ || !may_pass_()) return false;
+  pass_(session.release());
+  return true;
+}
+
+void ClientListener::adopt(HandedClient client) {
+  asio::ip::tcp::socket socket(io_);
+  error_code error;
+  socket.assign(listen_.protocol(), client.socket.get(), error);
+  if (error) return;
+  client.socket.release();
+  const auto session = make_session(std::move(socket));
+  session->resume(client);
+  if (give_back_) give_back(*session);
+}
+
+void ClientListener::shed() {
+  while (limits_.clients.used() > limits_.clients.most() && make_room()) {
+  }
+}
+
 // In a crowd most connections never ask for anything. First to go are those that are being turned
 // away or have had time to speak; clients that were served and come back must not be driven out by
 // them. Those that have begun a command go only where nothing else is left: slow writers are honest
@@ -170,7 +244,7 @@
 
 void ClientListener::stop() {
   if (!acceptor_.is_open()) return;
-  on_acceptable();  // those in the backlog count as accepted
+  if (!paused_) on_acceptable();  // those in the backlog count as accepted
   error_code ignored;
   acceptor_.close(ignored);
 }
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -21,12 +21,15 @@
                  const SessionTimes& times = {}, MayGoOut may_go_out = {});
 
   // Listens; where it does already, nothing. Throws boost::system::system_error if the address
-  // cannot be bound.
-  void open();
+  // cannot be bound. `reuse_port`: another process may listen here too.
+  void open(bool reuse_port = false);
+  // Takes new clients from a socket that listens already, another process's too.
+  void open(Descriptor listening);
   // Accepts nobody any more, once those that wait have been, and gives the connections back between
   // requests, spread from now to `last`. May be opened again.
   void shut(Time last);
 
+  bool is_open() const { return acceptor_.is_open(); }
   std::size_t sessions() const { return sessions_.size(); }
   boost::asio::ip::tcp::endpoint local() const { return local_; }
   // Goes on accepting until stop(), and gives the connections back between requests: spread evenly
@@ -34,11 +37,28 @@
   void drain(Time first, Time last);
   // Ends a drain: connections are kept again.
   void keep();
+  // Accepts nobody for now; who comes waits, or is taken by another process that listens on the
+  // same socket.
+  void pause();
+  void resume();
+  // Another descriptor of the listening socket; none if it is closed.
+  Descriptor listening() const;
+  // From now on connections go to `taken` between requests, one at a time while `may` says so.
+  // Empty: no more.
+  using MayPass = std::function<bool()>;
+  using Pass = std::function<void(HandedClient)>;
+  void pass_on(MayPass may, Pass pass);
+  // Goes on with a client of another process.
+  void adopt(HandedClient client);
+  // Lets go of those that may go while descriptors beyond the budget are in use.
+  void shed();
   void stop();  // accepts nobody any more
   void close_all();
 
  private:
   void on_session_closed(const std::shared_ptr<ClientSession>& session) override;
+  bool take_over(ClientSession& session) override;
+  std::shared_ptr<ClientSession> make_session(boost::asio::ip::tcp::socket socket);
   void arm_accept();
   void on_acceptable();
   bool make_room();
@@ -58,6 +78,9 @@
   std::unordered_set<std::shared_ptr<ClientSession>> sessions_;
   boost::asio::steady_timer tick_;
   bool accepting_ = false;
+  bool paused_ = false;
+  MayPass may_pass_;
+  Pass pass_;
   struct GiveBack {
     Time first, last;
     double part = 0;  // of the time between them, for the connection that was counted last
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -41,6 +41,8 @@
 // After a fault so much is read and forgotten on each tick; the rest waits in the kernel and costs
 // no work.
 constexpr int kDiscardReads = 4;
+// What has been read of a command may pass to another process: a line, and what came with it.
+constexpr std::size_t kMostHanded = 16u << 10;
 // In a drain a new client has so long to begin.
 constexpr Duration kDrainSpeaks = std::chrono::milliseconds(300);
 
@@ -72,6 +74,28 @@
   arm_read();
 }
 
+void ClientSession::resume(const HandedClient& from) {
+  answered_ = from.answered;
+  served_ = answered_ > 0;
+  start();
+  if (closed_ || from.input.empty()) return;
+  dialect_->feed(from.input);
+  pump_soon();
+}
+
+bool ClientSession::can_release() const {
+  if (closed_ || !slots_.empty() || over() || lingering_ || blocked_ || pump_posted_) return false;
+  const auto unread = dialect_->unread();
+  return unread && unread->size() <= kMostHanded;
+}
+
+HandedClient ClientSession::release() {
+  error_code error;
+  HandedClient out{Descriptor(socket_.release(error)), *dialect_->unread(), answered_};
+  close();
+  return out;
+}
+
 // ---- reading
 
 void ClientSession::arm_read() {
@@ -258,6 +282,7 @@
     fault_sent_ = true;
     return answer(open_slot(), fault_);
   }
+  if (can_release() && owner_.take_over(*this)) return;
   if (!leave_at_ || blocked_ || pump_posted_ || !dialect_->between_commands() || has_input())
     return;
   const Time now = clock_.now();
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "net/clock.h"
+#include "net/descriptor_link.h"
 #include "net/dialect.h"
 #include "net/limits.h"
 #include "net/request.h"
@@ -27,9 +28,18 @@
   Duration idle{std::chrono::seconds(10)};                  // between requests
 };
 
+// A client's connection on its way to another process.
+struct HandedClient {
+  Descriptor socket;
+  std::string input;           // read and not taken yet
+  std::uint64_t answered = 0;  // requests
+};
+
 class SessionOwner {
  public:
   virtual ~SessionOwner() = default;
+  // The session is between requests. True: it was taken from here.
+  virtual bool take_over(ClientSession& session) = 0;
   virtual void on_session_closed(const std::shared_ptr<ClientSession>& session) = 0;
 };
 
@@ -42,6 +52,12 @@
                 const SessionTimes& times, const MayGoOut& may_go_out);
 
   void start();
+  // As start(), of a connection that another process has served until now.
+  void resume(const HandedClient& from);
+  // Whether release() would give it up now.
+  bool can_release() const;
+  // Gives the connection up between requests, as it is; the session has ended.
+  HandedClient release();
 
   // For its dialect. Opens the next place in the order of answers.
   std::uint64_t open_slot();
--- a/src/net/dialect.h
+++ b/src/net/dialect.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,8 @@
   virtual std::string fault() const = 0;
   virtual void on_final(ClientSession& session, Ticket ticket, const Payload& payload,
                         Final final) = 0;
+  // What has been read and not taken, where a dialect made anew could go on from it alone.
+  virtual std::optional<std::string> unread() const { return std::nullopt; }
   // Gives up what has been read.
   virtual void forget() = 0;
 
--- a/src/net/limits.h
+++ b/src/net/limits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <utility>
 
@@ -21,10 +22,12 @@
   bool room_for(std::size_t n) const { return used_ + n <= most_; }
   std::size_t used() const { return used_; }
   std::size_t most() const { return most_; }
+  // What is used beyond it stays so until it is given back.
+  void set_most(std::size_t most) { most_ = most; }
 
  private:
   friend class Lease;
-  const std::size_t most_;
+  std::size_t most_;
   std::size_t used_ = 0;
 };
 
@@ -59,15 +62,31 @@
 struct Limits {
   // `set_aside`: descriptors of parts that not every installation has.
   Limits(std::size_t sockets, std::size_t memory_mb, std::size_t set_aside = 0)
-      : clients(sockets - set_aside - kReserved - upstream_share(sockets - set_aside)),
-        upstreams(upstream_share(sockets - set_aside)),
-        bytes((memory_mb << 20) / 2) {}
+      : total_descriptors(sockets),
+        total_bytes((memory_mb << 20) / 2),
+        fixed(set_aside + kReserved),
+        clients(0),
+        upstreams(0),
+        bytes(0) {
+    share(total_descriptors, total_bytes, true);
+  }
+
+  // Of all descriptors and bytes, this process may hold so many: all, but where another one works
+  // beside it. `takes_clients`: whether it needs room for new ones.
+  void share(std::size_t descriptors, std::size_t most_bytes, bool takes_clients) {
+    const std::size_t left = descriptors > fixed ? descriptors - fixed : 0;
+    const std::size_t up = takes_clients ? left * 2 / 5 : left - std::min(left, clients.used());
+    upstreams.set_most(up);
+    clients.set_most(left - up);
+    bytes.set_most(most_bytes);
+  }
+  std::size_t descriptors_used() const { return fixed + clients.used() + upstreams.used(); }
 
   // Standard streams, epoll, timer, signals, the listener and discovery.
   static constexpr std::size_t kReserved = 24;
-  // Each request in work has a client's descriptor and mostly one or two to hosts.
-  static std::size_t upstream_share(std::size_t sockets) { return (sockets - kReserved) * 2 / 5; }
 
+  const std::size_t total_descriptors, total_bytes, fixed;
+  // Each request in work has a client's descriptor and mostly one or two to hosts.
   Budget clients, upstreams;
   Budget bytes;  // bodies, values and what waits for clients to read it
   // Beyond it only clients that have nothing in work may begin a request.
--- a/src/net/upstream_pool.cc
+++ b/src/net/upstream_pool.cc
@@ -240,6 +240,14 @@
   if (it != members_.end()) it->second.pool->close_idle();
 }
 
+void Upstreams::shed() {
+  while (limits_.upstreams.used() > limits_.upstreams.most()) {
+    const auto before = limits_.upstreams.used();
+    free_descriptor();
+    if (limits_.upstreams.used() == before) return;
+  }
+}
+
 std::size_t Upstreams::shared_depth(std::string_view host) const {
   const auto it = members_.find(host);
   return it == members_.end() ? 0 : it->second.pool->sharing().shared_depth();
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -90,6 +90,8 @@
   void apply(const HostList& list);
   void start(AttemptPtr attempt, std::string_view host);
   void close_idle(std::string_view host);
+  // Closes idle connections while descriptors beyond the budget are in use.
+  void shed();
   // How many attempts of clients one connection to the host takes at once; 0 if it is not listed.
   std::size_t shared_depth(std::string_view host) const;
 
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -1,7 +1,10 @@
 #include "node/balancer.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -29,9 +32,91 @@
 // Where an operator sends clients away: who deals them out asks every 0.1 s and sends new ones for
 // 0.2 s more, and 2 s after the call no connection may take another request.
 constexpr milliseconds kAwayFirst{300}, kAwayLast{1800};
+// A new version that has been given no list by then takes clients all the same.
+constexpr milliseconds kOpenAnyway{3000};
+// Descriptors that a process which is leaving keeps for retries beside those of its open requests.
+constexpr std::size_t kNeedsMore = 8;
 // Clients of an address that was lost are sent away within this; what they ask for is refused.
 constexpr milliseconds kLostGiveBack{200};
 
+std::string text_of(const Endpoint& e) {
+  std::ostringstream out;
+  out << e;
+  return out.str();
+}
+
+// Whether another process listens there.
+bool taken(const Endpoint& at) {
+  if (at.port() == 0) return false;
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor probe(io);
+  error_code e;
+  probe.open(at.protocol(), e);
+  if (!e) probe.set_option(boost::asio::socket_base::reuse_address(true), e);
+  if (!e) probe.bind(at, e);
+  return e == boost::asio::error::address_in_use;
+}
+
+// Whether it is a listening TCP socket bound to that address.
+bool listens_at(const Descriptor& socket, const std::string& address) {
+  int listening = 0;
+  socklen_t n = sizeof listening;
+  Endpoint local;
+  auto size = static_cast<socklen_t>(local.capacity());
+  if (::getsockopt(socket.get(), SOL_SOCKET, SO_ACCEPTCONN, &listening, &n) != 0 || !listening ||
+      ::getsockname(socket.get(), local.data(), &size) != 0)
+    return false;
+  local.resize(size);
+  return text_of(local) == address;
+}
+
+handover::Host host_of(const ListedHost& h) {
+  handover::Host out;
+  out.id = h.id;
+  if (h.dial) {
+    if (h.dial->address().is_v4()) {
+      const auto bytes = h.dial->address().to_v4().to_bytes();
+      out.address.assign(bytes.begin(), bytes.end());
+    } else {
+      const auto bytes = h.dial->address().to_v6().to_bytes();
+      out.address.assign(bytes.begin(), bytes.end());
+    }
+    out.port = h.dial->port();
+  }
+  out.started_at = h.started_at;
+  out.origin = h.origin;
+  out.zone = h.zone;
+  out.cell = h.cell;
+  out.state = static_cast<int>(h.state);
+  out.weight = h.weight;
+  return out;
+}
+
+HostList list_of(const handover::Snapshot& s) {
+  HostList list{s.seq, true, {}};
+  for (const handover::Host& h : s.hosts) {
+    ListedHost host;
+    host.id = h.id;
+    if (h.address.size() == 4) {
+      boost::asio::ip::address_v4::bytes_type bytes;
+      std::copy(h.address.begin(), h.address.end(), bytes.begin());
+      host.dial = Endpoint(boost::asio::ip::address_v4(bytes), h.port);
+    } else if (h.address.size() == 16) {
+      boost::asio::ip::address_v6::bytes_type bytes;
+      std::copy(h.address.begin(), h.address.end(), bytes.begin());
+      host.dial = Endpoint(boost::asio::ip::address_v6(bytes), h.port);
+    }
+    host.started_at = h.started_at;
+    host.origin = h.origin;
+    host.zone = h.zone;
+    host.cell = h.cell;
+    host.state = static_cast<HostState>(h.state);
+    host.weight = h.weight;
+    list.hosts.push_back(std::move(host));
+  }
+  return list;
+}
+
 }  // namespace
 
 Balancer::MemcacheSide::MemcacheSide(boost::asio::io_context& io, const Config& config,
@@ -53,9 +138,14 @@
 }
 
 void Balancer::MemcacheSide::take(const HostList& list) {
-  listed = true;
-  if (list.whole) caches.clear();
+  if (list.whole) caches.clear(), hosts.clear();
+  seq = std::max(seq, list.seq);
   for (const ListedHost& h : list.hosts) {
+    if (h.state == HostState::kGone) {
+      hosts.erase(h.id);
+    } else {
+      hosts[h.id] = h;
+    }
     if (h.origin) continue;
     if (h.state == HostState::kServing) {
       caches.insert(h.id);
@@ -64,29 +154,65 @@
     }
   }
   pool.on_list(list);
+  if (!std::exchange(listed, true) && on_listed) on_listed();
 }
 
 Balancer::Balancer(boost::asio::io_context& io, const std::optional<Config>& config, Limits& limits,
                    Operator added, Log log)
-    : io_(io), added_(std::move(added)), drain_timer_(io), log_(log) {
+    : io_(io),
+      added_(std::move(added)),
+      drain_timer_(io),
+      log_(log),
+      limits_(limits),
+      open_timer_(io) {
   if (config && config->admin)
     admin_ = std::make_unique<admin::AdminServer>(
         io, *config->admin,
-        admin::Operations{[this] { return memcache_ && memcache_->listed && !leaving_; },
+        admin::Operations{[this] { return open_ && memcache_->listed && !leaving_; },
                           [this](std::string_view host, bool out) { return maintain(host, out); },
                           [this](bool away) { return send_away(away); }});
+  Predecessor from;
+  if (admin_ && !config->folder.empty()) from = Upgrade::ask(config->folder, config->name, log_);
   if (config) {
     memcache_ = std::make_unique<MemcacheSide>(io, *config, clock_, limits);
     const std::string service = added_.group ? added_.group->memcache_service : "";
     memcache_->listener = std::make_unique<ClientListener>(
         io, config->listen, limits, clock_, memcache_->pool,
         [side = memcache_.get()] { return side->front.make(); }, SessionTimes{}, gate(service));
-    if (service.empty()) memcache_->listener->open();
     longest_deadline_ = memcache_->pool.longest_deadline(kLongestDeadline);
   }
   add(config ? config->seed : std::random_device()(), limits);
+  if (admin_ && !config->folder.empty()) follow(from, *config);
   if (added_.group) join(log);
   if (memcache_ && !memcache_->site.policy.list_on_request) memcache_->discovery.start();
+  // Where another process serves meanwhile, clients are better off there until there is a list.
+  if (!upgrade_ || !upgrade_->turn().has_predecessor(clock_.now()) || memcache_->listed) {
+    open();
+    return;
+  }
+  memcache_->on_listed = [this] { open(); };
+  open_timer_.expires_after(kOpenAnyway);
+  open_timer_.async_wait([this](const error_code& e) {
+    if (!e) open();
+  });
+}
+
+void Balancer::open() {
+  if (std::exchange(open_, true)) return;
+  open_timer_.cancel();
+  const bool beside = admin_ != nullptr;
+  const auto open_one = [&](ClientListener& l) {
+    const auto at = passed_.find(text_of(l.local()));
+    if (at == passed_.end()) return l.open(beside);
+    l.open(std::move(at->second));
+  };
+  if (memcache_ && (!added_.group || added_.group->memcache_service.empty()))
+    open_one(*memcache_->listener);
+  for (std::size_t i = 0; i < resp_.size(); ++i)
+    if (added_.listeners[i].service.empty()) open_one(*resp_[i].listener);
+  passed_.clear();
+  if (away_) give_back_away();  // taken over with the predecessor's place
+  if (upgrade_) upgrade_->serve();
 }
 
 void Balancer::add(std::uint64_t seed, Limits& limits) {
@@ -110,7 +236,8 @@
         io_, *address, limits, clock_, servers,
         [this, place] { return resp_[place].front->make(); },
         SessionTimes{l.idle_close, l.idle_close, l.idle_close}, gate(l.service));
-    if (l.service.empty()) side.listener->open();
+    // With the port that the system gives, where the file names none.
+    if (l.service.empty() && address->port() == 0) side.listener->open();
     const Endpoint local = side.listener->local();
     std::string announce = l.announce;
     if (announce.empty())
@@ -190,11 +317,123 @@
   return true;
 }
 
+// ---- beside the process before and the one after
+
+void Balancer::follow(Predecessor& from, const Config& config) {
+  if (from.link) {
+    // What one of a later version says is not known here; its sockets are sockets.
+    const handover::Snapshot& s = from.snapshot;
+    if (s.version <= handover::kVersion) {
+      if (s.listed && s.seq >= memcache_->seq) memcache_->take(list_of(s));
+      for (const auto& w : s.words) memcache_->pool.restore(w.host, {w.out, w.at});
+      if (s.away) send_away(true);
+    }
+    passed_ = std::move(from.sockets);
+    // Those are the sockets that were asked for, or none.
+    std::erase_if(passed_, [](const auto& p) { return !listens_at(p.second, p.first); });
+  }
+  if (!from.link || from.snapshot.version > handover::kVersion) {
+    if (const auto kept = Upgrade::read_words(config.folder, config.name)) {
+      for (const auto& w : kept->words) memcache_->pool.restore(w.host, {w.out, w.at});
+      log_(std::to_string(kept->words.size()) + " operators' words taken from their file");
+    }
+    // Where another process listens that could not be asked, it holds some of the limits.
+    if (!from.link && !from.presumed && taken(config.listen)) {
+      log_(
+          "another process listens here and could not be asked; it is presumed to hold half of "
+          "the limits");
+      from.presumed = true;
+    }
+  }
+  upgrade_ = std::make_unique<Upgrade>(
+      io_, clock_, config.folder, config.name,
+      handover::Share{limits_.total_descriptors, limits_.total_bytes}, from,
+      Upgrade::Owner{
+          [this] { return snapshot(); },
+          [this] {
+            std::vector<Descriptor> all;
+            for (const ClientListener* l : listeners()) all.push_back(l->listening());
+            return all;
+          },
+          [this] {
+            return handover::Share{limits_.descriptors_used(), limits_.bytes.used()};
+          },
+          [this] {
+            std::size_t open = 0;
+            each_pool([&open](ServerPool& p) { open += p.open(); });
+            return handover::Share{open * 2 + kNeedsMore, open * kWholeValue + kWholeValue};
+          },
+          [this](const handover::Word& w) {
+            memcache_->pool.restore(w.host, {w.out, w.at});
+            log_("cache host " + w.host + (w.out ? " taken out" : " put back") +
+                 " by an operator, at the other process");
+          },
+          [this](bool away) { send_away(away); },
+          [this](const handover::Connection& c, Descriptor socket) {
+            for (ClientListener* l : listeners())
+              if (text_of(l->local()) == c.listener)
+                return l->adopt({std::move(socket), c.input, c.answered});
+          },
+          [this] { take_turn(); }, log_});
+  take_turn();
+}
+
+std::vector<ClientListener*> Balancer::listeners() {
+  std::vector<ClientListener*> all;
+  each_listener([&all](ClientListener& l) {
+    if (l.is_open()) all.push_back(&l);
+  });
+  if (all.size() > handover::kMaxDescriptors) all.resize(handover::kMaxDescriptors);
+  return all;
+}
+
+handover::Snapshot Balancer::snapshot() {
+  handover::Snapshot s;
+  s.listed = memcache_->listed;
+  s.seq = memcache_->seq;
+  for (const auto& [id, h] : memcache_->hosts) s.hosts.push_back(host_of(h));
+  for (const auto& [id, w] : memcache_->pool.words()) s.words.push_back({id, w.out, w.at});
+  s.away = away_;
+  for (const ClientListener* l : listeners()) s.listeners.push_back(text_of(l->local()));
+  return s;
+}
+
+void Balancer::take_turn() {
+  if (!upgrade_) return;
+  const auto& turn = upgrade_->turn();
+  const auto share = upgrade_->share();
+  limits_.share(share.descriptors, share.bytes, turn.accepts());
+  each_listener([&](ClientListener& l) {
+    l.shed();
+    if (turn.accepts()) {
+      l.resume();
+    } else {
+      l.pause();
+    }
+  });
+  each_pool([](ServerPool& p) { p.shed(); });
+  if (std::exchange(passing_, succeeded()) == succeeded()) return;
+  each_listener([this](ClientListener& l) {
+    if (!passing_) return l.pass_on({}, {});
+    l.pass_on([this] { return upgrade_->may_pass(); },
+              [this, to = text_of(l.local())](HandedClient c) {
+                upgrade_->pass({to, std::move(c.input), c.answered}, std::move(c.socket));
+              });
+  });
+}
+
 // ---- operators' calls
 
 bool Balancer::maintain(std::string_view host, bool out) {
   if (!memcache_ || !memcache_->pool.maintain(host, out)) return false;
   log_("cache host " + std::string(host) + (out ? " taken out" : " put back") + " by an operator");
+  if (!upgrade_) return true;
+  const auto& words = memcache_->pool.words();
+  if (const auto w = words.find(host); w != words.end())
+    upgrade_->tell(handover::Word{w->first, w->second.out, w->second.at});
+  handover::Snapshot kept;
+  for (const auto& [id, w] : words) kept.words.push_back({id, w.out, w.at});
+  upgrade_->keep_words(kept);
   return true;
 }
 
@@ -202,18 +441,21 @@
   if (leaving_) return false;
   if (std::exchange(away_, away) == away) return true;
   log_(away ? "clients are sent away, by an operator" : "clients are taken in again");
+  if (upgrade_) upgrade_->tell(handover::Away{away});
   if (memcache_) memcache_->front.send_away(away);
-  const Time now = clock_.now();
-  each_listener([&](ClientListener& l) {
-    if (away) {
-      l.drain(now + kAwayFirst, now + kAwayLast);
-    } else {
-      l.keep();
-    }
-  });
+  if (away) {
+    give_back_away();
+  } else {
+    each_listener([](ClientListener& l) { l.keep(); });
+  }
   return true;
 }
 
+void Balancer::give_back_away() {
+  const Time now = clock_.now();
+  each_listener([now](ClientListener& l) { l.drain(now + kAwayFirst, now + kAwayLast); });
+}
+
 // ---- the end
 
 void Balancer::drain() {
@@ -224,6 +466,7 @@
 
 void Balancer::begin_drain() {
   draining_since_ = clock_.now();
+  if (upgrade_) upgrade_->on_term();
   each_pool(
       [this](ServerPool& p) { p.drain(*draining_since_ + longest_deadline_ + kDrainAnswer); });
   const Time last =
@@ -240,15 +483,17 @@
     const Duration since = clock_.now() - *draining_since_;
     std::size_t sessions = 0;
     each_listener([&](ClientListener& l) {
-      if (since >= kDrainAccept) l.stop();
+      if (since >= kDrainAccept && !succeeded()) l.stop();
       sessions += l.sessions();
     });
     // Those whose deadline lies beyond the end.
     if (since >= longest_deadline_ + kDrainAnswer) each_pool([](ServerPool& p) { p.fail_open(); });
-    if (since >= longest_deadline_ + kDrainExit || (since >= kDrainAccept && sessions == 0)) {
+    if (since >= longest_deadline_ + kDrainExit ||
+        ((since >= kDrainAccept || succeeded()) && sessions == 0)) {
       if (memcache_) memcache_->discovery.stop();
       for (auto& p : cluster_pools_) p->stop();
       if (member_) member_->end();
+      if (upgrade_) upgrade_->end();
       io_.stop();
       return;
     }
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -21,6 +22,7 @@
 #include "net/limits.h"
 #include "node/config.h"
 #include "node/discovery.h"
+#include "node/upgrade.h"
 
 namespace silverpin::node {
 
@@ -69,6 +71,10 @@
 
     std::set<std::string> caches;  // that are listed as serving
     bool listed = false;           // a list has come
+    // As discovery has last told, for a successor.
+    std::map<std::string, ListedHost> hosts;
+    std::uint64_t seq = 0;
+    std::function<void()> on_listed;  // the first time
     std::unique_ptr<ClientListener> listener;
   };
 
@@ -81,6 +87,15 @@
   bool listen(const std::string& service, const Log& log);
   void unlisten(const std::string& service, bool in_order);
   bool hosts_listed() const;
+  // Takes clients, once there are hosts to send their requests to.
+  void open();
+  void follow(Predecessor& from, const Config& config);
+  handover::Snapshot snapshot();
+  std::vector<ClientListener*> listeners();
+  // Carries out what Upgrade::turn() says.
+  void take_turn();
+  bool succeeded() const { return upgrade_ && upgrade_->turn().passes_connections(); }
+  void give_back_away();
   void begin_drain();
   void arm_drain();
   template <typename F>
@@ -113,7 +128,12 @@
   std::unique_ptr<member::Member> member_;
   std::unique_ptr<member::StatusSocket> status_;
   const Log log_;
+  Limits& limits_;
   std::unique_ptr<admin::AdminServer> admin_;
+  std::unique_ptr<Upgrade> upgrade_;
+  std::map<std::string, Descriptor> passed_;  // sockets of the predecessor's, by address
+  bool open_ = false, passing_ = false;
+  boost::asio::steady_timer open_timer_;
 };
 
 }  // namespace silverpin::node
--- a/src/node/config.cc
+++ b/src/node/config.cc
@@ -61,6 +61,7 @@
     config.discovery = endpoint(o, "discovery", "ROUTER_DISCOVERY");
     if (!text_or_variable(o, "admin", "ROUTER_ADMIN").empty())
       config.admin = endpoint(o, "admin", "ROUTER_ADMIN");
+    if (config.admin) config.folder = variable("TMPDIR");
     config.seed = read_seed(o);
     if (const auto e = find(o, "limits")) {
       const auto limits = as<object>(*e, "limits");
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -14,6 +14,8 @@
   Endpoint listen;
   Endpoint discovery;
   std::optional<Endpoint> admin;  // for operators; none: they are not heard
+  // Where this process and its next version find each other: TMPDIR, and only with `admin`.
+  std::string folder;
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;
   std::size_t memory_mb = 192;
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -255,9 +255,10 @@
     const char* const name = process.name.c_str();
     const std::size_t listeners = all.added.listeners.size();
     const bool admin = all.config && all.config->admin;
-    limits.emplace(process.sockets, process.memory_mb,
-                   (all.added.group ? kMemberSockets : 0) +
-                       (admin ? silverpin::admin::AdminServer::kDescriptors : 0));
+    limits.emplace(
+        process.sockets, process.memory_mb,
+        (all.added.group ? kMemberSockets : 0) +
+            (admin ? silverpin::admin::AdminServer::kDescriptors + Upgrade::kDescriptors : 0));
     Balancer balancer(io, all.config, *limits, std::move(all.added), log_of(process.name));
     std::function<void()> await_signal = [&] {
       signals.async_wait([&](const boost::system::error_code& e, int number) {
--- /dev/null
+++ b/src/node/upgrade.cc
@@ -0,0 +1,379 @@
+#include "node/upgrade.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+namespace silverpin::node {
+namespace {
+
+using boost::system::error_code;
+using handover::Share;
+using std::chrono::milliseconds;
+using Stream = boost::asio::posix::stream_descriptor;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+// A process that serves answers within this even under load; the new one's yes is due within 6 s.
+constexpr milliseconds kAnswer{1000};
+// One that comes of age itself is asked again for so long.
+constexpr milliseconds kAskFor{4000}, kAskAgain{100};
+// One that could not be asked is presumed to be there for so long: it is told to end when the new
+// one serves, and ends at the latest 3.7 s after.
+constexpr milliseconds kPresumed{10000};
+constexpr milliseconds kTick{50};
+constexpr std::size_t kMostCallers = 4;
+
+// A name may hold what a path cannot.
+std::string path_of(const std::string& folder, const std::string& name, const char* kind) {
+  std::string text;
+  for (const char c : name) {
+    const bool plain = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                       c == '-' || c == '_';
+    if (plain) {
+      text += c;
+    } else {
+      char hex[4];
+      std::snprintf(hex, sizeof hex, "%%%02x", static_cast<unsigned char>(c));
+      text += hex;
+    }
+  }
+  return folder + "/silverpin-" + text.substr(0, 128) + "." + kind;
+}
+
+// An address for a path of any length: through a descriptor of its folder where it is too long.
+class UnixAddress {
+ public:
+  explicit UnixAddress(const std::string& path) {
+    address_.sun_family = AF_UNIX;
+    std::string text = path;
+    if (text.size() >= sizeof address_.sun_path) {
+      const auto slash = path.rfind('/');
+      folder_ = Descriptor(::open(path.substr(0, slash).c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC));
+      text = "/proc/self/fd/" + std::to_string(folder_.get()) + path.substr(slash);
+    }
+    good_ = text.size() < sizeof address_.sun_path;
+    if (good_) std::memcpy(address_.sun_path, text.c_str(), text.size() + 1);
+  }
+  bool good() const { return good_; }
+  const sockaddr* get() const { return reinterpret_cast<const sockaddr*>(&address_); }
+
+ private:
+  sockaddr_un address_{};
+  Descriptor folder_;
+  bool good_ = false;
+};
+
+Descriptor unix_socket() {
+  return Descriptor(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+}
+
+// Only another process of the same user is listened to.
+bool same_user(int fd) {
+  ucred peer{};
+  socklen_t n = sizeof peer;
+  return ::getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &n) == 0 && peer.uid == ::geteuid();
+}
+
+bool wait_for(int fd, short events, SteadyTime until) {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
+  pollfd p{fd, events, 0};
+  return left.count() > 0 && ::poll(&p, 1, static_cast<int>(left.count())) > 0;
+}
+
+enum class Asked { kNobody, kSilent, kBusy, kAnswered };
+
+Asked ask_once(const std::string& path, const std::string& name, Predecessor& out) {
+  const UnixAddress address(path);
+  Descriptor fd = unix_socket();
+  if (!fd || !address.good()) return Asked::kNobody;
+  if (::connect(fd.get(), address.get(), sizeof(sockaddr_un)) != 0)
+    return errno == EAGAIN ? Asked::kSilent : Asked::kNobody;  // its backlog is full
+  const auto until = std::chrono::steady_clock::now() + kAnswer;
+  if (!same_user(fd.get()) || !send_packet(fd.get(), encode(handover::Hello{1, name}), {}))
+    return Asked::kSilent;
+  handover::Snapshot whole;
+  std::vector<Descriptor> sockets;
+  while (wait_for(fd.get(), POLLIN, until)) {
+    Received r = receive_packet(fd.get(), handover::kMaxMessage, handover::kMaxDescriptors);
+    if (r.n <= 0) return Asked::kSilent;
+    auto message = handover::decode(r.packet.bytes);
+    if (!message) return Asked::kSilent;
+    if (std::holds_alternative<handover::Busy>(*message)) return Asked::kBusy;
+    auto* part = std::get_if<handover::Snapshot>(&*message);
+    if (!part) continue;  // of a later version
+    for (auto& d : r.packet.descriptors) sockets.push_back(std::move(d));
+    const bool more = part->more;
+    if (!handover::append(whole, std::move(*part))) return Asked::kSilent;
+    if (more) continue;
+    for (std::size_t i = 0; i < std::min(sockets.size(), whole.listeners.size()); ++i)
+      out.sockets[whole.listeners[i]] = std::move(sockets[i]);
+    out.snapshot = std::move(whole);
+    out.link = std::move(fd);
+    return Asked::kAnswered;
+  }
+  return Asked::kSilent;
+}
+
+}  // namespace
+
+Predecessor Upgrade::ask(const std::string& folder, const std::string& name, const Log& log) {
+  Predecessor out;
+  const std::string path = path_of(folder, name, "sock");
+  const auto until = std::chrono::steady_clock::now() + kAskFor;
+  Asked asked = ask_once(path, name, out);
+  while (asked == Asked::kBusy && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kAskAgain);
+    asked = ask_once(path, name, out);
+  }
+  if (asked == Asked::kAnswered)
+    log("takes the place of a process that serves: " + std::to_string(out.sockets.size()) +
+        " listening sockets, " + std::to_string(out.snapshot.hosts.size()) + " hosts, " +
+        std::to_string(out.snapshot.words.size()) + " operators' words");
+  if (asked == Asked::kSilent || asked == Asked::kBusy) {
+    log("a process that serves did not answer; it is presumed to hold half of the limits");
+    out.presumed = true;
+  }
+  return out;
+}
+
+std::optional<handover::Snapshot> Upgrade::read_words(const std::string& folder,
+                                                      const std::string& name) {
+  std::ifstream in(path_of(folder, name, "words"), std::ios::binary);
+  if (!in) return std::nullopt;
+  std::string text(handover::kMaxMessage + 1, '\0');
+  in.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(in.gcount()));
+  auto message = handover::decode(text);
+  auto* words = message ? std::get_if<handover::Snapshot>(&*message) : nullptr;
+  if (!words || words->version > handover::kVersion) return std::nullopt;
+  return std::move(*words);
+}
+
+Upgrade::Upgrade(boost::asio::io_context& io, const Clock& clock, std::string folder,
+                 std::string name, Share total, Predecessor& from, Owner owner)
+    : io_(io),
+      clock_(clock),
+      folder_(std::move(folder)),
+      name_(std::move(name)),
+      owner_(std::move(owner)),
+      turn_(total),
+      listening_(io),
+      tick_(io) {
+  if (from.link) {
+    turn_.on_predecessor(from.snapshot.held);
+    predecessor_ = std::make_unique<DescriptorLink>(
+        io, std::move(from.link), handover::kMaxMessage, handover::kMaxDescriptors,
+        DescriptorLink::Handlers{[this](Packet p) { on_peer(std::move(p), true); },
+                                 [this] { on_lost(true); }});
+  } else if (from.presumed) {
+    turn_.on_predecessor_presumed(clock.now() + kPresumed);
+  }
+  arm_tick();
+}
+
+Upgrade::~Upgrade() = default;
+
+void Upgrade::serve() {
+  if (std::exchange(serving_, true)) return;
+  if (predecessor_) predecessor_->send({encode(handover::Serving{}), {}});
+  publish();
+}
+
+// The file names whoever serves: a new one is put in its place at once, so that who looks for it
+// finds the old process or the new one, and never none.
+void Upgrade::publish() {
+  const std::string path = path_of(folder_, name_, "sock");
+  const std::string fresh = path + "." + std::to_string(::getpid());
+  const UnixAddress address(fresh);
+  Descriptor fd = unix_socket();
+  ::unlink(fresh.c_str());
+  if (!fd || !address.good() || ::bind(fd.get(), address.get(), sizeof(sockaddr_un)) != 0 ||
+      ::chmod(fresh.c_str(), 0600) != 0 || ::listen(fd.get(), kMostCallers) != 0 ||
+      std::rename(fresh.c_str(), path.c_str()) != 0) {
+    owner_.log(path + ": " + std::strerror(errno) +
+               "; the next version will not find this process, and listens beside it");
+    ::unlink(fresh.c_str());
+    return;
+  }
+  error_code ignored;
+  listening_.close(ignored);
+  listening_.assign(fd.release());
+  arm_accept();
+}
+
+void Upgrade::arm_accept() {
+  listening_.async_wait(Stream::wait_read, [this](const error_code& e) {
+    if (e) return;
+    Descriptor fd(
+        ::accept4(listening_.native_handle(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+    if (fd && callers_.size() < kMostCallers && same_user(fd.get())) {
+      const auto id = ++last_caller_;
+      callers_[id] = {
+          std::make_unique<DescriptorLink>(
+              io_, std::move(fd), handover::kMaxMessage, handover::kMaxDescriptors,
+              DescriptorLink::Handlers{[this, id](Packet p) { on_caller(id, std::move(p)); },
+                                       [this, id] { on_caller_lost(id); }}),
+          std::chrono::steady_clock::now() + kAnswer};
+    }
+    arm_accept();
+  });
+}
+
+// The handlers of a link go on to name the caller that it began as; the one that became the
+// successor is none of the callers any more.
+void Upgrade::on_caller(std::uint64_t id, Packet packet) {
+  const auto at = callers_.find(id);
+  if (at == callers_.end()) return on_peer(std::move(packet), false);
+  const auto message = handover::decode(packet.bytes);
+  const auto* hello = message ? std::get_if<handover::Hello>(&*message) : nullptr;
+  if (!hello || hello->name != name_) return forget_caller(id);
+  welcome(at->second);
+  if (!at->second.link) callers_.erase(at);
+}
+
+void Upgrade::on_caller_lost(std::uint64_t id) {
+  if (callers_.find(id) == callers_.end()) return on_lost(false);
+  forget_caller(id);
+}
+
+// Never from inside the link's own handler.
+void Upgrade::forget_caller(std::uint64_t id) {
+  boost::asio::post(io_, [this, id] { callers_.erase(id); });
+}
+
+void Upgrade::welcome(Caller& caller) {
+  if (!serving_ || !turn_.on_successor(clock_.now())) {
+    caller.link->send({encode(handover::Busy{}), {}});
+    return;  // it goes, or its time ends it
+  }
+  owner_.log("another process asks for this one's place");
+  owner_.on_turn();  // this one holds less first
+  handover::Snapshot snapshot = owner_.snapshot();
+  told_ = snapshot.held = share();
+  auto parts = handover::split(std::move(snapshot));
+  auto sockets = owner_.sockets();
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    Packet packet{encode(parts[i]), {}};
+    if (i + 1 == parts.size()) packet.descriptors = std::move(sockets);
+    caller.link->send(std::move(packet));
+  }
+  successor_ = std::move(caller.link);
+}
+
+void Upgrade::on_peer(Packet packet, bool predecessor) {
+  const auto message = handover::decode(packet.bytes);
+  if (!message) {
+    owner_.log("the process beside this one says what cannot be read; it is listened to no more");
+    return on_lost(predecessor);
+  }
+  if (const auto* word = std::get_if<handover::Word>(&*message)) {
+    owner_.on_word(*word);
+  } else if (const auto* away = std::get_if<handover::Away>(&*message)) {
+    owner_.on_away(away->away);
+  } else if (const auto* held = std::get_if<Share>(&*message); held && predecessor) {
+    turn_.on_predecessor(*held);
+    owner_.on_turn();
+  } else if (const auto* connection = std::get_if<handover::Connection>(&*message);
+             connection && predecessor && packet.descriptors.size() == 1) {
+    owner_.on_connection(*connection, std::move(packet.descriptors.front()));
+  } else if (std::holds_alternative<handover::Serving>(*message) && !predecessor) {
+    turn_.on_successor_serving();
+    owner_.log("the other process serves; it takes the new clients");
+    owner_.on_turn();
+  }
+}
+
+void Upgrade::on_lost(bool predecessor) {
+  // Its handlers may be on the stack.
+  auto& link = predecessor ? predecessor_ : successor_;
+  if (!link) return;
+  boost::asio::post(io_, [gone = std::shared_ptr<DescriptorLink>(std::move(link))] {});
+  if (predecessor) {
+    owner_.log("the process before this one has ended");
+    turn_.on_predecessor_ended();
+  } else {
+    owner_.log("the other process has ended; this one goes on");
+    turn_.on_successor_lost();
+    if (serving_) publish();
+  }
+  owner_.on_turn();
+}
+
+void Upgrade::on_term() {
+  turn_.on_term();
+  owner_.on_turn();
+}
+
+void Upgrade::tell(const handover::Message& message) {
+  for (const auto& link : {predecessor_.get(), successor_.get()})
+    if (link) link->send({encode(message), {}});
+}
+
+void Upgrade::keep_words(const handover::Snapshot& words) {
+  const std::string path = path_of(folder_, name_, "words");
+  const std::string fresh = path + "." + std::to_string(::getpid());
+  std::ofstream out(fresh, std::ios::binary | std::ios::trunc);
+  const std::string text = encode(words);
+  out.write(text.data(), static_cast<std::streamsize>(text.size()));
+  out.close();
+  if (!out || std::rename(fresh.c_str(), path.c_str()) != 0) {
+    owner_.log(path + ": " + std::strerror(errno) + "; operators' words are not kept there");
+    ::unlink(fresh.c_str());
+  }
+}
+
+bool Upgrade::may_pass() const {
+  return turn_.passes_connections() && successor_ && successor_->room();
+}
+
+void Upgrade::pass(handover::Connection connection, Descriptor socket) {
+  if (!successor_) return;
+  Packet packet{encode(connection), {}};
+  packet.descriptors.push_back(std::move(socket));
+  successor_->send(std::move(packet));
+}
+
+Share Upgrade::share() { return turn_.share(clock_.now(), owner_.used(), owner_.needs()); }
+
+void Upgrade::arm_tick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const error_code& e) {
+    if (e) return;
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(callers_, [now](const auto& c) { return now > c.second.until; });
+    report();
+    arm_tick();
+  });
+}
+
+// As this process holds less, the one that takes its place may hold more.
+void Upgrade::report() {
+  owner_.on_turn();
+  if (!successor_) return;
+  const Share held = share();
+  if (held == told_) return;
+  told_ = held;
+  successor_->send({encode(held), {}});
+}
+
+void Upgrade::end() {
+  tick_.cancel();
+  error_code ignored;
+  listening_.close(ignored);
+  callers_.clear();
+}
+
+}  // namespace silverpin::node
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -37,8 +37,7 @@
 constexpr Duration kDemandPeriod = std::chrono::seconds(15);
 constexpr Duration kFirstCallBackoff = milliseconds(250);
 constexpr Duration kResendBackoff = milliseconds(50);
-constexpr std::size_t kMostWords =
-    1024;  // of operators; a host that none was ever said of has none
+constexpr std::size_t kMostWords = 256;              // of operators
 constexpr Duration kRetryAfter = milliseconds(500);  // one sampling period of the gate
 
 Duration origin_target(const Settings& settings) {
@@ -155,6 +154,7 @@
 
 void Policy::restore(Time now, std::string_view id, Word word) {
   now_ = now;
+  if (words_.size() >= kMostWords && !words_.contains(id)) return;
   words_.insert_or_assign(std::string(id), word);
   const auto listed = host_index_.find(std::string(id));
   if (listed != host_index_.end()) heed(hosts_[listed->second], word);
--- /dev/null
+++ b/src/proto/handover_wire.cc
@@ -0,0 +1,203 @@
+#include "proto/handover_wire.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+#include "handover.pb.h"
+
+namespace silverpin::handover {
+namespace {
+
+// ---- writing
+
+void put(const Share& s, pb::Share& to) {
+  to.set_descriptors(s.descriptors);
+  to.set_bytes(s.bytes);
+}
+
+void put(const Word& w, pb::Word& to) {
+  to.set_host(w.host);
+  to.set_out(w.out);
+  to.set_at(w.at.count());
+}
+
+void put(const Host& h, pb::Host& to) {
+  to.set_id(h.id);
+  to.set_address(h.address);
+  to.set_port(h.port);
+  if (h.started_at) to.set_started_at(h.started_at->count());
+  to.set_origin(h.origin);
+  to.set_zone(h.zone);
+  to.set_cell(h.cell);
+  to.set_state(static_cast<std::uint32_t>(h.state));
+  to.set_weight(h.weight);
+}
+
+struct Writer {
+  pb::Message& to;
+
+  void operator()(const Hello& m) const {
+    to.mutable_hello()->set_version(m.version);
+    to.mutable_hello()->set_name(m.name);
+  }
+  void operator()(const Snapshot& m) const {
+    pb::Snapshot& s = *to.mutable_snapshot();
+    s.set_version(m.version);
+    s.set_more(m.more);
+    for (const Host& h : m.hosts) put(h, *s.add_hosts());
+    for (const Word& w : m.words) put(w, *s.add_words());
+    s.set_seq(m.seq);
+    s.set_listed(m.listed);
+    s.set_away(m.away);
+    put(m.held, *s.mutable_held());
+    for (const auto& l : m.listeners) s.add_listeners(l);
+  }
+  void operator()(const Busy&) const { to.set_busy(true); }
+  void operator()(const Serving&) const { to.set_serving(true); }
+  void operator()(const Word& m) const { put(m, *to.mutable_word()); }
+  void operator()(const Away& m) const { to.set_away(m.away); }
+  void operator()(const Share& m) const { put(m, *to.mutable_held()); }
+  void operator()(const Connection& m) const {
+    to.mutable_connection()->set_listener(m.listener);
+    to.mutable_connection()->set_input(m.input);
+    to.mutable_connection()->set_answered(m.answered);
+  }
+};
+
+// ---- reading
+
+Share share_of(const pb::Share& s) { return {s.descriptors(), s.bytes()}; }
+
+std::optional<Word> word_of(const pb::Word& w) {
+  if (w.host().empty() || w.host().size() > kMaxId || w.at() < 0) return std::nullopt;
+  return Word{w.host(), w.out(), Time(w.at())};
+}
+
+std::optional<Host> host_of(const pb::Host& h) {
+  if (h.id().empty() || h.id().size() > kMaxId || h.port() > 65535 || h.state() > 2)
+    return std::nullopt;
+  if (!h.address().empty() && h.address().size() != 4 && h.address().size() != 16)
+    return std::nullopt;
+  if (h.zone() < 0 || h.cell() < 0 || !std::isfinite(h.weight())) return std::nullopt;
+  if (h.has_started_at() && h.started_at() < 0) return std::nullopt;
+  Host host;
+  host.id = h.id();
+  host.address = h.address();
+  host.port = static_cast<std::uint16_t>(h.port());
+  if (h.has_started_at()) host.started_at = Time(h.started_at());
+  host.origin = h.origin();
+  host.zone = h.zone();
+  host.cell = h.cell();
+  host.state = static_cast<int>(h.state());
+  host.weight = h.weight();
+  return host;
+}
+
+std::optional<Snapshot> snapshot_of(const pb::Snapshot& s) {
+  Snapshot m;
+  m.version = s.version();
+  if (m.version == 0) return std::nullopt;
+  m.more = s.more();
+  m.held = share_of(s.held());
+  if (static_cast<std::size_t>(s.listeners_size()) > kMaxDescriptors) return std::nullopt;
+  m.listeners.assign(s.listeners().begin(), s.listeners().end());
+  if (m.version > kVersion) return m;
+  if (static_cast<std::size_t>(s.hosts_size()) > kEntriesPerPart ||
+      static_cast<std::size_t>(s.words_size()) > kEntriesPerPart)
+    return std::nullopt;
+  for (const pb::Host& h : s.hosts()) {
+    auto host = host_of(h);
+    if (!host) return std::nullopt;
+    m.hosts.push_back(std::move(*host));
+  }
+  for (const pb::Word& w : s.words()) {
+    auto word = word_of(w);
+    if (!word) return std::nullopt;
+    m.words.push_back(std::move(*word));
+  }
+  m.seq = s.seq();
+  m.listed = s.listed();
+  m.away = s.away();
+  return m;
+}
+
+template <typename T>
+std::optional<Message> lift(std::optional<T> m) {
+  if (!m) return std::nullopt;
+  return Message(std::move(*m));
+}
+
+}  // namespace
+
+std::string encode(const Message& message) {
+  pb::Message m;
+  std::visit(Writer{m}, message);
+  return m.SerializeAsString();
+}
+
+std::optional<Message> decode(std::string_view bytes) {
+  if (bytes.size() > kMaxMessage) return std::nullopt;
+  pb::Message m;
+  if (!m.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
+  switch (m.what_case()) {
+    case pb::Message::kHello:
+      if (m.hello().version() == 0 || m.hello().name().size() > kMaxId) return std::nullopt;
+      return Hello{m.hello().version(), m.hello().name()};
+    case pb::Message::kSnapshot:
+      return lift(snapshot_of(m.snapshot()));
+    case pb::Message::kBusy:
+      return Busy{};
+    case pb::Message::kServing:
+      return Serving{};
+    case pb::Message::kWord:
+      return lift(word_of(m.word()));
+    case pb::Message::kAway:
+      return Away{m.away()};
+    case pb::Message::kHeld:
+      return share_of(m.held());
+    case pb::Message::kConnection:
+      if (m.connection().input().size() > kMaxInput) return std::nullopt;
+      return Connection{m.connection().listener(), m.connection().input(),
+                        m.connection().answered()};
+    default:
+      return std::nullopt;
+  }
+}
+
+std::vector<Snapshot> split(Snapshot whole) {
+  std::vector<Snapshot> parts;
+  const auto cut = [&](auto& from, auto Snapshot::*to) {
+    for (std::size_t at = 0; at < from.size(); at += kEntriesPerPart) {
+      Snapshot part;
+      part.version = whole.version;
+      part.more = true;
+      const auto first = from.begin() + static_cast<std::ptrdiff_t>(at);
+      const auto last =
+          from.begin() + static_cast<std::ptrdiff_t>(std::min(from.size(), at + kEntriesPerPart));
+      (part.*to).assign(std::make_move_iterator(first), std::make_move_iterator(last));
+      parts.push_back(std::move(part));
+    }
+    from.clear();
+  };
+  cut(whole.hosts, &Snapshot::hosts);
+  cut(whole.words, &Snapshot::words);
+  whole.more = false;
+  parts.push_back(std::move(whole));
+  return parts;
+}
+
+bool append(Snapshot& whole, Snapshot part) {
+  if (whole.hosts.size() + part.hosts.size() > kMaxHosts ||
+      whole.words.size() + part.words.size() > kMaxWords)
+    return false;
+  std::move(part.hosts.begin(), part.hosts.end(), std::back_inserter(whole.hosts));
+  std::move(part.words.begin(), part.words.end(), std::back_inserter(whole.words));
+  part.hosts = std::move(whole.hosts);
+  part.words = std::move(whole.words);
+  whole = std::move(part);
+  return true;
+}
+
+}  // namespace silverpin::handover
--- a/src/proto/memcache.h
+++ b/src/proto/memcache.h
@@ -46,6 +46,11 @@
 
   // Read ahead of the commands taken; a body under way is not counted.
   std::size_t buffered() const { return in_.size(); }
+  // Nothing while a body is under way.
+  std::optional<std::string> unread() const {
+    if (body_left_) return std::nullopt;
+    return in_.substr(at_);
+  }
   bool between_commands() const { return !body_left_ && in_.size() == at_; }
   // How long the body under way will be; 0 if there is none.
   std::size_t body_length() const { return body_left_ ? body_length_ : 0; }
