Pass values of up to 4 MiB through a window, at the pace of the slower side

Need: some values are long, more at once than memory holds, and peers take seconds in pieces.

Sketch: a value over 64 KiB is a stream between one back and one front, through 128 KiB that the byte budget lends; the first byte is the final answer, and the module hears of it (on_first_byte), so that neither the host nor the origin's gate is charged with a client's pace. Shorter ones are collected whole as before, and can still be asked for elsewhere. Rejected: collecting all (100 of 4 MiB do not fit 48 MB), and streaming all (a spoilt short answer could not be retried).

Change: ValueStream, begin_value() in both backs, on_begin() from back to core; a stream that breaks off ends the client's connection behind what came. A body may take longer than its head's 2.5 s while it goes on coming, and an answer to what must not run twice may pause for 3 s.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -69,7 +69,7 @@
 }
 
 void ServerPool::refuse(RequestId id, Duration retry_after) {
-  finish(id, {Final::Kind::kRefused, {}, retry_after});
+  finish(id, {Final::Kind::kRefused, {}, retry_after, nullptr});
 }
 
 void ServerPool::fail(RequestId id) { finish(id, {}); }
@@ -143,7 +143,7 @@
   if ((site_.most_held > 0 && open_ >= static_cast<std::size_t>(site_.most_held)) ||
       !caller->may_go_out()) {
     ask.payload->released();
-    caller->on_final(ticket, *ask.payload, {Final::Kind::kRefused, {}, Duration{0}});
+    caller->on_final(ticket, *ask.payload, {Final::Kind::kRefused, {}, Duration{0}, nullptr});
     return;
   }
   Request q;
@@ -227,6 +227,18 @@
   return it != calls_.end() && !it->second.over && it->second.caller->may_go_out();
 }
 
+// The first byte is the answer: no other attempt may serve from here on. From now on both sides'
+// pace counts, and neither the attempt's time nor the request's.
+void ServerPool::on_begin(const AttemptPtr& attempt, const StreamPtr& stream) {
+  const auto it = calls_.find(attempt->request);
+  if (attempt->ended || it == calls_.end() || it->second.over) return stream->abandon();
+  due_.take_back({attempt->timer.place, attempt->timer.life});
+  Final final{Final::Kind::kServed, {}, Duration{0}, stream};
+  finish(attempt->request, std::move(final));
+  policy_.on_first_byte(now(), attempt->request, attempt->number);
+  forget_finished();
+}
+
 void ServerPool::on_end(const AttemptPtr& attempt, Result result, std::string value) {
   if (std::exchange(attempt->ended, true)) return;
   due_.take_back({attempt->timer.place, attempt->timer.life});
@@ -237,7 +249,7 @@
   Call& call = calls_.at(id);
   --call.out;
   if (result == Result::kOk && !call.over)
-    finish(id, {Final::Kind::kServed, std::move(value), Duration{0}});
+    finish(id, {Final::Kind::kServed, std::move(value), Duration{0}, nullptr});
   if (call.over) finished_.push_back(id);
   policy_.on_outcome(now(), {id, attempt->number, result, call.over});
   forget_finished();
--- a/src/core/server_pool.h
+++ b/src/core/server_pool.h
@@ -93,6 +93,7 @@
   // AttemptEvents
   Time now() const override { return clock_.now(); }
   bool wanted(const Attempt& attempt) const override;
+  void on_begin(const AttemptPtr& attempt, const StreamPtr& stream) override;
   void on_end(const AttemptPtr& attempt, Result result, std::string value) override;
 
   void arm_timer();
--- a/src/front/memcache/cache_connection.cc
+++ b/src/front/memcache/cache_connection.cc
@@ -26,7 +26,11 @@
   const auto& command = command_of(*current()->payload);
   if (!head.id.empty() && head.id != command.id) return false;
   const bool set = command.kind == memcache::Command::Kind::kSet;
-  if (head.kind == AnswerHead::Kind::kValue) return !set;
+  if (head.kind == AnswerHead::Kind::kValue) {
+    if (set) return false;
+    begin_value(head.length);
+    return true;
+  }
   return head.kind != AnswerHead::Kind::kStored || set;
 }
 
--- a/src/front/memcache/memcache_front.cc
+++ b/src/front/memcache/memcache_front.cc
@@ -49,7 +49,11 @@
   std::string fault() const override { return "CLIENT_ERROR " + std::string(fault_) + "\r\n"; }
   void on_final(ClientSession& session, Ticket ticket, const Payload& payload,
                 Final final) override {
-    session.answer(ticket.slot, text_of(command_of(payload), std::move(final)));
+    const Command& command = command_of(payload);
+    if (final.stream)
+      return session.answer(ticket.slot, head_of(command, final.stream->length()), final.stream,
+                            "\r\n");
+    session.answer(ticket.slot, text_of(command, std::move(final)));
   }
   std::optional<std::string> unread() const override { return reader_.unread(); }
   void forget() override { reader_ = {}; }
@@ -58,6 +62,9 @@
   std::size_t body_length() const override { return reader_.body_length(); }
 
  private:
+  static std::string head_of(const Command& command, std::size_t length) {
+    return "VA " + std::to_string(length) + " O" + command.id + "\r\n";
+  }
   static std::string text_of(const Command& command, Final final) {
     if (final.kind == Final::Kind::kRefused) {
       std::string text = "SERVER_ERROR busy";
@@ -68,7 +75,7 @@
     if (final.kind == Final::Kind::kFailed) return "SERVER_ERROR failed\r\n";
     if (command.kind != Command::Kind::kGet)
       return "HD O" + command.id + " c" + final.value + "\r\n";
-    std::string text = "VA " + std::to_string(final.value.size()) + " O" + command.id + "\r\n";
+    std::string text = head_of(command, final.value.size());
     text += final.value;
     return text += "\r\n";
   }
--- a/src/front/memcache/origin_connection.cc
+++ b/src/front/memcache/origin_connection.cc
@@ -108,10 +108,20 @@
   served_ = parser_->get().result_int() == 200;
   length_.reset();
   if (length) length_ = static_cast<std::size_t>(*length);
+  if (served_ && length_ && mine() &&
+      command_of(*current()->payload).kind == memcache::Command::Kind::kGet)
+    begin_value(*length_);
+}
+
+// Where the origin says whose answer it is, it must be this request's.
+bool OriginConnection::mine() const {
+  const auto id = parser_->get()["X-Trace-Id"];
+  return id.empty() || id == command_of(*current()->payload).id;
 }
 
 bool OriginConnection::on_body(std::string_view piece) {
   if (!served_) return true;  // the text of an error
+  if (!mine()) return false;
   if (command_of(*current()->payload).kind == memcache::Command::Kind::kGet)
     return take_value(piece, length_);
   receipt_ += piece;
@@ -143,10 +153,7 @@
   const auto& response = parser_->get();
   const auto status = response.result_int();
   if (status / 100 == 1) return new_parser(), true;  // the answer proper is still to come
-  // Where the origin says whose answer it is, it must be this request's.
-  if (const auto id = response["X-Trace-Id"];
-      !id.empty() && id != command_of(*current()->payload).id)
-    return false;
+  if (!mine()) return false;
   if (!response.keep_alive()) keep_open_ = false;
   if (status == 200) {
     if (command_of(*current()->payload).kind == memcache::Command::Kind::kGet)
--- a/src/front/memcache/origin_connection.h
+++ b/src/front/memcache/origin_connection.h
@@ -28,6 +28,7 @@
   void new_parser();
   void on_header(const boost::optional<std::uint64_t>& length);
   bool on_body(std::string_view piece);
+  bool mine() const;
   bool finish();
 
   std::unique_ptr<Parser> parser_;
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "net/request.h"
+#include "net/value_stream.h"
 #include "policy/policy.h"
 
 namespace silverpin {
@@ -36,7 +37,10 @@
   virtual Time now() const = 0;
   // Whether the request still waits for its answer. After it nothing more may go out.
   virtual bool wanted(const Attempt& attempt) const = 0;
-  // `value`: the value or the receipt, if the result is kOk.
+  // A long value has begun to come; its rest comes by the stream, and on_end() tells how that went.
+  // Where nobody wants it any more the stream is abandoned.
+  virtual void on_begin(const AttemptPtr& attempt, const StreamPtr& stream) = 0;
+  // `value`: the value or the receipt, if the result is kOk and the value did not come by a stream.
   virtual void on_end(const AttemptPtr& attempt, Result result, std::string value) = 0;
 };
 
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -25,6 +25,8 @@
 // stop within a command or trickle would otherwise add up until none is left for others. A command
 // may take 2 s to write; a slower client has to come again.
 constexpr Duration kWriteCommand = std::chrono::milliseconds(2500);
+// A body, for which the memory is set aside, may take longer as long as it goes on coming.
+constexpr Duration kWriteBody = std::chrono::seconds(30);
 // Where descriptors run short, a client that has asked once and not come back keeps a place that
 // others need, and may itself be held to so many connections: those ends are waited for by requests
 // that never get here. A client that comes back later than this has to connect again; one that has
@@ -120,7 +122,8 @@
       error == asio::error::interrupted)
     return arm_read();
   if (error) return close();
-  if (dialect_->between_commands()) since_ = clock_.now();
+  read_ = clock_.now();
+  if (dialect_->between_commands()) since_ = read_;
   dialect_->feed({scratch.data(), n});
   pump();
 }
@@ -163,7 +166,7 @@
 }
 
 std::uint64_t ClientSession::open_slot() {
-  slots_.push_back({next_slot_, {}, 0, false, Lease(limits_.bytes)});
+  slots_.push_back({next_slot_, {}, 0, false, Lease(limits_.bytes), nullptr, {}});
   return next_slot_++;
 }
 
@@ -222,15 +225,37 @@
   });
 }
 
+void ClientSession::answer(std::uint64_t slot, std::string head, StreamPtr stream,
+                           std::string tail) {
+  Slot* s = find(slot);
+  if (!s || s->ready()) return stream->abandon();
+  if (unwritten_ == 0) wrote_ = clock_.now();
+  unwritten_ += head.size();
+  s->out = std::move(head);
+  s->stream = std::move(stream);
+  s->tail = std::move(tail);
+  s->stream->on_data = [self = weak_from_this()] {
+    if (const auto session = self.lock(); session && !session->flush_posted_) session->flush();
+  };
+  flush();
+}
+
 void ClientSession::on_final(Ticket ticket, const Payload& payload, Final final) {
-  if (!closed_) dialect_->on_final(*this, ticket, payload, std::move(final));
+  if (!closed_) return dialect_->on_final(*this, ticket, payload, std::move(final));
+  if (final.stream) final.stream->abandon();
 }
 
 // Answers that are ready leave in one call; large ones from where they are.
 void ClientSession::flush() {
   static std::array<char, kGather> scratch;  // one thread writes one connection at a time
   if (writing_ || closed_) return;
-  while (!slots_.empty() && slots_.front().complete) {
+  while (!slots_.empty() && slots_.front().ready()) {
+    if (slots_.front().stream) {
+      const Wrote wrote = flush_stream(slots_.front());
+      if (wrote == Wrote::kOn) continue;
+      if (wrote == Wrote::kEnded) close_soon();
+      return;
+    }
     std::size_t filled = 0;
     for (const Slot& s : slots_) {
       const std::size_t left = s.out.size() - s.written;
@@ -265,6 +290,54 @@
   if (slots_.empty()) on_all_written();
 }
 
+// Head, then what has come of the value, and behind the last of it the tail, as an answer like
+// others.
+ClientSession::Wrote ClientSession::flush_stream(Slot& slot) {
+  ValueStream& stream = *slot.stream;
+  const bool in_head = slot.written < slot.out.size();
+  const std::string_view piece =
+      in_head ? std::string_view(slot.out).substr(slot.written) : stream.front();
+  if (piece.empty()) {
+    if (stream.whole()) {
+      slot.stream->on_data = nullptr;
+      slot.stream = nullptr;
+      slot.out = std::move(slot.tail);
+      slot.written = 0;
+      slot.complete = true;
+      unwritten_ += slot.out.size();
+      return Wrote::kOn;
+    }
+    if (!stream.broken()) return Wrote::kWait;
+    // The client can tell by the close that the value is not whole.
+    leaving_ = true;
+    error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    return Wrote::kEnded;
+  }
+  error_code error;
+  const auto n = socket_.write_some(asio::const_buffers_1(piece.data(), piece.size()), error);
+  if (n > 0) wrote_ = clock_.now();
+  if (in_head) {
+    slot.written += n;
+    unwritten_ -= n;
+  } else if (n > 0) {
+    const StreamPtr kept = slot.stream;  // the other side may end it from inside
+    kept->take(n);
+  }
+  if (!error || error == asio::error::interrupted) return Wrote::kOn;
+  if (error != asio::error::would_block && error != asio::error::try_again) return Wrote::kEnded;
+  arm_write();
+  return Wrote::kWait;
+}
+
+void ClientSession::give_up_streams() {
+  for (Slot& s : slots_) {
+    if (!s.stream) continue;
+    const StreamPtr gone = std::exchange(s.stream, nullptr);
+    gone->abandon();
+  }
+}
+
 void ClientSession::arm_write() {
   writing_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_write,
@@ -327,9 +400,12 @@
 }
 
 bool ClientSession::overdue(Time now) const {
-  if (unwritten_ > 0) return writing_ && now - wrote_ > kReadAnswer;
+  if (unwritten_ > 0 || (!slots_.empty() && slots_.front().stream))
+    return writing_ && now - wrote_ > kReadAnswer;
   if (!slots_.empty()) return false;  // in work: the request has an end of its own
   if (!served_ && now - born_ > times_.first_command) return true;
+  if (dialect_->body_length() > 0)
+    return now - read_ > kWriteCommand || now - since_ > kWriteBody;
   if (blocked_ || !dialect_->between_commands()) return now - since_ > kWriteCommand;
   if (answered_ == 1 && limits_.clients_short()) return now - since_ > kIdleShort;
   return now - since_ > (served_ ? times_.idle : times_.first_byte);
@@ -366,6 +442,7 @@
   unwritten_ = 0;
   const auto self = shared_from_this();
   core_.withdraw(*this);
+  give_up_streams();
   slots_.clear();
   owner_.on_session_closed(self);
 }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -63,6 +63,9 @@
   std::uint64_t open_slot();
   // Completes the place. All answers are written in the order of their places.
   void answer(std::uint64_t slot, std::string text);
+  // The same where most of the answer is a long value: a head, the stream and a tail. A stream that
+  // breaks ends the connection behind what came of it.
+  void answer(std::uint64_t slot, std::string head, StreamPtr stream, std::string tail);
   // A dialect that has made the next command wait may be asked for it again.
   void wake() {
     if (blocked_) pump_soon();
@@ -97,6 +100,9 @@
     std::size_t written = 0;
     bool complete = false;
     Lease bytes;
+    StreamPtr stream;  // comes behind `out`
+    std::string tail;  // and then this
+    bool ready() const { return complete || stream; }
   };
 
   Slot* find(std::uint64_t slot);
@@ -109,6 +115,9 @@
   void arm_write();
   void on_readable();
   void flush();
+  enum class Wrote { kOn, kWait, kEnded };
+  Wrote flush_stream(Slot& slot);
+  void give_up_streams();
   void on_all_written();
   void linger();
   void discard();
@@ -143,6 +152,7 @@
   std::uint64_t answered_ = 0;
   const Time born_;
   Time since_{0};  // it last went over to what it is doing
+  Time read_{0};   // it last sent something
   Time wrote_{0};  // last time that the client took something, or had taken all
   Time fault_at_{0};
 };
--- a/src/net/request.h
+++ b/src/net/request.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "net/value_stream.h"
 #include "policy/policy.h"
 #include "pool/sharing.h"
 
@@ -37,6 +38,7 @@
   Kind kind = Kind::kFailed;
   std::string value;        // of a served one: what the back has made of the server's answer
   Duration retry_after{0};  // of a refused one; 0: no advice
+  StreamPtr stream;         // of a served one whose value is long: in place of `value`
 };
 
 // Where a final answer belongs: a place in a client's order of answers, and the part of it where
--- a/src/net/upstream_connection.cc
+++ b/src/net/upstream_connection.cc
@@ -18,6 +18,9 @@
 constexpr std::size_t kWriteSize = 64u << 10;  // gathered for one call
 constexpr std::size_t kLargePiece = 16u << 10;
 constexpr Duration kStalledAnswer = std::chrono::milliseconds(250);
+// A long value may come in pieces, as its host can; one that stands still for so long has ended. So
+// has the answer to what must not run twice.
+constexpr Duration kStalledStream = std::chrono::milliseconds(3000);
 
 }  // namespace
 
@@ -161,7 +164,7 @@
 // ---- reading
 
 void UpstreamConnection::arm_read() {
-  if (reading_ || closed_ || !up_ || memory_full_) return;
+  if (reading_ || closed_ || !up_ || !may_read()) return;
   reading_ = true;
   socket_.async_wait(asio::ip::tcp::socket::wait_read,
                      [self = shared_from_this()](const error_code& e) {
@@ -173,10 +176,16 @@
                      });
 }
 
+bool UpstreamConnection::may_read() const {
+  return !memory_full_ && (!stream_ || stream_->room() > 0);
+}
+
 void UpstreamConnection::on_readable() {
   static std::array<char, kReadSize> scratch;  // one thread reads one connection at a time
+  if (!may_read()) return;                     // the window filled up meanwhile
   error_code error;
-  const auto n = socket_.read_some(asio::buffer(scratch), error);
+  const auto most = stream_ ? std::min(kReadSize, stream_->room()) : kReadSize;
+  const auto n = socket_.read_some(asio::buffer(scratch.data(), most), error);
   if (error == asio::error::would_block || error == asio::error::try_again ||
       error == asio::error::interrupted)
     return arm_read();
@@ -188,6 +197,7 @@
   // A peer that splits its noise over packets is caught before the next attempt, by alive().
   if (queue_.empty() && !between_answers()) return fail();
   partial_since_ = between_answers() ? std::optional<Time>() : partial_since_.value_or(last_read_);
+  if (stream_ && stream_->abandoned()) return fail();  // to read the rest would be for nobody
   // Values are collected within the byte budget; what is over it waits in the kernel.
   memory_full_ = !value_.empty() && !limits_.bytes.room_for(kWholeValue);
   settle();
@@ -200,7 +210,30 @@
   arm_read();
 }
 
+void UpstreamConnection::begin_value(std::size_t length) {
+  if (length <= kWholeValue || current()->ended) return;
+  stream_ = std::make_shared<ValueStream>(length, limits_.bytes);
+  stream_->on_room = [self = weak_from_this()] {
+    if (const auto c = self.lock()) c->on_stream_room();
+  };
+  ended_.push_back({current(), Result::kOk, {}, stream_});
+}
+
+// May come from inside push(), or from the client's side at any time.
+void UpstreamConnection::on_stream_room() {
+  if (closed_ || reading_) return;
+  last_read_ = events_.now();  // the wait was the other side's
+  if (stream_ && stream_->abandoned()) {
+    asio::post(socket_.get_executor(), [self = shared_from_this(), stream = stream_] {
+      if (self->stream_ == stream) self->fail();
+    });
+    return;
+  }
+  arm_read();
+}
+
 bool UpstreamConnection::take_value(std::string_view piece, std::optional<std::size_t> length) {
+  if (stream_) return stream_->push(piece), true;
   if (current()->ended) return true;  // given up: read and forgotten
   if (value_.size() + piece.size() > most_value()) return false;
   if (length && value_.empty()) value_.reserve(*length);
@@ -215,6 +248,7 @@
   if (unsent_ > 0) --unsent_;
   std::string value = std::exchange(value_, {});
   bytes_.resize(0);
+  if (const auto stream = std::exchange(stream_, nullptr)) stream->finish();
   if (!out.sent()) {
     // An answer that came before the request was written whole. Only a rejection makes sense.
     keep_open_ = false;
@@ -235,7 +269,10 @@
   // An answer that began and stays unfinished is not whole, and whoever waits for the rest waits in
   // vain: a length that does not fit, a line without an end, a peer that died in mid-answer. Hosts
   // write an answer at one go, so this is far above what a pause in the host or the network takes.
-  if (partial_since_ && !memory_full_ && events_.now() - last_read_ > kStalledAnswer)
+  // Where nobody else may be asked instead, to give up early gains nothing.
+  const bool patient = stream_ || (!queue_.empty() && current()->unsafe);
+  if (partial_since_ && may_read() &&
+      events_.now() - last_read_ > (patient ? kStalledStream : kStalledAnswer))
     fail(Result::kError);
 }
 
@@ -245,7 +282,7 @@
 // Those of one turn are told together.
 void UpstreamConnection::end(Outgoing& out, Result result, std::string value) {
   if (out.attempt->ended) return;
-  ended_.push_back({std::move(out.attempt), result, std::move(value)});
+  ended_.push_back({std::move(out.attempt), result, std::move(value), nullptr});
   if (from_loop_ || deliver_posted_) return;
   deliver_posted_ = true;
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -260,7 +297,13 @@
   std::vector<Ended> ended;
   while (!ended_.empty()) {
     ended.swap(ended_);
-    for (Ended& e : ended) events_.on_end(e.attempt, e.result, std::move(e.value));
+    for (Ended& e : ended) {
+      if (e.begun) {
+        events_.on_begin(e.attempt, e.begun);
+      } else {
+        events_.on_end(e.attempt, e.result, std::move(e.value));
+      }
+    }
     ended.clear();
   }
 }
@@ -295,6 +338,7 @@
   socket_.close(ignored);
   descriptor_ = Lease();
   bytes_.resize(0);
+  if (const auto stream = std::exchange(stream_, nullptr)) stream->finish();
   for (Outgoing& out : queue_) end(out, out.sent() ? begun : Result::kConnectFailed);
   queue_.clear();
   unsent_ = 0;
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -78,7 +78,10 @@
   Time now() const { return events_.now(); }
   const AttemptPtr& current() const { return queue_.front().attempt; }
   bool expecting() const { return !queue_.empty() && queue_.front().begun; }
-  // A piece of the current answer's value; `length`: the whole, if it is known.
+  // The current answer's value begins and will be so long. One that is too long to be collected
+  // goes by a stream from here on.
+  void begin_value(std::size_t length);
+  // A piece of it; `length`: the whole, if it is known.
   bool take_value(std::string_view piece, std::optional<std::size_t> length);
   // What the current answer takes of the byte budget, where the connection collects it itself.
   void hold(std::size_t bytes) { bytes_.resize(bytes); }
@@ -92,6 +95,8 @@
   void arm_read();
   void arm_write();
   void on_readable();
+  void on_stream_room();
+  bool may_read() const;
   // `begun`: what becomes of attempts that were sent.
   void fail(Result begun = Result::kReset);
   void settle();
@@ -116,10 +121,12 @@
     AttemptPtr attempt;
     Result result;
     std::string value;
+    StreamPtr begun;  // in place of an end
   };
   std::vector<Ended> ended_;  // to be told from the event loop
   bool deliver_posted_ = false, from_loop_ = false;
   std::string value_;  // collected so far
+  StreamPtr stream_;   // of a long one
   Time last_read_{0};
   std::optional<Time> partial_since_;  // an answer has begun and not ended
 };
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace silverpin {
@@ -59,10 +58,10 @@
       cache_gate_(kMostSlow, now - from_seconds(0.5 * uniform())),
       placement_(placement ? *placement : ring_),
       demand_(kDemandPeriod, now),
-      cache_work_at_(now),
+      cache_work_(kWorkMemory, now),
       retry_budget_(kRetryDepth) {
   // Full; the first request brings them down to their depth.
-  quotas_.assign(settings_.tenant_quotas.size(), {std::numeric_limits<double>::infinity(), now});
+  quotas_.assign(settings_.tenant_quotas.size(), TokenBucket(now));
   // Balancers that start together must not all call the list at once.
   if (settings_.list_on_request)
     timer(now + from_seconds(seconds(settings_.ask_within) / 10 * uniform()),
@@ -115,8 +114,8 @@
       host.started_at = e.started_at;
       if (e.started_at) host.health.on_start(*e.started_at, uniform());
     }
-    if (is_new)
-      if (const auto word = words_.find(e.id); word != words_.end()) heed(host, word->second);
+    const auto word = is_new ? words_.find(e.id) : words_.end();
+    if (word != words_.end()) heed(host, word->second);
     const bool on_ring = !host.origin && host.state != HostState::kGone;
     if (on_ring && !was_on_ring) {
       if (settings_.static_weights) host.weight = bounded_weight(e.weight);
@@ -251,9 +250,7 @@
 bool Policy::may_take(const Active& r, HostIndex index) {
   Host& host = hosts_[index];
   if (host.origin) return true;
-  const double lately =
-      cache_work_ * std::exp(-seconds(now_ - cache_work_at_) / kWorkMemory) / kWorkMemory;
-  const double normal = ring_weight_ > 0 ? lately * host.weight / ring_weight_ : 0;
+  const double normal = ring_weight_ > 0 ? cache_work_.rate(now_) * host.weight / ring_weight_ : 0;
   return host.health.may_take(now_, settings_.cold, r.work, normal);
 }
 
@@ -355,9 +352,7 @@
   }
   if (!send(r, *choice, r.deadline)) return give_up(r);
   if (retry) retry_budget_ -= 1;
-  const double since = seconds(now_ - cache_work_at_);
-  cache_work_ = cache_work_ * std::exp(-since / kWorkMemory) + r.work;
-  cache_work_at_ = now_;
+  cache_work_.add(now_, r.work);
   r.slow_tag = timer(now_ + patience(r), TimerKind::kSlow, r.id);
 }
 
@@ -375,13 +370,7 @@
 bool Policy::within_share(int tenant) {
   if (tenant < 0 || tenant >= static_cast<int>(quotas_.size())) return true;
   const double rate = settings_.tenant_quotas[tenant] / settings_.balancers;
-  Quota& q = quotas_[tenant];
-  q.tokens = std::min(q.tokens + rate * seconds(now_ - q.at),
-                      std::max(kLeastQuotaDepth, kQuotaSeconds * rate));
-  q.at = now_;
-  if (q.tokens < 1) return false;
-  q.tokens -= 1;
-  return true;
+  return quotas_[tenant].take(now_, rate, std::max(kLeastQuotaDepth, kQuotaSeconds * rate));
 }
 
 void Policy::judge(Host& host, bool slow) {
@@ -442,8 +431,7 @@
 }
 
 void Policy::send_write(Active& r) {
-  const auto target = origin();
-  if (!target || !send(r, *target, r.deadline)) give_up(r);
+  if (const auto target = origin(); !target || !send(r, *target, r.deadline)) give_up(r);
 }
 
 // Nothing more to try. An attempt still out may yet answer.
@@ -460,7 +448,7 @@
   Attempt& a = r.attempts[o.attempt];
   if (a.fate != Fate::kOut) return;
   Host& host = hosts_[a.host];
-  host.health.on_ended(a.sent_at);
+  if (!a.begun) host.health.on_ended(a.sent_at);
   const bool never_ran = o.result == Result::kRejected || o.result == Result::kConnectFailed ||
                          o.result == Result::kNotSent || o.result == Result::kRedirected;
   a.fate = o.result == Result::kMiss ? Fate::kMissed
@@ -481,7 +469,8 @@
       zone.health.on_success();
     }
   }
-  if (host.origin) {
+  if (a.begun && (host.origin || well)) {  // heard at the first byte
+  } else if (host.origin) {
     if (o.result == Result::kCancelled || o.result == Result::kNotSent) {
       gate_.on_dropped(a.sent_at);
     } else {
@@ -496,8 +485,8 @@
     judge(host, true);  // full: slower still than slow
   } else if (o.result == Result::kError || o.result == Result::kReset) {
     // One now and then is the connection's or the request's, and a host that is away refuses the
-    // next connection. A host that answers little else,
-    // and at once, would draw in and fail all its keys: no time-out and no queue ever shows it.
+    // next connection. A host that answers little else, and at once, would draw in and fail all
+    // its keys: no time-out and no queue ever shows it.
     host.health.on_error(now, uniform());
   }
   // Hosts take so many connections: idle ones of a large fleet's balancers would keep the rest out.
@@ -534,17 +523,30 @@
   erase_if_done(o.id);
 }
 
-void Policy::on_first_byte(Time now, RequestId id) {
+void Policy::on_first_byte(Time now, RequestId id, std::optional<int> attempt) {
   now_ = now;
   const auto it = active_.find(id);
-  if (it != active_.end()) it->second.streaming = true;
+  if (it == active_.end()) return;
+  Active& r = it->second;
+  r.streaming = true;
+  if (!attempt || *attempt >= static_cast<int>(r.attempts.size())) return;
+  Attempt& a = r.attempts[*attempt];
+  Host& host = hosts_[a.host];
+  if (std::exchange(a.begun, true)) return;
+  host.health.on_ended(a.sent_at);
+  if (host.origin) {
+    gate_.on_done(a.sent_at, now, false);
+    settle_fetch(r, true);
+  } else {
+    host.health.on_success();
+    if (!a.slow) judge(host, false);
+  }
 }
 
 void Policy::on_withdrawn(Time now, RequestId id) {
   now_ = now;
   const auto it = active_.find(id);
-  if (it == active_.end()) return;
-  it->second.over = true;
+  if (it != active_.end()) it->second.over = true;
   erase_if_done(id);
 }
 
@@ -563,7 +565,8 @@
     case TimerKind::kSlow: {
       Attempt& last = r.attempts.back();
       Host& host = hosts_[last.host];
-      if (host.origin || last.fate != Fate::kOut || last.slow || now - last.sent_at < patience(r))
+      if (host.origin || last.fate != Fate::kOut || last.slow || r.streaming ||
+          now - last.sent_at < patience(r))
         break;
       last.slow = true;
       judge(host, true);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -12,8 +12,10 @@
 #include "policy/hash_ring.h"
 #include "policy/host_health.h"
 #include "policy/origin_gate.h"
+#include "structures/decaying_sum.h"
 #include "structures/numbered_queue.h"
 #include "structures/recent_counts.h"
+#include "structures/token_bucket.h"
 
 // The decisions of one balancer. Events go in, actions come out through the sink; nothing here
 // does I/O, reads a clock, starts a thread or shares state with another instance.
@@ -111,7 +113,9 @@
   void on_hosts(Time now, ListKind kind, const std::vector<HostEntry>& entries);
   void on_request(Time now, const Request& request);
   void on_outcome(Time now, const Outcome& outcome);
-  void on_first_byte(Time now, RequestId id);
+  // `attempt`: whose byte it is, where that is known. What it takes from here on is the pace of
+  // whoever reads, and tells nothing of its host.
+  void on_first_byte(Time now, RequestId id, std::optional<int> attempt = std::nullopt);
   void on_withdrawn(Time now, RequestId id);
   void on_timer(Time now, std::uint64_t tag);
 
@@ -154,6 +158,7 @@
     Fate fate = Fate::kOut;
     bool slow = false;   // and counted as such while still out
     bool broke = false;  // its connection did
+    bool begun = false;  // to answer
     bool redirected = false;
   };
 
@@ -229,16 +234,11 @@
   NumberedQueue<Timer> timers_;                       // by tag
   RecentCounts demand_;                               // how often each key was asked for
   int refused_calls_ = 0;                             // list calls refused in a row
-  double cache_work_ = 0;  // seconds of work sent to caches lately, decayed
-  Time cache_work_at_;
+  DecayingSum cache_work_;                            // seconds of work sent to caches lately
   double retry_budget_;
   double strain_ = 0;       // share of slow answers lately
   double unconnected_ = 0;  // share of attempts that got no connection lately
-  struct Quota {
-    double tokens;
-    Time at;
-  };
-  std::vector<Quota> quotas_;
+  std::vector<TokenBucket> quotas_;
   struct Zone {
     int failures = 0;  // in a row, of attempts at caches there
     HostHealth health;
--- a/src/proto/memcache.h
+++ b/src/proto/memcache.h
@@ -16,7 +16,7 @@
 inline constexpr std::size_t kMaxLine = 4096;
 inline constexpr std::size_t kMaxKey = 250;
 inline constexpr std::size_t kMaxId = 32;
-inline constexpr std::size_t kMaxValue = 64u << 10;  // as the protocol has it
+inline constexpr std::size_t kMaxValue = 4u << 20;
 
 struct Command {
   enum class Kind { kGet, kSet, kNoop };
