Take a write's receipt whose length only the connection's end tells

A probe of what came showed answers of the origin without a length, ended by the close, as HTTP allows; each was taken for a connection that broke, and what must not run twice cannot be asked for again. Ruled out before: the times for bodies and for answers that pause; host and client breaks (no such outcome was logged).

Change: at an orderly end of input the origin's parser is told so; a write's receipt counts then. A read is still asked for again, as its value could not be told from one that broke off.

--- a/src/front/memcache/origin_connection.h
+++ b/src/front/memcache/origin_connection.h
@@ -24,6 +24,7 @@
   bool can_pipeline() const override { return false; }
   void encode(Outgoing& out) override;
   bool on_bytes(std::string_view bytes) override;
+  void on_end_of_input() override;
   bool between_answers() const override;
   void new_parser();
   void on_header(const boost::optional<std::uint64_t>& length);
--- a/src/net/upstream_connection.cc
+++ b/src/net/upstream_connection.cc
@@ -189,6 +189,7 @@
   if (error == asio::error::would_block || error == asio::error::try_again ||
       error == asio::error::interrupted)
     return arm_read();
+  if (error == asio::error::eof && expecting()) on_end_of_input();
   if (error) return fail();
   last_read_ = events_.now();
   // An answer that can't be read is an error, not a sign that the host is away, as a reset is.
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -70,6 +70,8 @@
   virtual void encode(Outgoing& out) = 0;
   // False: what came makes no sense and the connection ends.
   virtual bool on_bytes(std::string_view bytes) = 0;
+  // The peer has ended its sending in order. May complete an answer that the end is part of.
+  virtual void on_end_of_input() {}
   // The longest value of an answer.
   virtual std::size_t most_value() const { return kWholeValue; }
   // Whether nothing of a further answer has come yet.
