--- a/src/core/server_pool.h
+++ b/src/core/server_pool.h
@@ -53,6 +53,8 @@
   // An operator's words on hosts; see Policy.
   bool maintain(std::string_view host, bool out);
   const std::map<std::string, Policy::Word, std::less<>>& words() const { return policy_.words(); }
+  Policy::Learnt learnt() const { return policy_.learnt(clock_.now()); }
+  void take_up(const Policy::Learnt& from) { policy_.take_up(now(), from); }
   void restore(std::string_view host, Policy::Word word) { policy_.restore(now(), host, word); }
 
   // RequestSink
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -325,6 +325,10 @@
     const handover::Snapshot& s = from.snapshot;
     if (s.version <= handover::kVersion) {
       if (s.listed && s.seq >= memcache_->seq) memcache_->take(list_of(s));
+      Policy::Learnt learnt{s.work_rate, s.origin_open, s.caches_open, {}};
+      for (const auto& h : s.hosts)
+        if (h.share < 1) learnt.shares.emplace_back(h.id, h.share);
+      memcache_->pool.take_up(learnt);
       for (const auto& w : s.words) memcache_->pool.restore(w.host, {w.out, w.at});
       if (s.away) send_away(true);
     }
@@ -392,6 +396,13 @@
   s.listed = memcache_->listed;
   s.seq = memcache_->seq;
   for (const auto& [id, h] : memcache_->hosts) s.hosts.push_back(host_of(h));
+  const Policy::Learnt learnt = memcache_->pool.learnt();
+  s.work_rate = learnt.work_rate;
+  s.origin_open = learnt.origin;
+  s.caches_open = learnt.caches;
+  const std::map<std::string, double> shares(learnt.shares.begin(), learnt.shares.end());
+  for (handover::Host& h : s.hosts)
+    if (const auto at = shares.find(h.id); at != shares.end()) h.share = at->second;
   for (const auto& [id, w] : memcache_->pool.words()) s.words.push_back({id, w.out, w.at});
   s.away = away_;
   for (const ClientListener* l : listeners()) s.listeners.push_back(text_of(l->local()));
--- a/src/policy/hash_ring.cc
+++ b/src/policy/hash_ring.cc
@@ -16,19 +16,6 @@
   return std::isfinite(weight) ? std::clamp(weight, kLeastWeight, kMostWeight) : kLeastWeight;
 }
 
-std::uint64_t mix(std::uint64_t a, std::uint64_t b) {  // the finalizer of splitmix64
-  std::uint64_t x = a + 0x9e3779b97f4a7c15u * (b + 1);
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
-  return x ^ (x >> 31);
-}
-
-std::uint64_t stable_hash(std::string_view text) {  // FNV-1a, mixed to spread short texts
-  std::uint64_t hash = 0xcbf29ce484222325u;
-  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
-  return mix(hash, text.size());
-}
-
 void HashRing::insert(const std::vector<Member>& members) {
   const auto old_size = static_cast<std::ptrdiff_t>(points_.size());
   for (const Member& m : members) {
--- a/src/policy/hash_ring.h
+++ b/src/policy/hash_ring.h
@@ -6,14 +6,12 @@
 #include <vector>
 
 #include "policy/placement.h"
+#include "structures/stable_hash.h"
 
 namespace silverpin {
 
-// The same on every machine and in every run, so that all balancers agree on every point.
-std::uint64_t stable_hash(std::string_view text);
 // Odd weights must neither drop a host from the ring nor let it flood the ring.
 double bounded_weight(double weight);
-std::uint64_t mix(std::uint64_t a, std::uint64_t b);
 
 // A consistent hash ring with virtual nodes. The points follow from host ids and static weights
 // alone: balancers that know the same hosts build the same ring, and a host that comes or goes
--- a/src/policy/host_health.h
+++ b/src/policy/host_health.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <vector>
 
 #include "policy/origin_gate.h"
@@ -25,6 +26,7 @@
   // An answer came in time, or was slow to come: moves the share of its keys that the host keeps.
   void on_answer(Time now, bool slow);
   double share(Time now) const;
+  void resume(Time now, double share) { share_ = std::clamp(share, 0.1, 1.0), share_at_ = now; }
   void on_success();
   // Ejects the host for a while after a failure that says it is away or hung. `jitter`, in [0,1),
   // keeps balancers that saw the same failure from coming back in step.
--- a/src/policy/origin_gate.h
+++ b/src/policy/origin_gate.h
@@ -36,6 +36,7 @@
   void advance(Time now);  // ends the sampling periods that have passed
 
   double fraction() const { return fraction_; }
+  void resume(double fraction) { fraction_ = std::clamp(fraction, 0.05, 1.0); }
   bool wide_open() const { return fraction_ >= 1; }  // holds nothing back
   Duration target() const { return from_seconds(target_); }
 
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -88,23 +88,13 @@
     return;
   }
   refused_calls_ = 0;
-  std::vector<bool> listed(hosts_.size(), false);
+  ++lists_;
   std::vector<Placement::Member> joined;
   for (const HostEntry& e : entries) {
-    const auto place = free_.empty() ? static_cast<HostIndex>(hosts_.size()) : free_.back();
-    const auto [it, is_new] = host_index_.try_emplace(std::string(e.id), place);
-    const HostIndex index = it->second;
-    if (is_new) {
-      if (free_.empty()) {
-        hosts_.emplace_back();
-        listed.push_back(false);
-      } else {
-        free_.pop_back();
-      }
-      hosts_[index].id = e.id;
-    }
+    const auto [index, is_new] = hosts_.insert(e.id);
     Host& host = hosts_[index];
-    listed[index] = true;
+    host.id = e.id;
+    host.listed = lists_;
     const bool was_on_ring = !host.origin && host.state != HostState::kGone;
     host.origin = e.origin;
     host.zone = e.zone;
@@ -119,7 +109,7 @@
     const bool on_ring = !host.origin && host.state != HostState::kGone;
     if (on_ring && !was_on_ring) {
       if (settings_.static_weights) host.weight = bounded_weight(e.weight);
-      joined.push_back({index, it->first, host.weight});
+      joined.push_back({index, host.id, host.weight});
     } else if (was_on_ring && !on_ring) {
       placement_.erase(index);
     }
@@ -128,7 +118,7 @@
   ring_weight_ = 0;
   for (HostIndex i = 0; i < hosts_.size(); ++i) {
     Host& host = hosts_[i];
-    if (kind == ListKind::kWhole && !listed[i] && host.state != HostState::kGone) {
+    if (kind == ListKind::kWhole && host.listed != lists_ && host.state != HostState::kGone) {
       if (!host.origin) placement_.erase(i);
       host.state = HostState::kGone;
     }
@@ -143,8 +133,8 @@
   std::erase_if(words_, [&](const auto& w) {
     return !w.second.out && now - w.second.at > settings_.cold.warm_after;
   });
-  const auto listed = host_index_.find(std::string(id));
-  const bool known = listed != host_index_.end() && !hosts_[listed->second].origin;
+  const auto listed = hosts_.find(id);
+  const bool known = listed && !hosts_[*listed].origin;
   const auto word = words_.find(id);
   if (word == words_.end() && (!known || words_.size() >= kMostWords)) return false;
   if (out != (word != words_.end() && word->second.out)) restore(now, id, {out, now});
@@ -155,8 +145,7 @@
   now_ = now;
   if (words_.size() >= kMostWords && !words_.contains(id)) return;
   words_.insert_or_assign(std::string(id), word);
-  const auto listed = host_index_.find(std::string(id));
-  if (listed != host_index_.end()) heed(hosts_[listed->second], word);
+  if (const auto listed = hosts_.find(id)) heed(hosts_[*listed], word);
 }
 
 // One that comes back was restarted meanwhile, also where no list has told so: it is cold, and what
@@ -173,9 +162,23 @@
 void Policy::forget_if_gone(HostIndex index) {
   Host& host = hosts_[index];
   if (host.state != HostState::kGone || host.held > 0 || host.id.empty()) return;
-  host_index_.erase(host.id);
-  host = Host{};
-  free_.push_back(index);
+  hosts_.erase(std::string(host.id));
+}
+
+Policy::Learnt Policy::learnt(Time now) const {
+  Learnt all{cache_work_.rate(now), gate_.fraction(), cache_gate_.fraction(), {}};
+  for (const Host& host : hosts_)
+    if (host.health.share(now) < 1) all.shares.emplace_back(host.id, host.health.share(now));
+  return all;
+}
+
+// Begun blank it would give cold hosts nothing at first, and slow ones and the origin too much.
+void Policy::take_up(Time now, const Learnt& from) {
+  cache_work_.add(now, from.work_rate * kWorkMemory);
+  gate_.resume(from.origin);
+  cache_gate_.resume(from.caches);
+  for (const auto& [id, share] : from.shares)
+    if (const auto listed = hosts_.find(id)) hosts_[*listed].health.resume(now, share);
 }
 
 std::optional<Policy::HostIndex> Policy::origin() const {
@@ -295,9 +298,9 @@
 // The ordinary path: the key's owner on the ring, or the next point where the owner is away,
 // ejected, still cold for this key, or has failed this request before.
 void Policy::ask_cache(Active& r, std::optional<HostIndex> stored_at) {
-  // Time-outs and full queues that each bring another attempt multiply the load that caused them,
-  // until the whole fleet is full. The next point of a key that is not hot would most likely miss,
-  // so a wide open origin is asked at once. A follower that asks again after a fetch is no retry.
+  // Time-outs and full queues that each bring another attempt multiply the load that caused them.
+  // The next point of a key that is not hot would most likely miss, so a wide open origin is asked
+  // at once. A follower that asks again after a fetch is no retry.
   // Where a connection broke, the host and its copy are still there, as long as it is not ejected:
   // the key's owner is asked once more. No budget holds that back, since it is no sign of load and
   // comes once a request; where hosts break off because they are full it would double what they
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -7,12 +7,14 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "policy/hash_ring.h"
 #include "policy/host_health.h"
 #include "policy/origin_gate.h"
 #include "structures/decaying_sum.h"
+#include "structures/named_slots.h"
 #include "structures/numbered_queue.h"
 #include "structures/recent_counts.h"
 #include "structures/token_bucket.h"
@@ -131,6 +133,14 @@
   // A word given to the process whose place this one takes, on whatever host.
   void restore(Time now, std::string_view host, Word word);
 
+  // What a process in this one's place would have to learn anew.
+  struct Learnt {
+    double work_rate, origin, caches;  // seconds of work a second; how far the gates are open
+    std::vector<std::pair<std::string, double>> shares;  // that hosts keep of their keys
+  };
+  Learnt learnt(Time now) const;
+  void take_up(Time now, const Learnt& from);
+
   std::size_t host_places() const { return hosts_.size(); }
 
  private:
@@ -138,6 +148,7 @@
 
   struct Host {
     std::string id;
+    std::uint64_t listed = 0;  // by which list, last
     bool origin = false;
     int zone = 0;
     int cell = 0;
@@ -221,9 +232,8 @@
   HashRing ring_;
   Placement& placement_;
   double ring_weight_ = 0;  // of all hosts on it
-  std::vector<Host> hosts_;
-  std::vector<HostIndex> free_;  // places of forgotten hosts, for new ones
-  std::unordered_map<std::string, HostIndex> host_index_;
+  NamedSlots<Host> hosts_;
+  std::uint64_t lists_ = 0;  // that have come
   std::map<std::string, Word, std::less<>> words_;
   std::unordered_map<RequestId, Active> active_;
   struct Fetch {
--- a/src/proto/handover_wire.cc
+++ b/src/proto/handover_wire.cc
@@ -33,6 +33,7 @@
   to.set_cell(h.cell);
   to.set_state(static_cast<std::uint32_t>(h.state));
   to.set_weight(h.weight);
+  to.set_share(h.share);
 }
 
 struct Writer {
@@ -51,6 +52,9 @@
     s.set_seq(m.seq);
     s.set_listed(m.listed);
     s.set_away(m.away);
+    s.set_work_rate(m.work_rate);
+    s.set_origin_open(m.origin_open);
+    s.set_caches_open(m.caches_open);
     put(m.held, *s.mutable_held());
     for (const auto& l : m.listeners) s.add_listeners(l);
   }
@@ -68,6 +72,10 @@
 
 // ---- reading
 
+constexpr double kMostWork = 1e6;  // seconds a second
+
+bool is_part(double x) { return x >= 0 && x <= 1; }
+
 Share share_of(const pb::Share& s) { return {s.descriptors(), s.bytes()}; }
 
 std::optional<Word> word_of(const pb::Word& w) {
@@ -92,6 +100,8 @@
   host.cell = h.cell();
   host.state = static_cast<int>(h.state());
   host.weight = h.weight();
+  if (h.has_share()) host.share = h.share();
+  if (!is_part(host.share)) return std::nullopt;
   return host;
 }
 
@@ -120,6 +130,12 @@
   m.seq = s.seq();
   m.listed = s.listed();
   m.away = s.away();
+  m.work_rate = s.work_rate();
+  if (s.has_origin_open()) m.origin_open = s.origin_open();
+  if (s.has_caches_open()) m.caches_open = s.caches_open();
+  if (!is_part(m.origin_open) || !is_part(m.caches_open) || !(m.work_rate >= 0) ||
+      !(m.work_rate < kMostWork))
+    return std::nullopt;
   return m;
 }
 
--- a/src/proto/handover_wire.h
+++ b/src/proto/handover_wire.h
@@ -39,6 +39,7 @@
   int zone = 0, cell = 0;
   int state = 0;  // 0 to 2, as silverpin::HostState
   double weight = 1;
+  double share = 1;  // 0 to 1
   bool operator==(const Host&) const = default;
 };
 
@@ -63,6 +64,7 @@
   std::uint64_t seq = 0;
   bool listed = false, away = false;
   Share held;
+  double work_rate = 0, origin_open = 1, caches_open = 1;
   std::vector<std::string> listeners;
   bool operator==(const Snapshot&) const = default;
 };
--- /dev/null
+++ b/src/structures/named_slots.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace silverpin {
+
+// A table whose rows have a name and a number. Numbers are small, stay with their row, and are used
+// again for new ones once it is erased; rows do not move. An erased row reads as a new one.
+template <typename T>
+class NamedSlots {
+ public:
+  using Index = std::uint32_t;
+
+  // The row's number, and whether it is new.
+  std::pair<Index, bool> insert(std::string_view name) {
+    const auto place = free_.empty() ? static_cast<Index>(rows_.size()) : free_.back();
+    const auto [at, is_new] = by_name_.try_emplace(std::string(name), place);
+    if (is_new && free_.empty()) {
+      rows_.emplace_back();
+    } else if (is_new) {
+      free_.pop_back();
+    }
+    return {at->second, is_new};
+  }
+  std::optional<Index> find(std::string_view name) const {
+    const auto at = by_name_.find(std::string(name));
+    if (at == by_name_.end()) return std::nullopt;
+    return at->second;
+  }
+  void erase(std::string_view name) {
+    const auto at = by_name_.find(std::string(name));
+    if (at == by_name_.end()) return;
+    rows_[at->second] = T{};
+    free_.push_back(at->second);
+    by_name_.erase(at);
+  }
+  T& operator[](Index i) { return rows_[i]; }
+  const T& operator[](Index i) const { return rows_[i]; }
+  // Rows in use, and free ones between them.
+  std::size_t size() const { return rows_.size(); }
+  auto begin() const { return rows_.begin(); }
+  auto end() const { return rows_.end(); }
+
+ private:
+  std::deque<T> rows_;
+  std::vector<Index> free_;
+  std::unordered_map<std::string, Index> by_name_;
+};
+
+}  // namespace silverpin
