--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -68,12 +68,20 @@
     return status.has_value();
   }
   bool ended_well() { return exited() && WIFEXITED(*status) && WEXITSTATUS(*status) == 0; }
+  // Until the program runs the descriptors are the test's own.
+  bool runs() const {
+    std::error_code e;
+    return std::filesystem::equivalent("/proc/" + std::to_string(pid) + "/exe", SILVERPIN_PROGRAM,
+                                       e);
+  }
   std::size_t descriptors() const {
+    if (!runs()) return 0;
     std::error_code e;
     std::filesystem::directory_iterator at("/proc/" + std::to_string(pid) + "/fd", e), end;
     return e ? 0 : static_cast<std::size_t>(std::distance(at, end));
   }
   std::size_t resident_kb() const {
+    if (!runs()) return 0;
     std::ifstream in("/proc/" + std::to_string(pid) + "/status");
     for (std::string line; std::getline(in, line);)
       if (line.starts_with("VmRSS:")) return std::stoul(line.substr(6));
