Pass a client's connection on from the event loop only

Cause: under ASan the test of twenty upgrades read a freed request in ServerPool::on_end. The answer's write found the client between requests and passed its connection on at once, from inside the core's call; to be taken withdraws from the core, which then forgot the request that it was about to end. Ruled out: the stream of long values (its ends are all posted).

Change: the session posts it, and only in a drain, where passing is possible at all.

--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -355,7 +355,12 @@
     fault_sent_ = true;
     return answer(open_slot(), fault_);
   }
-  if (can_release() && owner_.take_over(*this)) return;
+  // To another process, if there is one: only in a drain. Never from inside the core's own call
+  // that has just brought the answer, as to be taken withdraws from the core.
+  if (leave_at_ && can_release())
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      if (self->can_release()) self->owner_.take_over(*self);
+    });
   if (!leave_at_ || blocked_ || pump_posted_ || !dialect_->between_commands() || has_input())
     return;
   const Time now = clock_.now();
