--- a/src/net/descriptor_link.cc
+++ b/src/net/descriptor_link.cc
@@ -103,6 +103,8 @@
   for (int i = 0; i < 16 && open(); ++i) {
     Received r = receive_packet(stream_.native_handle(), longest_, most_descriptors_);
     if (r.n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) break;
+    // Told once where the peer ended with input unread; what it had sent can be read still.
+    if (r.n < 0 && errno == ECONNRESET && i < 15) continue;
     if (r.n <= 0) return lose();
     handlers_.on_packet(std::move(r.packet));
     if (!*alive) return;
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -500,7 +500,8 @@
     // Those whose deadline lies beyond the end.
     if (since >= longest_deadline_ + kDrainAnswer) each_pool([](ServerPool& p) { p.fail_open(); });
     if (since >= longest_deadline_ + kDrainExit ||
-        ((since >= kDrainAccept || succeeded()) && sessions == 0)) {
+        ((since >= kDrainAccept || succeeded()) && sessions == 0 &&
+         (!upgrade_ || upgrade_->flushed()))) {
       if (memcache_) memcache_->discovery.stop();
       for (auto& p : cluster_pools_) p->stop();
       if (member_) member_->end();
--- a/src/node/upgrade.h
+++ b/src/node/upgrade.h
@@ -67,6 +67,8 @@
   // For a client's connection: whether it would leave at once.
   bool may_pass() const;
   void pass(handover::Connection connection, Descriptor socket);
+  // Whether all that was told has left.
+  bool flushed() const { return !successor_ || successor_->room(); }
 
   const handover::Turn& turn() const { return turn_; }
   handover::Share share();
