Give each process of the upgrade's tests a loopback address of its own

Cause: of 8 runs side by side one failed with an address in use: a port that was free had been given to another test before the program listened on it.

Change: each test process uses an address of 127/8 by its process id.

--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -22,8 +22,12 @@
 
 using std::chrono::milliseconds;
 
+// On a loopback address of this test's own: on a shared one a port that is free now may be another
+// test's by the time that the program listens.
 Endpoint free_address(asio::io_context& io) {
-  tcp::acceptor probe(io, Endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const auto pid = static_cast<std::uint32_t>(::getpid());
+  const asio::ip::address_v4 own(0x7f400000u | (pid % 0x3fff00u + 1));
+  tcp::acceptor probe(io, Endpoint(own, 0));
   return probe.local_endpoint();
 }
 
