--- a/tests/admin_test.cc
+++ b/tests/admin_test.cc
@@ -126,8 +126,8 @@
 }
 
 // Two hundred callers that say half a call and stay, and clients on every descriptor that clients
-// may have: a whole call is answered all the same. Without the set-aside the accept would fail, and
-// without make_room() the call would wait until the others' time is up (tried: both fail here).
+// may have: a whole call is answered all the same. The set-aside
+// and make_room() are what it is meant for; it has not been run without them.
 TEST_F(AdminTest, AWholeCallIsAnsweredBesideHalfMadeOnesAndACrowd) {
   limits =
       std::make_unique<Limits>(config.sockets, config.memory_mb, admin::AdminServer::kDescriptors);
--- a/tests/handover_test.cc
+++ b/tests/handover_test.cc
@@ -160,8 +160,8 @@
 }
 
 // Whatever the two use and say, in whatever order what is told arrives, they never may hold more
-// than all. Without the ceiling the old one's share would grow behind the new one's back (tried:
-// fails here).
+// than all. The ceiling is what it
+// is meant for; it has not been run without.
 TEST(HandoverTurn, TwoNeverMayHoldMoreThanAll) {
   const unsigned seed = std::random_device()();
   SCOPED_TRACE("seed " + std::to_string(seed));
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -278,8 +278,7 @@
   bool stopped_ = false;
 };
 
-// Without the old one's sockets (tried: the new one listens by SO_REUSEPORT) connections in the
-// closing queue are reset; without passing clients on, requests cross the close.
+// It has not been run without the passed sockets and connections.
 TEST_F(UpgradeTest, TwentyInARowTurnNobodyBack) {
   auto now = start();
   ASSERT_TRUE(serving(*now));
@@ -379,7 +378,7 @@
   EXPECT_EQ(lines_.size(), 0u) << lines_[0];
   EXPECT_EQ(call(*last, "POST /cache-hosts/s-3/maint"), 404);
   EXPECT_EQ(call(*last, "POST /cache-hosts/s-1/ready"), 200);
-  // Without link and file the word would be lost (tried: the file is enough without the link).
+  // The second way, where the old one cannot be asked.
   EXPECT_TRUE(std::filesystem::exists(dir_ + "/silverpin-n%2f0.words"));
 }
 
