Move the book of hosts and the time types out of the module, deciding as before

What lists and operators said of each host is a record, no decision; half of the modules included the origin gate for its time types alone.

Change: src/roster keeps hosts, starts, places, words and who still names whom, and answers each list and word with its news in order; the policy draws its conclusions from the news. src/structures gains time.h and times_out.h. One fault goes with it: a list that named a host twice, last as gone, left it on the ring.

--- a/src/address/ability.h
+++ b/src/address/ability.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 namespace silverpin::address {
 
--- a/src/address/lease.h
+++ b/src/address/lease.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 // What instances and voters say to each other about who holds a service address. Plain data; the
 // rules are in voter.h and tenure.h.
--- a/src/announce/bgp_session.h
+++ b/src/announce/bgp_session.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 #include "proto/bgp.h"
 
 // The state of one BGP peering, after RFC 4271, section 8. No I/O, no clock.
--- a/src/core/timing_wheel.h
+++ b/src/core/timing_wheel.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 namespace silverpin {
 
--- a/src/member/command.h
+++ b/src/member/command.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 namespace silverpin::member {
 
--- a/src/member/status.cc
+++ b/src/member/status.cc
@@ -13,7 +13,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 namespace silverpin::member {
 namespace {
--- a/src/membership/group.h
+++ b/src/membership/group.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 // Who belongs to a group of balancers, who is suspected and who is gone. No I/O, no clock, no
 // threads. A hint for liveness only: nothing that must not happen twice rests on it.
--- a/src/net/lease_clock.h
+++ b/src/net/lease_clock.h
@@ -4,7 +4,7 @@
 
 #include <chrono>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 namespace silverpin {
 
--- a/src/policy/hash_ring.cc
+++ b/src/policy/hash_ring.cc
@@ -2,20 +2,16 @@
 
 #include <cmath>
 
+#include "roster/roster.h"
+
 namespace silverpin {
 namespace {
 
 // Shares vary by about 1/sqrt(nodes) around the mean: a tenth at 100.
 constexpr double kVirtualNodes = 100;
-constexpr double kLeastWeight = 0.1;
-constexpr double kMostWeight = 16;
 
 }  // namespace
 
-double bounded_weight(double weight) {
-  return std::isfinite(weight) ? std::clamp(weight, kLeastWeight, kMostWeight) : kLeastWeight;
-}
-
 void HashRing::insert(const std::vector<Member>& members) {
   const auto old_size = static_cast<std::ptrdiff_t>(points_.size());
   for (const Member& m : members) {
--- a/src/policy/hash_ring.h
+++ b/src/policy/hash_ring.h
@@ -10,9 +10,6 @@
 
 namespace silverpin {
 
-// Odd weights must neither drop a host from the ring nor let it flood the ring.
-double bounded_weight(double weight);
-
 // A consistent hash ring with virtual nodes. The points follow from host ids and static weights
 // alone: balancers that know the same hosts build the same ring, and a host that comes or goes
 // moves only the keys it gains or leaves.
--- a/src/policy/host_health.h
+++ b/src/policy/host_health.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <algorithm>
-#include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
+#include "structures/times_out.h"
 
 namespace silverpin {
 
@@ -16,13 +16,11 @@
 // One host as this balancer sees it: outlier ejection and slow start.
 class HostHealth {
  public:
-  void on_sent(Time now) { out_.push_back(now); }
-  void on_ended(Time sent) { erase_one(out_, sent); }
+  void on_sent(Time now) { out_.add(now); }
+  void on_ended(Time sent) { out_.remove(sent); }
   bool idle() const { return out_.empty(); }
   // Its oldest attempt has been out for longer than `patience`: it is hung, or its queue is long.
-  bool stuck(Time now, Duration patience) const {
-    return !out_.empty() && now - out_.front() > patience;
-  }
+  bool stuck(Time now, Duration patience) const { return out_.any_beyond(now, patience); }
   // An answer came in time, or was slow to come: moves the share of its keys that the host keeps.
   void on_answer(Time now, bool slow);
   double share(Time now) const;
@@ -43,7 +41,7 @@
   void take(double work) { budget_ -= work; }
 
  private:
-  std::vector<Time> out_;  // when the attempts still out were sent, oldest first
+  TimesOut out_;  // attempts
   double share_ = 1;
   Time share_at_{0};
   int failures_ = 0;
--- a/src/policy/origin_gate.cc
+++ b/src/policy/origin_gate.cc
@@ -60,7 +60,7 @@
 
 void OriginGate::on_sent(Time now) {
   last_sent_ = now;
-  out_.push_back(now);
+  out_.add(now);
 }
 
 void OriginGate::on_done(Time sent, Time now, bool failed) {
--- a/src/policy/origin_gate.h
+++ b/src/policy/origin_gate.h
@@ -1,23 +1,11 @@
 #pragma once
 
 #include <algorithm>
-#include <chrono>
-#include <vector>
 
-namespace silverpin {
-
-using Duration = std::chrono::nanoseconds;
-using Time = std::chrono::nanoseconds;  // since an epoch of the caller's choosing
+#include "structures/time.h"
+#include "structures/times_out.h"
 
-inline double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-inline Duration from_seconds(double s) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
-}
-
-inline void erase_one(std::vector<Time>& times, Time time) {
-  const auto it = std::find(times.begin(), times.end(), time);
-  if (it != times.end()) times.erase(it);
-}
+namespace silverpin {
 
 // The load-adaptive PI controller of Amani et al., section V, which meters fetches from the origin.
 // Its output is the paper's normalised admitted rate: a share of the highest rate that could
@@ -32,7 +20,7 @@
   void on_done(Time sent, Time now, bool failed);
   void on_sample(Time now, double value);  // what on_done derives from a fetch
   // It ended in a way that tells nothing of the origin.
-  void on_dropped(Time sent) { erase_one(out_, sent); }
+  void on_dropped(Time sent) { out_.remove(sent); }
   void advance(Time now);  // ends the sampling periods that have passed
 
   double fraction() const { return fraction_; }
@@ -65,7 +53,7 @@
   bool refused_ = false;  // since the last step
   double tokens_;
   Time tokens_at_;
-  std::vector<Time> out_;  // when the fetches still out were sent, oldest first
+  TimesOut out_;  // fetches
 };
 
 }  // namespace silverpin
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -36,7 +36,6 @@
 constexpr Duration kDemandPeriod = std::chrono::seconds(15);
 constexpr Duration kFirstCallBackoff = milliseconds(250);
 constexpr Duration kResendBackoff = milliseconds(50);
-constexpr std::size_t kMostWords = 256;              // of operators
 constexpr Duration kRetryAfter = milliseconds(500);  // one sampling period of the gate
 
 Duration origin_target(const Settings& settings) {
@@ -57,6 +56,7 @@
       gate_(origin_target(settings), now - from_seconds(0.5 * uniform())),
       cache_gate_(kMostSlow, now - from_seconds(0.5 * uniform())),
       placement_(placement ? *placement : ring_),
+      roster_(settings.static_weights, settings.cold.warm_after),
       demand_(kDemandPeriod, now),
       cache_work_(kWorkMemory, now),
       retry_budget_(kRetryDepth) {
@@ -88,87 +88,42 @@
     return;
   }
   refused_calls_ = 0;
-  ++lists_;
+  heed(roster_.on_list(kind, entries));
+}
+
+void Policy::heed(const std::vector<Roster::News>& news) {
+  using Kind = Roster::News::Kind;
+  health_.resize(roster_.size());
   std::vector<Placement::Member> joined;
-  for (const HostEntry& e : entries) {
-    const auto [index, is_new] = hosts_.insert(e.id);
-    Host& host = hosts_[index];
-    host.id = e.id;
-    host.listed = lists_;
-    const bool was_on_ring = !host.origin && host.state != HostState::kGone;
-    host.origin = e.origin;
-    host.zone = e.zone;
-    host.cell = e.cell;
-    host.state = e.state;
-    if (e.started_at != host.started_at) {
-      host.started_at = e.started_at;
-      if (e.started_at) host.health.on_start(*e.started_at, uniform());
-    }
-    const auto word = is_new ? words_.find(e.id) : words_.end();
-    if (word != words_.end()) heed(host, word->second);
-    const bool on_ring = !host.origin && host.state != HostState::kGone;
-    if (on_ring && !was_on_ring) {
-      if (settings_.static_weights) host.weight = bounded_weight(e.weight);
-      joined.push_back({index, host.id, host.weight});
-    } else if (was_on_ring && !on_ring) {
-      placement_.erase(index);
-    }
+  for (const auto& [kind, index, at] : news) {
+    const Host& host = roster_[index];
+    if (kind == Kind::kStarted || kind == Kind::kCalledBack) health_[index].on_start(at, uniform());
+    if (kind == Kind::kTakenOut || kind == Kind::kCalledBack) sink_.close_idle(host.id);
+    if (kind == Kind::kJoined) joined.push_back({index, host.id, host.weight});
+    if (kind == Kind::kForgotten) health_[index] = {};
+    if (kind != Kind::kLeft) continue;
+    std::erase_if(joined, [i = index](const auto& m) { return m.host == i; });
+    placement_.erase(index);
   }
   placement_.insert(joined);
-  ring_weight_ = 0;
-  for (HostIndex i = 0; i < hosts_.size(); ++i) {
-    Host& host = hosts_[i];
-    if (kind == ListKind::kWhole && host.listed != lists_ && host.state != HostState::kGone) {
-      if (!host.origin) placement_.erase(i);
-      host.state = HostState::kGone;
-    }
-    if (!host.origin && host.state != HostState::kGone) ring_weight_ += host.weight;
-    forget_if_gone(i);
-  }
 }
 
-// Facts beside the lists': a host is used only where both allow it, and leaving a list or coming
-// back on one changes nothing.
 bool Policy::on_maintenance(Time now, std::string_view id, bool out) {
-  std::erase_if(words_, [&](const auto& w) {
-    return !w.second.out && now - w.second.at > settings_.cold.warm_after;
-  });
-  const auto listed = hosts_.find(id);
-  const bool known = listed && !hosts_[*listed].origin;
-  const auto word = words_.find(id);
-  if (word == words_.end() && (!known || words_.size() >= kMostWords)) return false;
-  if (out != (word != words_.end() && word->second.out)) restore(now, id, {out, now});
+  if (!roster_.may_speak_of(now, id)) return false;
+  if (roster_.differs(id, out)) restore(now, id, {out, now});
   return true;
 }
 
 void Policy::restore(Time now, std::string_view id, Word word) {
   now_ = now;
-  if (words_.size() >= kMostWords && !words_.contains(id)) return;
-  words_.insert_or_assign(std::string(id), word);
-  if (const auto listed = hosts_.find(id)) heed(hosts_[*listed], word);
-}
-
-// One that comes back was restarted meanwhile, also where no list has told so: it is cold, and what
-// was learnt of the old process must not keep it unused.
-void Policy::heed(Host& host, const Word& word) {
-  host.out = word.out;
-  if (!word.out)
-    host.health.on_start(std::max(word.at, host.started_at.value_or(word.at)), uniform());
-  sink_.close_idle(host.id);
-}
-
-// In a fleet whose hosts are always new the table would grow for as long as the balancer runs. A
-// host that comes back under its id is told from its start like any other.
-void Policy::forget_if_gone(HostIndex index) {
-  Host& host = hosts_[index];
-  if (host.state != HostState::kGone || host.held > 0 || host.id.empty()) return;
-  hosts_.erase(std::string(host.id));
+  heed(roster_.restore(id, word));
 }
 
 Policy::Learnt Policy::learnt(Time now) const {
   Learnt all{cache_work_.rate(now), gate_.fraction(), cache_gate_.fraction(), {}};
-  for (const Host& host : hosts_)
-    if (host.health.share(now) < 1) all.shares.emplace_back(host.id, host.health.share(now));
+  for (HostIndex i = 0; i < roster_.size(); ++i)
+    if (const double share = health_[i].share(now); share < 1)
+      all.shares.emplace_back(roster_[i].id, share);
   return all;
 }
 
@@ -178,13 +133,7 @@
   gate_.resume(from.origin);
   cache_gate_.resume(from.caches);
   for (const auto& [id, share] : from.shares)
-    if (const auto listed = hosts_.find(id)) hosts_[*listed].health.resume(now, share);
-}
-
-std::optional<Policy::HostIndex> Policy::origin() const {
-  for (HostIndex i = 0; i < hosts_.size(); ++i)
-    if (hosts_[i].origin && hosts_[i].state == HostState::kServing) return i;
-  return std::nullopt;
+    if (const auto listed = roster_.find(id)) health_[*listed].resume(now, share);
 }
 
 // ---- the four rules
@@ -203,7 +152,7 @@
   for (const Attempt& a : r.attempts) {
     if (a.fate == Fate::kNeverRan || a.fate == Fate::kMissed) continue;
     if (c.repeat == Repeat::kUnsafe) return false;
-    const Host& first = hosts_[a.host];
+    const Host& first = roster_[a.host];
     if (c.scope == Scope::kZone && first.zone != host.zone) return false;
     if (c.scope == Scope::kCell && (first.cell != host.cell || first.zone != host.zone))
       return false;
@@ -221,15 +170,15 @@
 }
 
 bool Policy::send(Active& r, HostIndex index, Time until) {
-  Host& host = hosts_[index];
+  const Host& host = roster_[index];
   if (r.over || r.streaming || now_ >= r.deadline) return false;  // answered once
   if (static_cast<int>(r.attempts.size()) >= settings_.max_attempts) return false;
   if (!host.takes_new()) return false;         // drains
   if (!repeat_allowed(r, host)) return false;  // no effect twice
   if (!may_take(r, index)) return false;       // cold hosts
-  ++host.held;
-  host.health.take(r.work);
-  host.health.on_sent(now_);
+  roster_.hold(index);
+  health_[index].take(r.work);
+  health_[index].on_sent(now_);
   r.attempts.push_back({index, now_});
   if (host.origin) gate_.on_sent(now_);
   sink_.send(r.id, host.id, std::min(until, r.deadline));
@@ -251,10 +200,11 @@
 // Cold hosts. Pushed over, one falls and stays down. The measure is what this balancer gives hosts
 // of the same size; if each keeps to it, all together load a cold host like a warm one.
 bool Policy::may_take(const Active& r, HostIndex index) {
-  Host& host = hosts_[index];
+  const Host& host = roster_[index];
   if (host.origin) return true;
-  const double normal = ring_weight_ > 0 ? cache_work_.rate(now_) * host.weight / ring_weight_ : 0;
-  return host.health.may_take(now_, settings_.cold, r.work, normal);
+  const double normal =
+      roster_.weight() > 0 ? cache_work_.rate(now_) * host.weight / roster_.weight() : 0;
+  return health_[index].may_take(now_, settings_.cold, r.work, normal);
 }
 
 // ---- the life of a request
@@ -318,7 +268,8 @@
   // over the next points, enough of them to bring each one's part down to an ordinary share.
   auto skip = retry ? 0 : static_cast<std::size_t>(uniform() * static_cast<double>(points));
   auto accept = [&](HostIndex i) {
-    Host& host = hosts_[i];
+    const Host& host = roster_[i];
+    HostHealth& health = health_[i];
     if (!host.takes_new() || !repeat_allowed(r, host)) return false;
     for (const Attempt& a : r.attempts)
       if (a.host == i && a.fate != Fate::kMissed && !a.redirected && !broke) return false;
@@ -327,19 +278,19 @@
     // A host too slow for its keys hands some on in the same manner: at every balancer the same
     // ones, so that the next point has them cached.
     const double rank = static_cast<double>(mix(r.key, stable_hash(host.id)) >> 11) * 0x1p-53;
-    if (rank >= host.health.warmth(now_, settings_.cold) || !may_take(r, i)) return false;
+    if (rank >= health.warmth(now_, settings_.cold) || !may_take(r, i)) return false;
     // All requests of a hot key going one way would leave a host jammed by it alone, or the key
     // refused while other hosts idle: of those each host hands on a part. So too where keys are
     // pinned: nothing is cached elsewhere, and the same ones would be refused again and again.
-    if ((points > 1 || placement_.pinned() ? uniform() : rank) >= host.health.share(now_))
+    if ((points > 1 || placement_.pinned() ? uniform() : rank) >= health.share(now_))
       return !choice && ++shed == kMostShed;
     // What is stuck there shows a hung or swamped host long before its time-outs do: nothing more
     // goes there until it answers or they end.
-    if (host.health.ejected(now_) || host.health.stuck(now_, gate_.target()) ||
+    if (health.ejected(now_) || health.stuck(now_, gate_.target()) ||
         zones_[host.zone].health.ejected(now_)) {
       if (!ejected) ejected = i;
       // With most hosts ejected it is the judgement that has failed, not the hosts.
-      return 2 * ++ejected_count > hosts_.size();
+      return 2 * ++ejected_count > roster_.size();
     }
     choice = i;
     return stored_at ? i == *stored_at : skip-- == 0;
@@ -364,7 +315,7 @@
 // first one after a start, does not make a key hot.
 std::size_t Policy::replicas(std::uint64_t key) {
   const auto n = static_cast<double>(demand_.count(key));
-  const double parts = static_cast<double>(hosts_.size()) / kHotShare;
+  const double parts = static_cast<double>(roster_.size()) / kHotShare;
   const double share = (n - std::sqrt(n)) / (static_cast<double>(demand_.total()) + parts);
   return static_cast<std::size_t>(std::max(1.0, std::ceil(share * parts)));
 }
@@ -376,8 +327,8 @@
   return quotas_[tenant].take(now_, rate, std::max(kLeastQuotaDepth, kQuotaSeconds * rate));
 }
 
-void Policy::judge(Host& host, bool slow) {
-  host.health.on_answer(now_, slow);
+void Policy::judge(HostIndex host, bool slow) {
+  health_[host].on_answer(now_, slow);
   strain_ += (slow - strain_) / kStrainSamples;
   cache_gate_.on_sample(now_, slow ? 1 : 0);
 }
@@ -408,7 +359,7 @@
 }
 
 bool Policy::send_metered(Active& r) {
-  const auto target = origin();
+  const auto target = roster_.origin();
   return target && gate_.admit(now_) && send(r, *target, r.deadline);
 }
 
@@ -434,7 +385,7 @@
 }
 
 void Policy::send_write(Active& r) {
-  if (const auto target = origin(); !target || !send(r, *target, r.deadline)) give_up(r);
+  if (const auto target = roster_.origin(); !target || !send(r, *target, r.deadline)) give_up(r);
 }
 
 // Nothing more to try. An attempt still out may yet answer.
@@ -450,8 +401,9 @@
   if (o.attempt < 0 || o.attempt >= static_cast<int>(r.attempts.size())) return;
   Attempt& a = r.attempts[o.attempt];
   if (a.fate != Fate::kOut) return;
-  Host& host = hosts_[a.host];
-  if (!a.begun) host.health.on_ended(a.sent_at);
+  const Host& host = roster_[a.host];
+  HostHealth& health = health_[a.host];
+  if (!a.begun) health.on_ended(a.sent_at);
   const bool never_ran = o.result == Result::kRejected || o.result == Result::kConnectFailed ||
                          o.result == Result::kNotSent || o.result == Result::kRedirected;
   a.fate = o.result == Result::kMiss ? Fate::kMissed
@@ -480,21 +432,21 @@
       gate_.on_done(a.sent_at, now, !served);
     }
   } else if (well) {
-    host.health.on_success();
-    if (!a.slow) judge(host, false);
+    health.on_success();
+    if (!a.slow) judge(a.host, false);
   } else if (o.result == Result::kConnectFailed) {
-    host.health.on_failure(now, uniform());
+    health.on_failure(now, uniform());
   } else if (o.result == Result::kRejected && !a.slow) {
-    judge(host, true);  // full: slower still than slow
+    judge(a.host, true);  // full: slower still than slow
   } else if (o.result == Result::kError || o.result == Result::kReset) {
     // One now and then is the connection's or the request's, and a host that is away refuses the
     // next connection. A host that answers little else, and at once, would draw in and fail all
     // its keys: no time-out and no queue ever shows it.
-    host.health.on_error(now, uniform());
+    health.on_error(now, uniform());
   }
   // Hosts take so many connections: idle ones of a large fleet's balancers would keep the rest out.
   unconnected_ += ((o.result == Result::kConnectFailed) - unconnected_) / kStrainSamples;
-  if (unconnected_ > kShortOfConnections && !host.origin && host.health.idle())
+  if (unconnected_ > kShortOfConnections && !host.origin && health.idle())
     sink_.close_idle(host.id);
   const bool from_origin = host.origin;
   bool again = false;  // the fetch goes on
@@ -534,15 +486,16 @@
   r.streaming = true;
   if (!attempt || *attempt >= static_cast<int>(r.attempts.size())) return;
   Attempt& a = r.attempts[*attempt];
-  Host& host = hosts_[a.host];
+  const Host& host = roster_[a.host];
+  HostHealth& health = health_[a.host];
   if (std::exchange(a.begun, true)) return;
-  host.health.on_ended(a.sent_at);
+  health.on_ended(a.sent_at);
   if (host.origin) {
     gate_.on_done(a.sent_at, now, false);
     settle_fetch(r, true);
   } else {
-    host.health.on_success();
-    if (!a.slow) judge(host, false);
+    health.on_success();
+    if (!a.slow) judge(a.host, false);
   }
 }
 
@@ -567,12 +520,11 @@
       break;
     case TimerKind::kSlow: {
       Attempt& last = r.attempts.back();
-      Host& host = hosts_[last.host];
-      if (host.origin || last.fate != Fate::kOut || last.slow || r.streaming ||
+      if (roster_[last.host].origin || last.fate != Fate::kOut || last.slow || r.streaming ||
           now - last.sent_at < patience(r))
         break;
       last.slow = true;
-      judge(host, true);
+      judge(last.host, true);
       if (count(r, Fate::kOut) == 1 && now < r.aim && class_of(r).repeat == Repeat::kSafe &&
           settings_.second_copies)
         ask_cache(r);
@@ -592,10 +544,8 @@
   for (const std::uint64_t tag : {it->second.deadline_tag, it->second.slow_tag})
     if (timers_.take(tag)) sink_.drop_timer(tag);
   active_.erase(it);
-  for (const Attempt& a : attempts) {
-    --hosts_[a.host].held;
-    forget_if_gone(a.host);
-  }
+  for (const Attempt& a : attempts)
+    if (roster_.release(a.host)) health_[a.host] = {};
 }
 
 }  // namespace silverpin
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -13,8 +13,8 @@
 #include "policy/hash_ring.h"
 #include "policy/host_health.h"
 #include "policy/origin_gate.h"
+#include "roster/roster.h"
 #include "structures/decaying_sum.h"
-#include "structures/named_slots.h"
 #include "structures/numbered_queue.h"
 #include "structures/recent_counts.h"
 #include "structures/token_bucket.h"
@@ -50,20 +50,6 @@
   ColdRule cold;
 };
 
-enum class HostState { kServing, kDraining, kGone };
-
-struct HostEntry {
-  std::string_view id;
-  std::optional<Time> started_at;
-  bool origin = false;
-  int zone = 0;
-  int cell = 0;
-  HostState state = HostState::kServing;
-  double weight = 1;
-};
-
-enum class ListKind { kChanges, kWhole, kRefused };
-
 struct Request {
   RequestId id = 0;
   int klass = 0;
@@ -124,12 +110,8 @@
   // An operator's word on a cache host: it takes nothing new until it is called back, whatever
   // lists say meanwhile. False if neither lists nor operators know the host.
   bool on_maintenance(Time now, std::string_view host, bool out);
-  struct Word {
-    bool out;
-    Time at;  // it came to hold
-  };
-  // In force; of hosts called back as long as they may be cold. Bounded.
-  const std::map<std::string, Word, std::less<>>& words() const { return words_; }
+  using Word = Roster::Word;
+  const std::map<std::string, Word, std::less<>>& words() const { return roster_.words(); }
   // A word given to the process whose place this one takes, on whatever host.
   void restore(Time now, std::string_view host, Word word);
 
@@ -141,25 +123,12 @@
   Learnt learnt(Time now) const;
   void take_up(Time now, const Learnt& from);
 
-  std::size_t host_places() const { return hosts_.size(); }
+  std::size_t host_places() const { return roster_.size(); }
 
  private:
   using HostIndex = Placement::Host;
 
-  struct Host {
-    std::string id;
-    std::uint64_t listed = 0;  // by which list, last
-    bool origin = false;
-    int zone = 0;
-    int cell = 0;
-    HostState state = HostState::kGone;
-    bool out = false;  // by an operator's word
-    double weight = 1;
-    std::optional<Time> started_at;
-    HostHealth health;
-    bool takes_new() const { return state == HostState::kServing && !out; }
-    int held = 0;  // attempts of active requests that name it
-  };
+  using Host = Roster::Host;
 
   enum class Fate { kOut, kNeverRan, kMayHaveRun, kMissed };
 
@@ -205,7 +174,7 @@
   void ask_cache(Active& r, std::optional<HostIndex> stored_at = std::nullopt);
   std::size_t replicas(std::uint64_t key);
   bool within_share(int tenant);
-  void judge(Host& host, bool slow);
+  void judge(HostIndex host, bool slow);
   Duration patience(const Active& r) const;
   void fetch(Active& r);
   void bypass(Active& r);
@@ -215,9 +184,7 @@
   void settle_fetch(const Active& leader, bool stored);
   void erase_if_done(RequestId id);
   bool may_take(const Active& r, HostIndex host);
-  std::optional<HostIndex> origin() const;
-  void forget_if_gone(HostIndex index);
-  void heed(Host& host, const Word& word);
+  void heed(const std::vector<Roster::News>& news);
 
   std::uint64_t timer(Time at, TimerKind kind, RequestId id = 0);  // its tag
   double uniform();                                                // in [0, 1)
@@ -231,10 +198,8 @@
   OriginGate cache_gate_;  // the same controller over the share of slow cache answers
   HashRing ring_;
   Placement& placement_;
-  double ring_weight_ = 0;  // of all hosts on it
-  NamedSlots<Host> hosts_;
-  std::uint64_t lists_ = 0;  // that have come
-  std::map<std::string, Word, std::less<>> words_;
+  Roster roster_;
+  std::vector<HostHealth> health_;  // by the roster's indices
   std::unordered_map<RequestId, Active> active_;
   struct Fetch {
     RequestId leader;
--- a/src/pool/sharing.h
+++ b/src/pool/sharing.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 // Which connection to a host takes an attempt, and how many at once. No I/O, no clock, no threads.
 namespace silverpin::pool {
--- a/src/proto/seal.h
+++ b/src/proto/seal.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 
 // Datagrams between members of a group: sealed under a key that all share, so that nobody else can
 // make, read or change one. XChaCha20-Poly1305 with random nonces (libsodium), after
--- /dev/null
+++ b/src/roster/roster.cc
@@ -0,0 +1,115 @@
+#include "roster/roster.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace silverpin {
+namespace {
+
+constexpr double kLeastWeight = 0.1;
+constexpr double kMostWeight = 16;
+constexpr std::size_t kMostWords = 256;
+
+}  // namespace
+
+double bounded_weight(double weight) {
+  return std::isfinite(weight) ? std::clamp(weight, kLeastWeight, kMostWeight) : kLeastWeight;
+}
+
+std::vector<Roster::News> Roster::on_list(ListKind kind, const std::vector<HostEntry>& entries) {
+  std::vector<News> news;
+  if (kind == ListKind::kRefused) return news;
+  ++lists_;
+  for (const HostEntry& e : entries) {
+    const auto [index, is_new] = hosts_.insert(e.id);
+    Host& host = hosts_[index];
+    host.id = e.id;
+    host.listed = lists_;
+    const bool was_placed = host.placed();
+    host.origin = e.origin;
+    host.zone = e.zone;
+    host.cell = e.cell;
+    host.state = e.state;
+    if (e.started_at != host.started_at) {
+      host.started_at = e.started_at;
+      if (e.started_at) news.push_back({News::Kind::kStarted, index, *e.started_at});
+    }
+    const auto word = is_new ? words_.find(e.id) : words_.end();
+    if (word != words_.end()) heed(index, word->second, news);
+    if (host.placed() && !was_placed) {
+      if (weights_) host.weight = bounded_weight(e.weight);
+      news.push_back({News::Kind::kJoined, index});
+    } else if (was_placed && !host.placed()) {
+      news.push_back({News::Kind::kLeft, index});
+    }
+  }
+  placed_weight_ = 0;
+  for (Index i = 0; i < hosts_.size(); ++i) {
+    Host& host = hosts_[i];
+    if (kind == ListKind::kWhole && host.listed != lists_ && host.state != HostState::kGone) {
+      if (!host.origin) news.push_back({News::Kind::kLeft, i});
+      host.state = HostState::kGone;
+    }
+    if (host.placed()) placed_weight_ += host.weight;
+    if (forget_if_gone(i)) news.push_back({News::Kind::kForgotten, i});
+  }
+  return news;
+}
+
+// Facts beside the lists': a host is used only where both allow it, and leaving a list or coming
+// back on one changes nothing.
+std::vector<Roster::News> Roster::restore(std::string_view id, Word word) {
+  std::vector<News> news;
+  if (words_.size() >= kMostWords && !words_.contains(id)) return news;
+  words_.insert_or_assign(std::string(id), word);
+  if (const auto listed = hosts_.find(id)) heed(*listed, word, news);
+  return news;
+}
+
+bool Roster::may_speak_of(Time now, std::string_view id) {
+  std::erase_if(words_,
+                [&](const auto& w) { return !w.second.out && now - w.second.at > remembered_; });
+  if (words_.contains(id)) return true;
+  const auto listed = hosts_.find(id);
+  return listed && !hosts_[*listed].origin && words_.size() < kMostWords;
+}
+
+bool Roster::differs(std::string_view id, bool out) const {
+  const auto word = words_.find(id);
+  return out != (word != words_.end() && word->second.out);
+}
+
+// One that comes back was restarted meanwhile, also where no list has told so: it is cold, and what
+// was learnt of the old process must not keep it unused.
+void Roster::heed(Index i, const Word& word, std::vector<News>& news) {
+  Host& host = hosts_[i];
+  host.out = word.out;
+  if (word.out) {
+    news.push_back({News::Kind::kTakenOut, i});
+  } else {
+    news.push_back(
+        {News::Kind::kCalledBack, i, std::max(word.at, host.started_at.value_or(word.at))});
+  }
+}
+
+bool Roster::release(Index i) {
+  --hosts_[i].held;
+  return forget_if_gone(i);
+}
+
+// In a fleet whose hosts are always new the table would grow for as long as the balancer runs. A
+// host that comes back under its id is told from its start like any other.
+bool Roster::forget_if_gone(Index i) {
+  const Host& host = hosts_[i];
+  if (host.state != HostState::kGone || host.held > 0 || host.id.empty()) return false;
+  hosts_.erase(std::string(host.id));
+  return true;
+}
+
+std::optional<Roster::Index> Roster::origin() const {
+  for (Index i = 0; i < hosts_.size(); ++i)
+    if (hosts_[i].origin && hosts_[i].state == HostState::kServing) return i;
+  return std::nullopt;
+}
+
+}  // namespace silverpin
--- a/src/settings/toml_keys.h
+++ b/src/settings/toml_keys.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "policy/origin_gate.h"
+#include "structures/time.h"
 #include "settings/field_error.h"
 
 // Reading of the TOML files that operators write: every error names file, line, key and reason, and
--- /dev/null
+++ b/src/structures/time.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <chrono>
+
+// Time as all modules without I/O have it: given with each call, never read from a clock.
+namespace silverpin {
+
+using Duration = std::chrono::nanoseconds;
+using Time = std::chrono::nanoseconds;  // since an epoch of the caller's choosing
+
+inline double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+inline Duration from_seconds(double s) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
+}
+
+}  // namespace silverpin
--- /dev/null
+++ b/src/structures/times_out.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+#include "structures/time.h"
+
+namespace silverpin {
+
+// When what is still out was sent, oldest first.
+class TimesOut {
+ public:
+  void add(Time sent) { times_.push_back(sent); }
+  void remove(Time sent) {
+    const auto it = std::find(times_.begin(), times_.end(), sent);
+    if (it != times_.end()) times_.erase(it);
+  }
+  bool empty() const { return times_.empty(); }
+  std::size_t size() const { return times_.size(); }
+  // The oldest has been out for longer.
+  bool any_beyond(Time now, Duration age) const {
+    return !times_.empty() && now - times_.front() > age;
+  }
+  auto begin() const { return times_.begin(); }
+  auto end() const { return times_.end(); }
+
+ private:
+  std::vector<Time> times_;
+};
+
+}  // namespace silverpin
