Steer the gates by what is out and by what was seen to go well

Cause: with one balancer, one loop held at a time on the plant, the swing after lost caches is the origin's loop alone. Its samples were finished fetches, half a second to two old by then; the steps down went on through the filter long past the right value, to the floor; from there it opened through the right value into the next queue, since a queue shows nothing until it is passed (period 9 s). In overload the caches' gate let half of all answers be slow.

Change: the signal is Little's law, seconds that all fetches were out by what ended, each 0.25 s. Above the target the paper's low point is what was seen to go well lately, as a share of reads, less what drains the queue in 2 s; interpolation lands on it, and filter and integral begin anew. Below it opens at once to 0.85 of what was seen and then by e in 4 s at most. A balancer with few fetches acts on time out as well as on their number. The caches' gate has the same law over answers in time, at 0.3.

--- a/src/model/plant.h
+++ b/src/model/plant.h
@@ -125,6 +125,7 @@
   std::unordered_map<RequestId, Try> tries_;
   std::unordered_map<std::uint64_t, Attempt> attempts_;
   std::unordered_map<RequestId, std::vector<std::size_t>> missed_;
+  std::deque<RequestId> missed_order_;
   std::vector<Sample> samples_;
   Sample present_;
   double work_done_before_ = 0;
--- a/src/policy/origin_gate.cc
+++ b/src/policy/origin_gate.cc
@@ -1,13 +1,13 @@
 #include "policy/origin_gate.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace silverpin {
 namespace {
 
-// The paper's figures (section V.C).
-constexpr double kPeriod = 0.5;        // h
+// The paper's figures (section V.C), but for the period: half of its, since the queue of a tight
+// origin grows by a second in a second.
+constexpr double kPeriod = 0.25;       // h
 constexpr double kIntegralGain = 0.5;  // K_i
 constexpr double kIntegralTime = 4;    // T_i
 constexpr double kFilterTime = 1;      // T_f
@@ -15,8 +15,9 @@
 constexpr double kLeast = 0.05;        // first low point, and the rate below which it never goes
 constexpr double kMost = 1;            // first high point
 
-// A balancer of a large fleet sees a fetch or none in 0.5 s, and one slow fetch is no slow origin:
-// a mean is taken over no fewer samples than this, unless they take longer than T_i to come.
+// A balancer of a large fleet sees a fetch or none in a period, and one slow fetch is no slow
+// origin: a mean is taken over no fewer samples than this, or as much time as these would be out at
+// the target, unless they take longer than T_i to come.
 constexpr int kLeastSamples = 4;
 
 // Arrivals are smoothed over the controller's own integration time.
@@ -24,6 +25,20 @@
 // The turns that an idle gate saves up: a few, since misses come in clumps.
 constexpr double kLeastDepth = 2;
 
+// What was done is smoothed over kSeen, and the most of that counts, fading over kKnown: while a
+// queue drains, or its clients have given up, little is seen to be done. Above the target it fades
+// sooner, as an origin may have become slow for good.
+constexpr double kSeen = 1;
+constexpr double kKnown = 5;
+constexpr double kKnownJammed = 2;
+// A queue drains over so long, and no more than kMostDrain of what can be done is kept back for it.
+constexpr double kDrain = 2;
+constexpr double kMostDrain = 0.9;
+// Opening: at once to this part of what was done, and from there by this much a second (e-fold). A
+// queue shows nothing until the right value is passed, so that the way there must be slow.
+constexpr double kBack = 0.85;
+constexpr double kGrowth = 0.25;
+
 }  // namespace
 
 OriginGate::OriginGate(Duration target, Time now)
@@ -34,7 +49,8 @@
       controlled_at_(now),
       last_sent_(now),
       tokens_(kLeastDepth),
-      tokens_at_(now) {}
+      tokens_at_(now),
+      counted_at_(now) {}
 
 void OriginGate::on_read(Time now) {
   advance(now);
@@ -58,23 +74,39 @@
   return true;
 }
 
+// By Little's law the time that a fetch takes is the seconds that all were out by the number that
+// ended. So a queue shows as it grows, and not only once what was sent before it has come back.
+void OriginGate::count_out(Time now) {
+  sum_ += static_cast<double>(out_.size()) * seconds(now - counted_at_);
+  counted_at_ = now;
+}
+
 void OriginGate::on_sent(Time now) {
+  advance(now);
+  count_out(now);
   last_sent_ = now;
   out_.add(now);
 }
 
-void OriginGate::on_done(Time sent, Time now, bool failed) {
+void OriginGate::on_dropped(Time sent, Time now) {
   advance(now);
-  on_dropped(sent);
+  count_out(now);
+  out_.remove(sent);
+}
+
+void OriginGate::on_done(Time sent, Time now, bool failed) {
+  on_dropped(sent, now);
+  ++samples_;
+  good_ += !failed;
   // A fetch that fails at once would otherwise look like a fast origin and open the gate.
-  const double took = seconds(now - sent);
-  on_sample(now, failed ? std::max(took, 2 * target_) : took);
+  if (failed) sum_ += std::max(0.0, 2 * target_ - seconds(now - sent));
 }
 
 void OriginGate::on_sample(Time now, double value) {
   advance(now);
   sum_ += value;
   ++samples_;
+  good_ += value < target_;
 }
 
 void OriginGate::advance(Time now) {
@@ -89,51 +121,60 @@
 }
 
 void OriginGate::end_period(Time now) {
-  read_rate_ += kSmoothing * (reads_ / kPeriod - read_rate_);
+  // A mean at first, so that what has just started knows what arrives.
+  read_rate_ += std::max(kSmoothing, 1.0 / ++periods_) * (reads_ / kPeriod - read_rate_);
   reads_ = 0;
-  int count = samples_;
-  double sum = sum_;
-  // Fetches still out beyond the target count with their age: a hung origin yields no finished
-  // ones.
-  for (const Time sent : out_) {
-    if (seconds(now - sent) <= target_) break;
-    sum += seconds(now - sent);
-    ++count;
-  }
-  const bool waited = seconds(now - controlled_at_) >= kIntegralTime;
-  if (count == 0 || (count < kLeastSamples && !waited)) return;
-  control(sum / count, seconds(now - controlled_at_));
+  count_out(now);
+  const double since = seconds(now - controlled_at_);
+  const bool enough = samples_ >= kLeastSamples || sum_ >= kLeastSamples * target_;
+  if (!enough && (since < kIntegralTime || (samples_ == 0 && sum_ <= target_))) return;
+  good_rate_ += (1 - std::exp(-since / kSeen)) * (good_ / since - good_rate_);
+  const double mean = sum_ / std::max(1, samples_);
+  const double known = mean > target_ ? kKnownJammed : kKnown;
+  most_good_ = std::max(most_good_ * std::exp(-since / known), good_rate_);
+  control(mean, since);
   controlled_at_ = now;
   sum_ = 0;
-  samples_ = 0;
+  samples_ = good_ = 0;
 }
 
 void OriginGate::control(double mean, double since) {
   const double error = target_ - mean;
+  // What is known to go well, as a share of what arrives.
+  const double good = most_good_ / std::max(read_rate_, 1e-3);
   // Old points fade towards the first ones. Among many balancers the origin's time hardly follows
   // this one's rate, and a high point set by others' traffic would stay a ceiling for good.
   const double kept = std::exp(-since / kIntegralTime);
   low_ = {kLeast + kept * (low_.rate - kLeast), kept * low_.time};
   high_ = {kMost + kept * (high_.rate - kMost), 2 * target_ + kept * (high_.time - 2 * target_)};
   if (error < 0) {
+    // An overloaded server's time grows for as long as the rate is too high, whatever the rate: old
+    // points tell nothing. But it shows what it can do, and at that rate, less what is queued, it
+    // would be at the target. Interpolation lands there; filter and integral start anew.
+    const double drain = std::min(kMostDrain, -error / kDrain);
     high_ = {fraction_, mean};
-    if (low_.rate >= high_.rate) low_ = {kLeast, 0};  // what was fast at this rate is so no longer
+    low_ = {std::clamp(good * (1 - drain), kLeast, fraction_), target_};
+    fraction_ = low_.rate;
+    filtered_ = integral_ = 0;
   } else {
     low_ = {fraction_, mean};
     if (high_.rate <= low_.rate) high_ = {kMost, 2 * target_};
+    // Eq. (10). Both points may sit on one bound; then there is no slope to follow.
+    const double gain =
+        high_.time > low_.time ? (high_.rate - low_.rate) / (high_.time - low_.time) : 0;
+    const double h = std::min(since, kFilterTime);
+    filtered_ += h / (kFilterTime + h) * (gain * error - filtered_);
+    const double most = std::max(kBack * good, fraction_ * std::exp(kGrowth * since));
+    if (fraction_ + filtered_ + integral_ < most)
+      integral_ += h * kIntegralGain / kIntegralTime * error;
+    const double wanted = std::min(most, fraction_ + filtered_ + integral_);
+    fraction_ = std::clamp(wanted, kLeast, kMost);
+    integral_ += h / kResetTime * (fraction_ - wanted);  // anti-windup
+    // It cannot admit more than arrives: where nothing was refused the signal is saturated too,
+    // however far below its bound. (A limit computed from the few arrivals of a period would be all
+    // noise.)
+    if (!refused_) integral_ -= h / kResetTime * integral_;
   }
-  // Eq. (10). Both points may sit on one bound; then there is no slope to follow.
-  const double gain =
-      high_.time > low_.time ? (high_.rate - low_.rate) / (high_.time - low_.time) : 0;
-  filtered_ += kPeriod / (kFilterTime + kPeriod) * (gain * error - filtered_);
-  integral_ += kPeriod * kIntegralGain / kIntegralTime * error;
-  const double wanted = fraction_ + filtered_ + integral_;
-  fraction_ = std::clamp(wanted, kLeast, kMost);
-  integral_ += kPeriod / kResetTime * (fraction_ - wanted);  // anti-windup
-  // It cannot admit more than arrives: where nothing was refused the signal is saturated too,
-  // however far below its bound. (A limit computed from the few arrivals of a period would be all
-  // noise.)
-  if (!refused_) integral_ -= kPeriod / kResetTime * integral_;
   refused_ = false;
 }
 
--- a/src/policy/origin_gate.h
+++ b/src/policy/origin_gate.h
@@ -10,6 +10,7 @@
 // The load-adaptive PI controller of Amani et al., section V, which meters fetches from the origin.
 // Its output is the paper's normalised admitted rate: a share of the highest rate that could
 // arrive, which for fetches after a cache miss is the rate of reads, since each might miss.
+// docs/design/loops.md tells what is measured, and why the low point is what it is.
 class OriginGate {
  public:
   OriginGate(Duration target, Time now);
@@ -18,9 +19,10 @@
   bool admit(Time now);    // a fetch asks to go; true lets it and spends its turn
   void on_sent(Time now);  // it went out
   void on_done(Time sent, Time now, bool failed);
-  void on_sample(Time now, double value);  // what on_done derives from a fetch
+  // In place of the three above, where what is metered is not a time: below the target is good.
+  void on_sample(Time now, double value);
   // It ended in a way that tells nothing of the origin.
-  void on_dropped(Time sent) { out_.remove(sent); }
+  void on_dropped(Time sent, Time now);
   void advance(Time now);  // ends the sampling periods that have passed
 
   double fraction() const { return fraction_; }
@@ -34,6 +36,7 @@
     double time;
   };
 
+  void count_out(Time now);
   void end_period(Time now);
   void control(double mean, double since);
 
@@ -46,14 +49,20 @@
   Time period_start_;
   Time controlled_at_;
   Time last_sent_;
-  double sum_ = 0;
-  int samples_ = 0;
+  int periods_ = 0;
   int reads_ = 0;         // this period
   double read_rate_ = 0;  // a second, smoothed
   bool refused_ = false;  // since the last step
   double tokens_;
   Time tokens_at_;
+
   TimesOut out_;  // fetches
+  Time counted_at_;
+  double sum_ = 0;   // of what was sampled since the last step: here seconds out, of all fetches
+  int samples_ = 0;  // what ended since then
+  int good_ = 0;     // of that
+  double good_rate_ = 0;  // a second, smoothed
+  double most_good_ = 0;  // the highest of that lately
 };
 
 }  // namespace silverpin
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -31,7 +31,7 @@
 // other reasons, one run of them in 256.
 constexpr int kZoneFailures = 8;
 // Beyond this share of slow answers, of 1 s, it is not single hosts that are slow but the caches.
-constexpr Duration kMostSlow = milliseconds(500);
+constexpr Duration kMostSlow = milliseconds(300);
 constexpr int kMostShed = 3;  // ring points that may hand a key on
 constexpr Duration kDemandPeriod = std::chrono::seconds(15);
 constexpr Duration kFirstCallBackoff = milliseconds(250);
@@ -427,7 +427,7 @@
   if (a.begun && (host.origin || well)) {  // heard at the first byte
   } else if (host.origin) {
     if (o.result == Result::kCancelled || o.result == Result::kNotSent) {
-      gate_.on_dropped(a.sent_at);
+      gate_.on_dropped(a.sent_at, now);
     } else {
       gate_.on_done(a.sent_at, now, !served);
     }
