Refuse what lies over a tenant's share only where a quarter of answers is slow

Change: a quarter. And a share of slow answers is judged on enough answers alone: as many as four, not two that happened to be slow (time out in sum counts for fetches only, as it was meant).

--- a/src/policy/origin_gate.cc
+++ b/src/policy/origin_gate.cc
@@ -126,7 +126,8 @@
   reads_ = 0;
   count_out(now);
   const double since = seconds(now - controlled_at_);
-  const bool enough = samples_ >= kLeastSamples || sum_ >= kLeastSamples * target_;
+  const bool enough =
+      samples_ >= kLeastSamples || (!out_.empty() && sum_ >= kLeastSamples * target_);
   if (!enough && (since < kIntegralTime || (samples_ == 0 && sum_ <= target_))) return;
   good_rate_ += (1 - std::exp(-since / kSeen)) * (good_ / since - good_rate_);
   const double mean = sum_ / std::max(1, samples_);
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -21,7 +21,7 @@
 // A key is hot when it alone asks for this share of what a host carries on average.
 constexpr double kHotShare = 0.5;
 // The fleet is strained when this share of the last answers (about as many as given) was slow.
-constexpr double kStrained = 0.1;
+constexpr double kStrained = 0.25;
 constexpr double kStrainSamples = 32;
 // More attempts than this get no connection: it is not a few hosts that are away.
 constexpr double kShortOfConnections = 0.05;
