--- a/src/rig/report/report.cc
+++ b/src/rig/report/report.cc
@@ -1,7 +1,9 @@
 #include "rig/report/report.h"
 
+#include <algorithm>
 #include <cstdio>
 
+#include "rig/judge/service.h"
 #include "rig/report/report_read.h"
 
 namespace silverpin::rig {
@@ -161,6 +163,19 @@
         .close('}');
   j.close(']');
 
+  if (!s.incidents.empty()) {
+    const auto first = std::min_element(s.incidents.begin(), s.incidents.end(),
+                                        [](const auto& a, const auto& b) { return a.at < b.at; });
+    const int at = static_cast<int>(seconds(first->at));
+    const int end = static_cast<int>(seconds(s.length));
+    const auto worth = worth_by_second(run.tally.by_second());
+    const Service v = service_after(worth, static_cast<int>(seconds(s.warm_up)), at, end);
+    j.key("service").open('{').number("from_s", at).number("before", 100 * v.before);
+    j.number("worst", 100 * v.worst).number("first_five", 100 * v.first_five);
+    j.number("area_s", v.area).number("full_after_s", v.full_after.value_or(-1));
+    j.number("swing", 100 * swing(worth, at + 5, end)).close('}');
+  }
+
   const Auditor::Totals& t = run.auditor.totals();
   j.key("totals").open('{').count("tries", t.tries).count("attempts", t.attempts);
   j.count("runs", t.runs).count("never_ran", t.never_ran).count("served", t.served);
@@ -273,6 +288,21 @@
   out += "\n";
   for (const element g : list(root, "tenants")) row(out, g);
 
+  element service;
+  if (root["service"].get(service) == simdjson::SUCCESS) {
+    const double full = num(service, "full_after_s");
+    print(out,
+          "\nworth from %.0f s on: %.1f before, worst second %.1f, first five %.1f, %.1f s of full "
+          "service lost, swing %.1f, ",
+          num(service, "from_s"), num(service, "before"), num(service, "worst"),
+          num(service, "first_five"), num(service, "area_s"), num(service, "swing"));
+    if (full < 0) {
+      out += "not full again\n";
+    } else {
+      print(out, "full again after %.0f s\n", full);
+    }
+  }
+
   const element t = sub(root, "totals");
   print(out,
         "\ntries %.0f, attempts %.0f (%.3f a try), lost attempts %.0f, repeats discarded %.0f, "
