--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -645,8 +645,8 @@
     int refused = 0;
     const auto ask_for = [&](Time now, int tenant, bool slow) {
       const std::size_t before = sink.refused.size();
-      ++id;
-      Request q = request(id, 0, false, "k" + std::to_string(id));
+      const std::string key = "k" + std::to_string(++id);  // the request only names it
+      Request q = request(id, 0, false, key);
       q.tenant = tenant;
       strict.on_request(now, q);
       if (sink.refused.size() > before) return false;
