--- a/src/model/plant.cc
+++ b/src/model/plant.cc
@@ -13,7 +13,7 @@
 
 constexpr Duration kLeastBudget = std::chrono::milliseconds(5);
 constexpr Duration kHeld = std::chrono::milliseconds(10);
-constexpr std::size_t kStoredAt = 2;  // hosts that keep what was fetched for them
+constexpr std::size_t kStoredAt = 2;         // hosts that keep what was fetched for them
 constexpr std::size_t kMostMissed = 50'000;  // requests whose misses are remembered
 constexpr Duration kRestartTime = std::chrono::seconds(1);
 
@@ -87,10 +87,8 @@
   void send(RequestId id, std::string_view host, Time until) override {
     plant.send(number, id, host, until);
   }
-  void refuse(RequestId id, Duration wait) override {
-    plant.finish(number, id, End::kRefused, wait);
-  }
-  void fail(RequestId id) override { plant.finish(number, id, End::kFailed, Duration{0}); }
+  void refuse(RequestId id, Duration wait) override { plant.finish(id, End::kRefused, wait); }
+  void fail(RequestId id) override { plant.finish(id, End::kFailed, Duration{0}); }
   void set_timer(Time time, std::uint64_t tag) override { plant.set_timer(number, time, tag); }
   void subscribe() override {}
   void close_idle(std::string_view) override {}
@@ -369,7 +367,7 @@
 }
 
 // The module's word to a client.
-void Plant::finish(int b, RequestId id, End how, Duration retry_after) {
+void Plant::finish(RequestId id, End how, Duration retry_after) {
   const auto it = tries_.find(id);
   if (it == tries_.end() || it->second.over) return;
   Try& t = it->second;
@@ -389,7 +387,6 @@
       if (at != tries_.end() && at->second.out == 0) tries_.erase(at);
     });
   }
-  (void)b;
 }
 
 void Plant::attempt_over(std::uint64_t number, Result result) {
@@ -409,8 +406,7 @@
   const auto t = tries_.find(a.request);
   if (balancer.life != a.life || t == tries_.end()) return;
   --t->second.out;
-  if (result == Result::kOk && !t->second.over)
-    finish(a.balancer, a.request, End::kInAim, Duration{0});
+  if (result == Result::kOk && !t->second.over) finish(a.request, End::kInAim, Duration{0});
   balancer.policy->on_outcome(now_, {a.request, a.number, result, t->second.over});
   const auto left = tries_.find(a.request);
   if (left != tries_.end() && left->second.over && left->second.out == 0) tries_.erase(left);
--- a/src/model/plant.h
+++ b/src/model/plant.h
@@ -94,7 +94,7 @@
   std::vector<HostEntry> whole_list() const;
   void submit(int b, std::uint64_t id, const CallPtr& call, Time until);
   void send(int b, RequestId id, std::string_view host, Time until);
-  void finish(int b, RequestId id, rig::End how, Duration retry_after);
+  void finish(RequestId id, rig::End how, Duration retry_after);
   void attempt_over(std::uint64_t attempt, Result result);
   void set_timer(int b, Time time, std::uint64_t tag);
   // hosts
