Call refused clients back soon where there is room, and else away until it is over

Cause: all were told 250 to 750 ms, whatever the load. Of a lookup's aim of 300 ms that leaves nothing, so who came back added to the overload and was served late at best.

Change: with the probability that the gates would let one in a refused client is told the origin's target (half to one and a half times, within any aim), else 2 s; who lies over a tenant's share is always told the latter. Bounded by the settings as before.

--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -37,7 +37,8 @@
 constexpr Duration kDemandPeriod = std::chrono::seconds(15);
 constexpr Duration kFirstCallBackoff = milliseconds(250);
 constexpr Duration kResendBackoff = milliseconds(50);
-constexpr Duration kRetryAfter = milliseconds(500);  // one sampling period of the gate
+// Who is to stay away does so for about this long: longer than most clients' time for one answer.
+constexpr Duration kStayAway = milliseconds(2000);
 
 Duration origin_target(const Settings& settings) {
   Duration shortest = Duration::max();
@@ -194,14 +195,22 @@
   if (r.over || r.streaming) return;
   r.over = true;
   if (refusal_allowed(r)) {
-    // Refused clients that come back in step would be the next overload.
-    const Duration wait = from_seconds(seconds(kRetryAfter) * (0.5 + uniform()));
-    sink_.refuse(r.id, std::min(wait, settings_.max_retry_after));
+    sink_.refuse(r.id, retry_after(r));
   } else {
     sink_.fail(r.id);
   }
 }
 
+// Clients that come back into an overload feed it, and those that come back late in their time do so
+// for nothing: half a second for all cost a tenth of what diesel-surge's lookups can be worth. So
+// as many are called back soon, within any aim, as the gates would let in, and the rest are to stay
+// away until it is over. In step they would be the next overload.
+Duration Policy::retry_after(const Active& r) {
+  const double room = r.beyond_share ? 0 : std::min(gate_.fraction(), cache_gate_.fraction());
+  const Duration wait = uniform() < room ? gate_.target() : kStayAway;
+  return std::min(from_seconds(seconds(wait) * (0.5 + uniform())), settings_.max_retry_after);
+}
+
 // Cold hosts. Pushed over, one falls and stays down. The measure is what this balancer gives hosts
 // of the same size; if each keeps to it, all together load a cold host like a warm one.
 bool Policy::may_take(const Active& r, HostIndex index) {
@@ -230,7 +239,8 @@
   retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryDepth);
   // One tenant's burst would jam the hosts for all, for the little its surplus is worth. Where
   // there is room it is served.
-  if (!within_share(q.tenant) && strain_ > kStrained) {
+  r.beyond_share = !within_share(q.tenant) && strain_ > kStrained;
+  if (r.beyond_share) {
     give_up(r);
   } else if (q.write && settings_.look_aside) {
     send_write(r);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -150,6 +150,7 @@
     double work;
     Time aim, deadline;
     std::vector<Attempt> attempts;
+    bool beyond_share = false;                     // of its tenant, and refused for that
     bool over = false;                             // had its final answer
     bool streaming = false;                        // its answer has begun
     bool waiting = false;                          // for a fetch of its key by another request here
@@ -168,6 +169,7 @@
 
   bool repeat_allowed(const Active& r, const Host& host) const;
   bool refusal_allowed(const Active& r) const;
+  Duration retry_after(const Active& r);
   static int count(const Active& r, Fate fate);
 
   // `stored_at`: where a fetch of the key has just been stored, if one has.
