Rig: faults between processes, the sums over all balancers, and a bound for overload

Need: how many processes behave together when links fail, peers stand still and most restart at once was not played, and nobody counted what all balancers ask together.

Change: incidents link-stall, link-delay, link-reset (by balancer, host and direction, through a relay for each pair whose address is what that balancer is told), balancer-stop (SIGSTOP and on), and share for what strikes balancers, with the plant's draw. Reports tell the most of all balancers in a tenth of a second beside the time before: connections, probes, list calls, attempts at cold hosts, fetches. The plant prints how much of the worth could be had at most under more demand (hosts' and origin's speeds known, no request's weight).

--- /dev/null
+++ b/src/model/bound.cc
@@ -0,0 +1,46 @@
+#include "model/bound.h"
+
+#include <algorithm>
+
+#include "rig/model/arrivals.h"
+
+namespace silverpin::model {
+
+double most_worth(const rig::Scenario& scenario, Time from, Time to) {
+  double can = 0;  // seconds of hits' work that hosts do in a second
+  rig::Random speeds(scenario.seed, 1);
+  for (const rig::KindSpec& kind : scenario.kinds)
+    for (int i = 0; i < kind.count; ++i) can += kind.host.cores * kind.speed.draw(speeds);
+
+  rig::Arrivals arrivals(scenario);
+  double reads = 0, read_work = 0, read_worth = 0, write_worth = 0, origin_taken = 0;
+  Duration aim{0};
+  for (rig::Wish w = arrivals.next(); w.due < std::min(to, scenario.length); w = arrivals.next()) {
+    if (w.due < from) continue;
+    const rig::ClassSpec& c = scenario.classes[static_cast<std::size_t>(w.klass)];
+    const double worth = c.worth * w.work / (1e-3 * c.work_ms);
+    if (c.write()) {
+      write_worth += worth;
+      origin_taken += 1e-3 * scenario.origin.write_ms;
+    } else {
+      ++reads;
+      read_work += w.work;
+      read_worth += worth;
+      aim = std::max(aim, c.aim);
+    }
+  }
+  if (read_worth + write_worth <= 0) return 1;
+  const rig::HostSpec& origin = scenario.origin.host;
+  const double origin_can = origin.cores * origin.speed * seconds(to - from);
+  const double writes_share = std::min(1.0, origin_can / std::max(origin_taken, 1e-9));
+  const double left = std::max(0.0, origin_can - origin_taken);
+  const double span = seconds(to - from) + seconds(aim);
+  // Each fetch takes one request of mean work off the hosts.
+  const double fetched = std::min(reads, left / (1e-3 * scenario.origin.read_ms));
+  const double by_hosts = std::min(read_work, can * span);
+  const double share =
+      reads > 0 ? std::min(1.0, by_hosts / read_work + fetched / reads) : 1;
+  return (share * read_worth + writes_share * write_worth) / (read_worth + write_worth);
+}
+
+}  // namespace silverpin::model
--- a/src/model/plant.cc
+++ b/src/model/plant.cc
@@ -578,14 +578,8 @@
 void Plant::strike(const rig::IncidentSpec& i) {
   if (i.what == What::kBurst || i.what == What::kDemand) return;  // the arrivals know
   if (i.what == What::kBalancerKill) {
-    std::vector<int> all;
-    for (int b = 0; b < scenario_.balancers; ++b) all.push_back(b);
-    rig::Random draw(scenario_.seed, 3000 + static_cast<std::uint64_t>(i.line));
-    for (std::size_t n = all.size(); n > 1; --n) std::swap(all[n - 1], all[draw.below(n)]);
-    all.resize(static_cast<std::size_t>(std::ceil(i.share * static_cast<double>(all.size()))));
-    if (i.balancer >= 0) all = {i.balancer};
     Duration delay{0};
-    for (const int b : all) {
+    for (const int b : scenario_.balancers_struck(i)) {
       const Duration away = i.length > Duration{0} ? i.length : kRestartTime;
       after(delay, [this, b, away] {
         kill_balancer(b);
--- a/src/model/tables.cc
+++ b/src/model/tables.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "model/bound.h"
 #include "rig/judge/service.h"
 
 namespace silverpin::model {
@@ -32,6 +33,24 @@
   }
 }
 
+// More demand than can be met: what was served of it from the third second on, beside the bound.
+void beside_bound(std::string& out, const rig::Scenario& scenario, const Plant& plant) {
+  for (const rig::IncidentSpec& i : scenario.incidents) {
+    if (i.what != rig::What::kDemand || i.length < std::chrono::seconds(4)) continue;
+    const Time from = i.at + std::chrono::seconds(2), to = i.at + i.length;
+    const auto& by_second = plant.tally().by_second();
+    double asked = 0, served = 0;
+    for (auto s = static_cast<std::size_t>(seconds(from));
+         s < std::min(by_second.size(), static_cast<std::size_t>(seconds(to))); ++s) {
+      asked += by_second[s].worth_asked;
+      served += by_second[s].worth_served;
+    }
+    const double got = asked > 0 ? served / asked : 1, most = most_worth(scenario, from, to);
+    add(out, "       demand from %.0f to %.0f s: worth %.1f of the %.1f at most that could be had: %.0f%%\n",
+        seconds(from), seconds(to), 100 * got, 100 * most, 100 * got / most);
+  }
+}
+
 }  // namespace
 
 std::string table(rig::Scenario scenario, const TableOptions& options) {
@@ -69,6 +88,7 @@
         static_cast<double>(plant.tries()) / std::max(1.0, calls),
         static_cast<double>(plant.attempts()) / std::max(1.0, static_cast<double>(plant.tries())),
         plant.fallen());
+    beside_bound(out, scenario, plant);
   }
   return out;
 }
--- a/src/rig/judge/context.h
+++ b/src/rig/judge/context.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "rig/judge/auditor.h"
+#include "rig/judge/stampede.h"
 #include "rig/model/base.h"
 #include "rig/model/scenario.h"
 
@@ -88,6 +89,7 @@
   asio::io_context& io;
   const Scenario& scenario;
   Auditor auditor;
+  Stampede stampede;
 
  private:
   void arm() {
--- /dev/null
+++ b/src/rig/judge/stampede.cc
@@ -0,0 +1,48 @@
+#include "rig/judge/stampede.h"
+
+#include <algorithm>
+
+namespace silverpin::rig {
+namespace {
+
+constexpr std::size_t kMostTenths = 75'000;  // beyond the longest run nothing is counted
+
+std::size_t tenth(Time at) { return static_cast<std::size_t>(std::max(0.0, 10 * seconds(at))); }
+
+}  // namespace
+
+const char* Stampede::name_of(Kind kind) {
+  constexpr std::array<const char*, kKinds> kNames{"connections", "probes", "list calls",
+                                                   "cold attempts", "fetches"};
+  return kNames[static_cast<std::size_t>(kind)];
+}
+
+void Stampede::count(Kind kind, Time at) {
+  auto& all = tenths_[static_cast<std::size_t>(kind)];
+  const std::size_t n = tenth(at);
+  if (n >= kMostTenths) return;
+  if (all.size() <= n) all.resize(n + 1);
+  ++all[n];
+}
+
+Stampede::Figures Stampede::figures(Kind kind, Time from, Time at, Time end) const {
+  const auto& all = tenths_[static_cast<std::size_t>(kind)];
+  Figures f;
+  const std::size_t first = tenth(from), middle = std::max(first, tenth(at));
+  for (std::size_t n = first; n < std::min(all.size(), std::max(middle, tenth(end))); ++n) {
+    if (n < middle) {
+      f.mean_before += all[n];
+      f.most_before = std::max<double>(f.most_before, all[n]);
+      continue;
+    }
+    f.all += all[n];
+    if (all[n] > f.most) {
+      f.most = all[n];
+      f.most_at = static_cast<double>(n) / 10;
+    }
+  }
+  if (middle > first) f.mean_before /= static_cast<double>(middle - first);
+  return f;
+}
+
+}  // namespace silverpin::rig
--- a/src/rig/model/scenario.cc
+++ b/src/rig/model/scenario.cc
@@ -2,16 +2,18 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
+#include <tuple>
 
 #include "settings/toml_keys.h"
 
 namespace silverpin::rig {
 namespace {
 
-constexpr std::array<std::pair<const char*, What>, 27> kWhats{{
+constexpr std::array<std::pair<const char*, What>, 31> kWhats{{
     {"kill", What::kKill},
     {"restart", What::kRestart},
     {"replace", What::kReplace},
@@ -31,6 +33,10 @@
     {"balancer-restart", What::kBalancerRestart},
     {"balancer-kill", What::kBalancerKill},
     {"balancer-reload", What::kBalancerReload},
+    {"balancer-stop", What::kBalancerStop},
+    {"link-stall", What::kLinkStall},
+    {"link-delay", What::kLinkDelay},
+    {"link-reset", What::kLinkReset},
     {"move-slots", What::kMoveSlots},
     {"failover", What::kFailover},
     {"jam", What::kJam},
@@ -51,6 +57,9 @@
     {{"none", Backoff::kNone}, {"fixed", Backoff::kFixed}, {"exp", Backoff::kExponential}}};
 constexpr std::array<std::pair<const char*, bool>, 2> kWarms{{{"time", false}, {"work", true}}};
 constexpr std::array<std::pair<const char*, bool>, 2> kModes{{{"push", false}, {"ask", true}}};
+// Whether to the host, whether to the balancer.
+constexpr std::array<std::pair<const char*, std::pair<bool, bool>>, 3> kWays{
+    {{"both", {true, true}}, {"to-host", {true, false}}, {"to-balancer", {false, true}}}};
 
 HostSpec read_host(Keys& k, const HostSpec& d) {
   HostSpec h;
@@ -86,6 +95,7 @@
 }
 
 bool strikes_hosts(What what) { return what <= What::kFlush; }
+bool strikes_links(What what) { return what >= What::kLinkStall && what <= What::kLinkReset; }
 bool strikes_clusters(What what) { return what >= What::kMoveSlots && what <= What::kJam; }
 bool strikes_holder(What what) { return what >= What::kAddressMove; }
 
@@ -155,7 +165,9 @@
   if (i.balancer >= s.balancers)
     k.bad("balancer", "must lie from 0 to " + std::to_string(s.balancers - 1));
   if (i.what == What::kBurst && i.tenant.empty()) k.bad("tenant", "is missing: a burst is one's");
-  if (!strikes_hosts(i.what) && !(i.host + i.kind + i.zone).empty())
+  if (strikes_links(i.what))
+    std::tie(i.to_host, i.to_balancer) = k.choice("way", std::pair(true, true), kWays);
+  if (!strikes_hosts(i.what) && !strikes_links(i.what) && !(i.host + i.kind + i.zone).empty())
     k.bad("what", "'" + std::string(name_of(i.what)) + "' strikes no host");
   const bool lasts = i.what == What::kPause || i.what == What::kHang || i.what == What::kSlow ||
                      i.what == What::kErrors || i.what == What::kResets ||
@@ -163,7 +175,8 @@
                      i.what == What::kBurst || i.what == What::kDemand ||
                      i.what == What::kDiscoveryDown || i.what == What::kMoveSlots ||
                      i.what == What::kJam || i.what == What::kHolderStop ||
-                     i.what == What::kHolderCut;
+                     i.what == What::kHolderCut || i.what == What::kBalancerStop ||
+                     strikes_links(i.what);
   if (lasts && i.length == Duration{0}) k.bad("for_s", "is missing: this one needs a length");
   if (i.what == What::kFailover && s.clusters[static_cast<std::size_t>(i.cluster)].replicas == 0)
     k.bad("cluster", "has no replica that could take over");
@@ -286,6 +299,22 @@
   return n;
 }
 
+bool Scenario::troubles_links() const {
+  return std::any_of(incidents.begin(), incidents.end(),
+                     [](const IncidentSpec& i) { return strikes_links(i.what); });
+}
+
+std::vector<int> Scenario::balancers_struck(const IncidentSpec& i) const {
+  if (i.balancer >= 0) return {i.balancer};
+  std::vector<int> all;
+  for (int b = 0; b < balancers; ++b) all.push_back(b);
+  Random draw(seed, 3000 + static_cast<std::uint64_t>(i.line));
+  for (std::size_t n = all.size(); n > 1; --n) std::swap(all[n - 1], all[draw.below(n)]);
+  all.resize(static_cast<std::size_t>(std::ceil(i.share * static_cast<double>(all.size()))));
+  std::sort(all.begin(), all.end());
+  return all;
+}
+
 bool Scenario::memcache() const {
   return std::any_of(classes.begin(), classes.end(),
                      [](const ClassSpec& c) { return c.cluster < 0; });
@@ -296,7 +325,9 @@
   // where they meet the emulator; the log pipes and some for the program itself.
   long nodes = 0;
   for (const ClusterSpec& c : clusters) nodes += 2L * c.primaries * (1 + c.replicas) + balancers;
-  return hosts() + nodes + balancers * (3L + sockets) + 64;
+  // A link has a listener, and two ends for each connection.
+  const long links = troubles_links() ? balancers * (hosts() + 1L + 2L * sockets) : 0;
+  return hosts() + nodes + links + balancers * (3L + sockets) + 64;
 }
 
 Scenario parse_scenario(const std::string& text, const std::string& file) {
--- a/src/rig/model/scenario.h
+++ b/src/rig/model/scenario.h
@@ -137,6 +137,10 @@
   kBalancerRestart,
   kBalancerKill,
   kBalancerReload,
+  kBalancerStop,
+  kLinkStall,
+  kLinkDelay,
+  kLinkReset,
   kMoveSlots,
   kFailover,
   kJam,
@@ -155,7 +159,8 @@
   int cluster = -1;
   double share = 1;     // of those that fit
   double factor = 1;    // how slow, how likely, how much
-  int balancer = -1;    // -1: all, one after the other
+  int balancer = -1;    // -1: `share` of them, one after the other
+  bool to_host = true, to_balancer = true;  // which directions of a link
   Duration stagger{0};  // between balancers, or between hosts
   Duration drain{0};    // before a kill, restart or replacement
   int line = 0;
@@ -191,6 +196,9 @@
   std::vector<IncidentSpec> incidents;
 
   int hosts() const;
+  bool troubles_links() const;  // whether any incident strikes links between balancers and hosts
+  // The balancers that an incident strikes, in order: one seed, one choice.
+  std::vector<int> balancers_struck(const IncidentSpec& incident) const;
   bool memcache() const;  // whether any class is asked of the memcache fleet
   // Descriptors that the emulator and the load may hold at once, by the bounds above.
   long descriptors() const;
--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -138,7 +138,7 @@
          "\",\"discovery\":\"" + fleet.discovery().dial(balancer) + "\",\"seed\":\"" + hex +
          "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + std::to_string(s.memory_mb) +
          ",\"sockets\":" + std::to_string(s.sockets) +
-         "},\"known\":" + fleet.discovery().whole_list() +
+         "},\"known\":" + fleet.discovery().whole_list(balancer) +
          ",\"settings\":" + fleet.settings_json() + "}\n";
 }
 
@@ -281,8 +281,8 @@
     run_.load->close_all();
     if (run_.interrupted()) run_.io.restart();
     end_balancers();
-    RunFigures figures{s_, run_.context.auditor, run_.tally, *run_.load, fleet_, {},
-                       {}, run_.samples,         run_.lag};
+    RunFigures figures{s_,      run_.context.auditor, run_.context.stampede, run_.tally, *run_.load,
+                       fleet_, {},                   {},                     run_.samples, run_.lag};
     for (const auto& c : clusters_) figures.clusters.push_back(c.get());
     for (const auto& b : balancers_) figures.balancers.push_back(b->figures());
     const int verdict = write_report(figures, options_.folder);
@@ -310,11 +310,10 @@
     if (i.what >= What::kAddressMove) return strike_holder(i);
     if (i.cluster >= 0) return clusters_[static_cast<std::size_t>(i.cluster)]->strike(i);
     if (i.what != What::kBalancerRestart && i.what != What::kBalancerKill &&
-        i.what != What::kBalancerReload)
+        i.what != What::kBalancerReload && i.what != What::kBalancerStop)
       return fleet_.strike(i);
     Duration delay{0};
-    for (int b = 0; b < s_.balancers; ++b) {
-      if (i.balancer >= 0 && b != i.balancer) continue;
+    for (const int b : s_.balancers_struck(i)) {
       run_.context.after(delay, [this, &i, b] { strike_balancer(i, b); });
       delay += i.stagger;
     }
@@ -377,6 +376,7 @@
       return;
     }
     const Duration away = i.length > Duration{0} ? i.length : kDefaultAway;
+    if (i.what == What::kBalancerStop) return stop_balancer(b, away);
     ++restarting_;
     if (i.what == What::kBalancerKill) {
       process.signal(SIGKILL);
@@ -395,6 +395,25 @@
     await_exit(b, kill, away);
   }
 
+  // Stands still, with all its connections open: what its clients sent it is as lost as with one
+  // that was killed. Once it goes on it has to find out for itself what is no longer true.
+  void stop_balancer(int b, Duration away) {
+    BalancerProcess& process = *balancers_[static_cast<std::size_t>(b)];
+    if (!process.running() || process.stopped()) return;
+    ++restarting_;
+    process.signal(SIGSTOP);
+    run_.load->set_killed(b, true);
+    run_.context.after(from_seconds(s_.load.front_notice_s), [this, b, &process] {
+      if (process.stopped()) run_.load->set_listed(b, false);
+    });
+    run_.context.after(away, [this, b, &process] {
+      process.signal(SIGCONT);
+      run_.load->set_killed(b, false);
+      run_.load->set_listed(b, true);
+      --restarting_;
+    });
+  }
+
   void await_exit(int b, Time kill, Duration away) {
     BalancerProcess& process = *balancers_[static_cast<std::size_t>(b)];
     if (!process.running()) {
@@ -496,7 +515,8 @@
             s.length + longest_deadline(s) + std::chrono::seconds(2));
   run.load->close_all();
   return write_report(
-      {s, run.context.auditor, run.tally, *run.load, none, {}, {}, run.samples, run.lag},
+      {s, run.context.auditor, run.context.stampede, run.tally, *run.load, none, {}, {},
+       run.samples, run.lag},
       options.folder);
 }
 
--- a/src/rig/report/report.cc
+++ b/src/rig/report/report.cc
@@ -174,6 +174,15 @@
     j.number("worst", 100 * v.worst).number("first_five", 100 * v.first_five);
     j.number("area_s", v.area).number("full_after_s", v.full_after.value_or(-1));
     j.number("swing", 100 * swing(worth, at + 5, end)).close('}');
+    j.key("stampede").open('[');
+    for (int k = 0; k < Stampede::kKinds; ++k) {
+      const auto kind = static_cast<Stampede::Kind>(k);
+      const auto f = run.stampede.figures(kind, s.warm_up, first->at, s.length);
+      j.open('{').text("of", Stampede::name_of(kind)).number("mean_before", f.mean_before);
+      j.number("most_before", f.most_before).number("most", f.most).number("most_at_s", f.most_at);
+      j.number("times", f.times()).count("all", f.all).close('}');
+    }
+    j.close(']');
   }
 
   const Auditor::Totals& t = run.auditor.totals();
@@ -301,6 +310,10 @@
     } else {
       print(out, "full again after %.0f s\n", full);
     }
+    out += "of all balancers together, the most in 0.1 s from then on, and before (mean, most):\n";
+    for (const element f : list(root, "stampede"))
+      print(out, "  %-14s %6.0f at %5.1f s; %7.1f %6.0f\n", str(f, "of").c_str(), num(f, "most"),
+            num(f, "most_at_s"), num(f, "mean_before"), num(f, "most_before"));
   }
 
   const element t = sub(root, "totals");
--- a/src/rig/report/report.h
+++ b/src/rig/report/report.h
@@ -28,6 +28,7 @@
 struct RunFigures {
   const Scenario& scenario;
   const Auditor& auditor;
+  const Stampede& stampede;
   const Tally& tally;
   const Load& load;
   const Fleet& fleet;
--- a/src/rig/servers/cache_server.cc
+++ b/src/rig/servers/cache_server.cc
@@ -122,7 +122,10 @@
   void take(memcache::Command command) {
     idle_.cancel();
     Slot& slot = add_slot();
-    if (command.kind == memcache::Command::Kind::kNoop) return answer(slot, "MN\r\n");
+    if (command.kind == memcache::Command::Kind::kNoop) {
+      context_.stampede.count(Stampede::Kind::kProbe, context_.now());
+      return answer(slot, "MN\r\n");
+    }
     const auto r = context_.take_in(command.id, command.key, command.prop("c"), command.prop("k"));
     if (!r) {
       context_.auditor.on_forged(context_.now(), server_.audit_id_, command.line);
@@ -132,6 +135,8 @@
     const Time arrived = late_since_.value_or(context_.now());
     slot.attempt = context_.auditor.on_arrived(arrived, *r, server_.audit_id_);
     if (over_cap_) return turn_away(slot);
+    if (server_.engine_.model() && server_.engine_.model()->warmth(arrived) < 1)
+      context_.stampede.count(Stampede::Kind::kColdAttempt, arrived);
     const bool set = command.kind == memcache::Command::Kind::kSet;
     const bool hit = !set && server_.objects_.find(command.key).has_value();
     double work = hit ? context_.auditor.work_of(*r) : server_.kind_.miss_us * 1e-6;
@@ -337,6 +342,7 @@
       const bool over = sessions_.size() >= static_cast<std::size_t>(kind_.connections);
       const auto session = std::make_shared<Session>(*this, std::move(socket), over);
       sessions_.insert(session);
+      context_.stampede.count(Stampede::Kind::kConnection, context_.now());
       session->start();
     }
     accept();
--- a/src/rig/servers/discovery_server.cc
+++ b/src/rig/servers/discovery_server.cc
@@ -85,6 +85,7 @@
 void DiscoveryServer::serve(int balancer, const HttpServer::SessionPtr& session) {
   const std::string target(session->request().target());
   if (!target.starts_with("/discovery/hosts")) return session->respond(404, "", "");
+  context_.stampede.count(Stampede::Kind::kListCall, context_.now());
   if (down_) return session->respond(503, "", "");
   const auto index = query(target, "index=");
   if (!index) return answer(balancer, session, true, 0);
@@ -113,7 +114,7 @@
     if (!whole && listed.seq <= since) continue;
     telling.push_back(listed.entry);
     if (whole && listed.entry.health == Health::kGone) continue;
-    body += (first ? "" : ",") + json(listed.entry);
+    body += (first ? "" : ",") + json(balancer, listed.entry);
     first = false;
   }
   session->respond(200, "Content-Type: application/json\r\n", body + "]}",
@@ -134,21 +135,22 @@
 
 void DiscoveryServer::forget(int balancer) { context_.auditor.on_balancer_start(balancer); }
 
-std::string DiscoveryServer::json(const Entry& e) {
+std::string DiscoveryServer::json(int balancer, const Entry& e) const {
   const char* health = e.health == Health::kReady      ? "ready"
                        : e.health == Health::kDraining ? "draining"
                                                        : "gone";
-  return "{\"host\":\"" + e.host + "\",\"dial\":\"" + e.dial + "\",\"site\":\"" + e.zone +
+  return "{\"host\":\"" + e.host + "\",\"dial\":\"" +
+         (dial_told ? dial_told(balancer, e) : e.dial) + "\",\"site\":\"" + e.zone +
          "\",\"class\":\"" + e.kind + "\",\"block\":0,\"health\":\"" + health +
          "\",\"share\":1.0,\"born_ms\":" + std::to_string(e.born_ms) + "}";
 }
 
-std::string DiscoveryServer::whole_list() const {
+std::string DiscoveryServer::whole_list(int balancer) const {
   std::string text = "{\"seq\":" + std::to_string(seq_) + ",\"whole\":true,\"hosts\":[";
   bool first = true;
   for (const auto& [host, listed] : entries_) {
     if (listed.entry.health == Health::kGone) continue;
-    text += (first ? "" : ",") + json(listed.entry);
+    text += (first ? "" : ",") + json(balancer, listed.entry);
     first = false;
   }
   return text + "]}";
--- a/src/rig/servers/discovery_server.h
+++ b/src/rig/servers/discovery_server.h
@@ -35,8 +35,10 @@
   void move(int balancer);
 
   std::string dial(int balancer) const;
-  // The whole list as JSON, as `known` in a balancer's configuration has it.
-  std::string whole_list() const;
+  // The whole list as JSON, as `known` in this balancer's configuration has it.
+  std::string whole_list(int balancer) const;
+  // Where a balancer is told that a host listens; none: where it does.
+  std::function<std::string(int balancer, const Entry& entry)> dial_told;
   void forget(int balancer);  // it has started anew
 
  private:
@@ -60,7 +62,7 @@
   void publish(const Entry& entry);
   void answer(int balancer, const HttpServer::SessionPtr& session, bool whole, std::uint64_t since);
   void told(int balancer, const Entry& entry);
-  static std::string json(const Entry& entry);
+  std::string json(int balancer, const Entry& entry) const;
 
   Context& context_;
   Random random_;
--- a/src/rig/servers/fleet.cc
+++ b/src/rig/servers/fleet.cc
@@ -93,6 +93,11 @@
   e.kind = "origin";
   e.audit_id = id;
   discovery_.add(e);
+  if (!s.troubles_links()) return;
+  links_ = std::make_unique<Links>(context, random_.next());
+  discovery_.dial_told = [this](int balancer, const DiscoveryServer::Entry& told) {
+    return links_->dial(balancer, told.dial);
+  };
 }
 
 DiscoveryServer::Entry Fleet::entry(const Host& host, Health health, std::int64_t born_ms) const {
@@ -154,6 +159,11 @@
 }
 
 void Fleet::strike(const IncidentSpec& i) {
+  if (i.what >= What::kLinkStall && i.what <= What::kLinkReset) {
+    set_links(i, true);
+    context_.after(i.length, [this, &i] { set_links(i, false); });
+    return;
+  }
   if (i.what > What::kFlush && i.what != What::kDiscoveryDown) return;  // not the fleet's
   if (i.what == What::kDiscoveryDown) {
     discovery_.set_down(true);
@@ -172,6 +182,29 @@
   }
 }
 
+// The share of an incident is that of the balancers here; all hosts that fit are meant.
+void Fleet::set_links(const IncidentSpec& i, bool on) {
+  Links::Trouble trouble;
+  if (on) {
+    trouble.stalled = i.what == What::kLinkStall;
+    if (i.what == What::kLinkDelay) trouble.delay = from_seconds(1e-3 * i.factor);
+    if (i.what == What::kLinkReset) trouble.reset = i.factor;
+  }
+  const Links::Way way = i.to_host && i.to_balancer ? Links::Way::kBoth
+                         : i.to_host                ? Links::Way::kToHost
+                                                    : Links::Way::kToBalancer;
+  std::vector<std::string> targets;
+  if (i.host == "origin") {
+    targets.push_back(origin_->dial());
+  } else {
+    IncidentSpec all = i;
+    all.share = 1;
+    for (const Host* host : struck(all)) targets.push_back(host->server->dial());
+  }
+  for (const int b : context_.scenario.balancers_struck(i))
+    for (const std::string& target : targets) links_->set(b, target, way, trouble);
+}
+
 void Fleet::set_origin(const IncidentSpec& i, bool on) {
   switch (i.what) {
     case What::kPause:
--- a/src/rig/servers/fleet.h
+++ b/src/rig/servers/fleet.h
@@ -8,6 +8,7 @@
 #include "rig/servers/cache_server.h"
 #include "rig/judge/context.h"
 #include "rig/servers/discovery_server.h"
+#include "rig/servers/links.h"
 #include "rig/servers/origin_server.h"
 
 namespace silverpin::rig {
@@ -35,6 +36,7 @@
     std::uint64_t served, turned_away;
   };
   std::vector<HostFigures> figures() const;
+  const Links* links() const { return links_.get(); }  // none where nothing troubles them
   void warm_with(const std::vector<std::string>& keys);  // as if they had been asked for lately
 
  private:
@@ -54,12 +56,14 @@
   void start_cold(Host& host);
   void set(Host& host, const IncidentSpec& incident, bool on);
   void set_origin(const IncidentSpec& incident, bool on);
+  void set_links(const IncidentSpec& incident, bool on);
 
   Context& context_;
   Random random_;
   DiscoveryServer discovery_;
   std::vector<Host> hosts_;
   std::unique_ptr<OriginServer> origin_;
+  std::unique_ptr<Links> links_;
   // Hosts that missed for a request, and will hold what the origin answers; oldest first.
   std::unordered_map<RequestNumber, std::vector<CacheServer*>> missed_;
   std::deque<RequestNumber> missed_order_;
--- a/src/rig/servers/http_server.cc
+++ b/src/rig/servers/http_server.cc
@@ -90,6 +90,7 @@
       socket.set_option(tcp::no_delay(true), ignored);
       const auto session = std::make_shared<Session>(*this, std::move(socket));
       sessions_.insert(session);
+      if (on_accept) on_accept();
       session->read();
     }
     accept();
--- a/src/rig/servers/http_server.h
+++ b/src/rig/servers/http_server.h
@@ -51,6 +51,7 @@
   std::string dial() const {
     return local_.address().to_string() + ":" + std::to_string(local_.port());
   }
+  std::function<void()> on_accept;  // a connection has come
   void stop_accepting();
   void close_all();
   void reopen();  // after stop_accepting(), at the same address
--- a/src/rig/servers/origin_server.cc
+++ b/src/rig/servers/origin_server.cc
@@ -38,13 +38,18 @@
             [this](const HttpServer::SessionPtr& s) { serve(s); }),
       dial_(http_.dial()) {
   engine_.start(context.scenario.origin.host, false);
+  http_.on_accept = [this] {
+    context_.stampede.count(Stampede::Kind::kConnection, context_.now());
+  };
 }
 
 void OriginServer::serve(const HttpServer::SessionPtr& session) {
   const HttpServer::Request& request = session->request();
   const std::string target(request.target());
-  if (request.method() == http::verb::get && (target == "/alive" || target == "/metrics/load"))
+  if (request.method() == http::verb::get && (target == "/alive" || target == "/metrics/load")) {
+    context_.stampede.count(Stampede::Kind::kProbe, context_.now());
     return session->respond(200, "", "ok");
+  }
   const bool write = request.method() == http::verb::put;
   memcache::Command command;  // its properties, as a client wrote them
   command.props = std::string(request["X-Props"]);
@@ -56,6 +61,7 @@
     return session->respond(400, "", "bad request");
   }
   const int attempt = context_.auditor.on_arrived(context_.now(), *r, audit_id_);
+  if (!write) context_.stampede.count(Stampede::Kind::kFetch, context_.now());
   const OriginSpec& spec = context_.scenario.origin;
   // Drawn from what is asked for, not from the order in which it comes: the same in every run.
   Random draw(context_.scenario.seed ^ context_.auditor.effect_of(*r), 8);
--- a/tests/rig/planted_test.cc
+++ b/tests/rig/planted_test.cc
@@ -12,7 +12,7 @@
     fleet = std::make_unique<Fleet>(*context);
     fleet->warm_with(Arrivals(scenario).popular());
     tally = std::make_unique<Tally>(scenario);
-    const std::string list = fleet->discovery().whole_list();
+    const std::string list = fleet->discovery().whole_list(0);
     balancer =
         std::make_unique<PlantedBalancer>(*context, *fleet, dial(list, "h0"), dial(list, "origin"));
     load = std::make_unique<Load>(*context, *tally, std::vector<tcp::endpoint>{balancer->local()});
--- a/tests/rig/servers_test.cc
+++ b/tests/rig/servers_test.cc
@@ -13,7 +13,7 @@
     scenario = parse_scenario(scenario_text(extra), "test.toml");
     context = std::make_unique<Context>(io, scenario);
     fleet = std::make_unique<Fleet>(*context);
-    const std::string list = fleet->discovery().whole_list();
+    const std::string list = fleet->discovery().whole_list(0);
     h0 = dial(list, "h0");
     origin = dial(list, "origin");
   }
@@ -166,7 +166,7 @@
   begin(
       "[[incident]]\nwhat = \"refuse\"\nhost = \"h0\"\nat_s = 0\nfor_s = 0.3\n"
       "[[incident]]\nwhat = \"silent\"\nhost = \"h1\"\nat_s = 0\nfor_s = 0.5\n");
-  const std::string h1 = dial(fleet->discovery().whole_list(), "h1");
+  const std::string h1 = dial(fleet->discovery().whole_list(0), "h1");
   for (const IncidentSpec& i : scenario.incidents) fleet->strike(i);
   ASSERT_TRUE(wait(
       [&, end = context->now() + std::chrono::milliseconds(100)] { return context->now() > end; }));
@@ -218,7 +218,7 @@
                                                     std::chrono::seconds(1), "k<&\"\x01\xff", 1),
                            "a <test> & \"more\"");
   Load load(*context, tally, {});
-  RunFigures run{scenario, context->auditor, tally, load, *fleet, {}, {}, {}, {}};
+  RunFigures run{scenario, context->auditor, context->stampede, tally, load, *fleet, {}, {}, {}, {}};
   run.balancers.push_back({"n0", 1, {}, {{std::chrono::seconds(1), 5, 0.1, 9}}});
   const std::string json = report_json(run);
   EXPECT_EQ(report_verdict(json), 1);
