Behind a standstill decide on a list that was asked for since

Cause: a process that was stopped, or whose machine stood still, finds requests of its clients before discovery's news when it goes on, and sends them by the list that it had. Ruled out: the list itself, which was there 1 ms later, and attempts that waited for a connection.

Change: src/recovery decides by the gap between two looks (1 s) that what is known has to be confirmed; what would go to hosts meanwhile is parked and decided anew once a list has come that was asked for since, after 250 ms of running time at the latest whatever is missing. Answers, deadlines and the origin's writes wait for nothing. An attempt whose time has passed is not written either where its time-out has not come round. One log line tells how long it stood, what confirmed it and how many attempts waited.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -13,6 +13,12 @@
 constexpr int kRetirePart = 3;
 constexpr Duration kTimerTick = std::chrono::milliseconds(1);
 constexpr std::size_t kDuePerTurn = 64;
+// Well below the gap that counts as a standstill.
+constexpr Duration kLooks = std::chrono::milliseconds(400);
+
+std::string ms(Duration d) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()) + " ms";
+}
 
 UpstreamTimes times_of(const SiteSettings& site) {
   constexpr Duration kConnect = std::chrono::seconds(1), kIdle = std::chrono::seconds(15);
@@ -41,7 +47,9 @@
       due_(clock.now(), kTimerTick),
       timer_(io),
       policy_(site.policy, seed, clock.now(), *this, steering ? &steering->placement() : nullptr),
-      upstreams_(io, limits, *this, times_of(site), std::move(dial)) {}
+      upstreams_(io, limits, *this, times_of(site), std::move(dial)),
+      look_timer_(io),
+      hold_timer_(io) {}
 
 Duration ServerPool::longest_deadline(Duration most) const {
   Duration longest{0};
@@ -62,10 +70,17 @@
   attempt->unsafe = call.unsafe;
   if (steering_) steering_->prepare(*attempt);
   ++call.out;
+  // Decided on what was known before a standstill.
+  look();
+  attempt->parked = standing_ && standing_->holds() && host != origin_;
   const auto timer = due_.set(until, {attempt, 0});
   attempt->timer = {timer.place, timer.life};
   arm_timer();
-  upstreams_.start(std::move(attempt), host);
+  if (attempt->parked) {
+    parked_.push_back(std::move(attempt));
+  } else {
+    upstreams_.start(std::move(attempt), host);
+  }
 }
 
 void ServerPool::refuse(RequestId id, Duration retry_after) {
@@ -137,6 +152,49 @@
   });
 }
 
+// ---- standstills
+
+void ServerPool::mind_standstills(std::function<void()> confirm,
+                                  std::function<void(const std::string&)> log) {
+  standing_.emplace(now());
+  confirm_ = std::move(confirm);
+  log_ = std::move(log);
+  watch();
+}
+
+void ServerPool::watch() {
+  look();
+  look_timer_.expires_after(kLooks);
+  look_timer_.async_wait([this](const error_code& e) {
+    if (!e) watch();
+  });
+}
+
+void ServerPool::look() {
+  if (!standing_ || !standing_->look(now())) return;
+  confirm_();
+  hold_timer_.expires_at(clock_.steady(standing_->until()));
+  hold_timer_.async_wait([this](const error_code& e) {
+    if (!e && standing_->on_hold_over(now())) let_go("no list came; what was known goes on");
+  });
+}
+
+void ServerPool::on_confirmed(Duration took) {
+  if (standing_ && standing_->on_word(now(), now() - took)) let_go("the list is confirmed");
+}
+
+// What was held back had been decided on an old list, so it is decided anew: as if the host had
+// named another one, which costs no host anything and counts as no retry.
+void ServerPool::let_go(const char* why) {
+  hold_timer_.cancel();
+  const auto parked = std::exchange(parked_, {});
+  log_("stood still for " + ms(standing_->stood_still()) + "; " + why + " after " +
+       ms(now() - standing_->woken()) + ", " + std::to_string(parked.size()) +
+       " attempt(s) held back");
+  for (const AttemptPtr& attempt : parked)
+    on_end(attempt, wanted(*attempt) ? Result::kRedirected : Result::kNotSent, {});
+}
+
 // ---- requests
 
 void ServerPool::submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) {
@@ -224,7 +282,9 @@
 
 bool ServerPool::wanted(const Attempt& attempt) const {
   const auto it = calls_.find(attempt.request);
-  return it != calls_.end() && !it->second.over && it->second.caller->may_go_out();
+  // Behind a standstill its time may have passed before its time-out has come round.
+  return it != calls_.end() && !it->second.over && now() < attempt.until &&
+         it->second.caller->may_go_out();
 }
 
 // The first byte is the answer: no other attempt may serve from here on. From now on both sides'
@@ -242,6 +302,7 @@
 void ServerPool::on_end(const AttemptPtr& attempt, Result result, std::string value) {
   if (std::exchange(attempt->ended, true)) return;
   due_.take_back({attempt->timer.place, attempt->timer.life});
+  if (attempt->parked && result == Result::kTimeout) result = Result::kNotSent;
   if (result == Result::kTimeout || result == Result::kCancelled)
     if (const auto connection = attempt->connection.lock()) connection->abandon(attempt);
   if (steering_) result = steering_->judge(*attempt, result, value);
@@ -260,9 +321,11 @@
 void ServerPool::on_list(const HostList& list) {
   upstreams_.apply(list);
   std::vector<HostEntry> entries;
-  for (const ListedHost& host : list.hosts)
+  for (const ListedHost& host : list.hosts) {
+    if (host.origin) origin_ = host.id;
     entries.push_back(
         {host.id, host.started_at, host.origin, host.zone, host.cell, host.state, host.weight});
+  }
   policy_.on_hosts(now(), list.whole ? ListKind::kWhole : ListKind::kChanges, entries);
   forget_finished();
 }
--- a/src/core/server_pool.h
+++ b/src/core/server_pool.h
@@ -17,6 +17,7 @@
 #include "net/request.h"
 #include "net/upstream_pool.h"
 #include "policy/policy.h"
+#include "recovery/standing.h"
 #include "settings/settings.h"
 
 namespace silverpin {
@@ -50,6 +51,13 @@
 
   void on_list(const HostList& list);
   void on_list_refused();
+  // From now on what would go to hosts other than the origin waits after a standstill, until a list
+  // has come that was asked for since; see recovery::Standing. `confirm` asks for one, from the
+  // event loop and not before it returns; `log` gets a line at the end of each standstill.
+  void mind_standstills(std::function<void()> confirm,
+                        std::function<void(const std::string&)> log);
+  // Discovery has answered a call that took so long, and what it told has been taken.
+  void on_confirmed(Duration took);
   // An operator's words on hosts; see Policy.
   bool maintain(std::string_view host, bool out);
   const std::map<std::string, Policy::Word, std::less<>>& words() const { return policy_.words(); }
@@ -98,6 +106,9 @@
   void on_begin(const AttemptPtr& attempt, const StreamPtr& stream) override;
   void on_end(const AttemptPtr& attempt, Result result, std::string value) override;
 
+  void look();
+  void watch();
+  void let_go(const char* why);
   void arm_timer();
   void on_timer();
   void work_off();
@@ -131,6 +142,12 @@
   std::vector<RequestId> finished_;
   RequestId next_id_ = 1;
   std::optional<Time> drain_end_;
+  std::optional<recovery::Standing> standing_;  // none: nothing is held back
+  std::function<void()> confirm_;
+  std::function<void(const std::string&)> log_;
+  boost::asio::steady_timer look_timer_, hold_timer_;
+  std::vector<AttemptPtr> parked_;  // bounded by the requests that are open
+  std::string origin_;
 };
 
 }  // namespace silverpin
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -23,6 +23,7 @@
   bool replica = false;  // the host is to read it though it is a replica
   bool unsafe = false;   // its class must never run twice
   bool ended = false;    // its outcome is known
+  bool parked = false;   // held back, so that it has not gone anywhere yet
   struct Timer {         // of its time-out, in its owner's terms
     std::uint32_t place = UINT32_MAX, life = 0;
   } timer;
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -133,7 +133,8 @@
       front(site, pool),
       discovery(
           io, config.discovery, site, config.known ? config.known->seq : 0,
-          {[this](const HostList& list) { take(list); }, [this] { pool.on_list_refused(); }}) {
+          {[this](const HostList& list) { take(list); }, [this] { pool.on_list_refused(); },
+           [this](Duration took) { pool.on_confirmed(took); }}) {
   if (config.known) take(*config.known);
 }
 
@@ -184,7 +185,10 @@
   add(config ? config->seed : std::random_device()(), limits);
   if (admin_ && !config->folder.empty()) follow(from, *config);
   if (added_.group) join(log);
-  if (memcache_ && !memcache_->site.policy.list_on_request) memcache_->discovery.start();
+  if (memcache_ && !memcache_->site.policy.list_on_request) {
+    memcache_->discovery.start();
+    memcache_->pool.mind_standstills([this] { memcache_->discovery.confirm(); }, log_);
+  }
   // Where another process serves meanwhile, clients are better off there until there is a list.
   if (!upgrade_ || !upgrade_->turn().has_predecessor(clock_.now()) || memcache_->listed) {
     open();
--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -77,6 +77,13 @@
   if (running_) call();
 }
 
+void Discovery::confirm() {
+  if (!running_ || asked_) return;
+  hang_up();
+  whole_next_ = true;
+  call_after(Duration{0});
+}
+
 void Discovery::call_after(Duration delay) {
   timer_.expires_after(delay);
   timer_.async_wait([this, after = call_](const error_code& e) {
@@ -137,6 +144,10 @@
   failures_ = 0;
   whole_next_ = false;
   const auto took = std::chrono::steady_clock::now() - called_at_;
+  if (handlers_.on_answered) {
+    handlers_.on_answered(took);
+    if (call != call_ || !running_) return;
+  }
   call_after(news_ || took > kPause ? Duration{0} : Duration{kPause});
 }
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -21,6 +21,8 @@
   struct Handlers {
     std::function<void(const HostList&)> on_list;
     std::function<void()> on_refused;  // only where discovery must be asked
+    // A call that took so long was answered, and what it told has been handed over.
+    std::function<void(Duration took)> on_answered;
   };
 
   Discovery(boost::asio::io_context& io, const Endpoint& endpoint, const SiteSettings& site,
@@ -31,6 +33,8 @@
   void stop();
   // From now on the service at `endpoint` is listened to, and no longer the one before.
   void move(const Endpoint& endpoint);
+  // Where lists are pushed: gives up the call that is out, and asks for the whole list at once.
+  void confirm();
 
  private:
   // A connection and all that its operations refer to. Their handlers own it: what the system has
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -135,6 +135,63 @@
   EXPECT_FALSE(exited());
 }
 
+// Stopped for over a second, with requests of its clients and news of discovery waiting for it: what
+// they ask for goes by the news, though they come first.
+TEST_F(ProgramTest, BehindAStandstillNothingGoesByTheOldList) {
+  FakeDiscovery discovery(io_);
+  const auto answer = [](const auto&, const auto& id) { return FakeCache::value(id, "v1"); };
+  FakeCache old(io_, answer), fresh(io_, answer);
+  discovery.hosts = host_entry("h1", old.server.dial());
+  write_config(config_text(discovery));
+  launch();
+  ASSERT_TRUE(wait([&] { return discovery.calls > 1 && logged("listening"); }));
+  std::vector<std::shared_ptr<Peer>> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.push_back(client());
+    clients.back()->send("mg k" + std::to_string(i) + " v O1 Pc=read,t=acme,d=5000\r\n");
+    ASSERT_TRUE(wait([&] { return clients.back()->in == "VA 2 O1\r\nv1\r\n"; }));
+    clients.back()->in.clear();
+  }
+  const auto before = old.ids.size();
+  ::kill(pid_, SIGSTOP);
+  for (std::size_t i = 0; i < clients.size(); ++i)
+    clients[i]->send("mg k" + std::to_string(i) + " v O2" + std::to_string(i) + " Pc=read,t=acme,d=5000\r\n");
+  discovery.hosts = host_entry("h1", old.server.dial(), "std", "draining") + "," +
+                    host_entry("h2", fresh.server.dial());
+  io_.run_for(std::chrono::milliseconds(1500));
+  ::kill(pid_, SIGCONT);
+  for (std::size_t i = 0; i < clients.size(); ++i) {
+    const std::string whole = "VA 2 O2" + std::to_string(i) + "\r\nv1\r\n";
+    ASSERT_TRUE(wait([&] { return clients[i]->in == whole; })) << clients[i]->in;
+  }
+  EXPECT_EQ(old.ids.size(), before);
+  EXPECT_EQ(fresh.ids.size(), clients.size());
+  ASSERT_TRUE(wait([&] { return logged("the list is confirmed after "); }));
+}
+
+// With discovery gone it goes on with what it knew, and each client has its one answer.
+TEST_F(ProgramTest, BehindAStandstillNobodyIsWaitedForForEver) {
+  std::optional<FakeDiscovery> discovery(std::in_place, io_);
+  FakeCache cache(io_, [](const auto&, const auto& id) { return FakeCache::value(id, "v1"); });
+  discovery->hosts = host_entry("h1", cache.server.dial());
+  write_config(config_text(*discovery));
+  launch();
+  ASSERT_TRUE(wait([&] { return discovery->calls > 1 && logged("listening"); }));
+  auto c = client();
+  c->send("mg k v O1 Pc=read,t=acme,d=5000\r\n");
+  ASSERT_TRUE(wait([&] { return c->in == "VA 2 O1\r\nv1\r\n"; }));
+  ::kill(pid_, SIGSTOP);
+  c->send("mg k v O2 Pc=read,t=acme,d=5000\r\n");
+  for (const auto& p : discovery->server.peers) p->on_data = nullptr;
+  discovery.reset();
+  io_.run_for(std::chrono::milliseconds(1500));
+  ::kill(pid_, SIGCONT);
+  ASSERT_TRUE(wait([&] { return c->in.ends_with("VA 2 O2\r\nv1\r\n"); }));
+  EXPECT_EQ(c->in, "VA 2 O1\r\nv1\r\nVA 2 O2\r\nv1\r\n");
+  ASSERT_TRUE(wait([&] { return logged("no list came; what was known goes on"); }));
+  EXPECT_EQ(cache.ids.size(), 2u);
+}
+
 TEST_F(ProgramTest, BadConfigurationAtTheStartEndsWithOneLine) {
   write_config("{\"name\":\"n0\"}");
   launch();
