Call discovery again at an even rate of the fleet; requests as old as a standstill; drawn scenarios

Cause: (1) Where discovery goes away all its watches end at once, and all balancers called again after 20, 40, 80 ms: 30 list calls in 0.1 s where 1.2 are usual (mass-restart, 12 processes).

Change: recovery::Pace gives waits of 0.25 to 0.75 s, the first one drawn from the residual life, so that N that fail in step call 2 N times a second from the first instant on. What is read within 50 ms of a standstill has so much less time as the process stood still; where nothing is left it is refused. The rig blocks signals over fork, holds each balancer's port, and leaves out who has been ended already; silverpin_rig draw prints a scenario drawn at random.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -198,7 +198,9 @@
 // ---- requests
 
 void ServerPool::submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) {
-  if ((site_.most_held > 0 && open_ >= static_cast<std::size_t>(site_.most_held)) ||
+  look();
+  const Duration unnoticed = standing_ ? standing_->unnoticed(now()) : Duration{0};
+  if (unnoticed >= ask.budget || (site_.most_held > 0 && open_ >= static_cast<std::size_t>(site_.most_held)) ||
       !caller->may_go_out()) {
     ask.payload->released();
     caller->on_final(ticket, *ask.payload, {Final::Kind::kRefused, {}, Duration{0}, nullptr});
@@ -211,7 +213,9 @@
   q.key = ask.key;
   q.write = ask.write;
   q.work = ask.work;
-  q.budget = ask.budget;
+  // Behind a standstill a client's time may be over that has just been read of: its request lay in
+  // the socket. Nothing of it has gone out, so that a refusal is true, and comes while it may.
+  q.budget = ask.budget - unnoticed;
   if (drain_end_) q.budget = std::max(Duration{0}, std::min(q.budget, *drain_end_ - now()));
   Call& call = calls_[q.id];
   call.caller = caller;
--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -24,8 +24,10 @@
 constexpr milliseconds kPushedPatience{500};
 // A service that works through calls in turn may take its time-out of 2 s.
 constexpr milliseconds kAskedPatience{2000};
-constexpr milliseconds kFirstRetry{20};
-constexpr milliseconds kLongestRetry{320};
+// A watch calls once a second where nothing happens. While discovery is away the fleet calls twice as
+// often as that, and no more in any moment: what failed for one has most likely failed for all.
+constexpr milliseconds kLeastRetry{250};
+constexpr milliseconds kMostRetry{750};
 // Answers that come at once and hold nothing new must not become a busy loop. The next call of a
 // watch has 200 ms.
 constexpr milliseconds kPause{50};
@@ -33,14 +35,17 @@
 }  // namespace
 
 Discovery::Discovery(boost::asio::io_context& io, const Endpoint& endpoint,
-                     const SiteSettings& site, std::uint64_t known_seq, Handlers handlers)
+                     const SiteSettings& site, std::uint64_t known_seq, std::uint64_t seed,
+                     Handlers handlers)
     : endpoint_(endpoint),
       site_(site),
       handlers_(std::move(handlers)),
       asked_(site.policy.list_on_request),
       io_(io),
       timer_(io),
-      seq_(known_seq) {}
+      seq_(known_seq),
+      pace_(kLeastRetry, kMostRetry),
+      random_(seed) {}
 
 void Discovery::start() {
   running_ = true;
@@ -73,7 +78,7 @@
   hang_up();
   endpoint_ = endpoint;
   whole_next_ = true;
-  failures_ = 0;
+  pace_.on_success();
   if (running_) call();
 }
 
@@ -141,7 +146,7 @@
   if (!apply(link_->parser->get().body())) return fail(call);
   if (call != call_ || !running_) return;
   if (!keep_alive) link_.reset();
-  failures_ = 0;
+  pace_.on_success();
   whole_next_ = false;
   const auto took = std::chrono::steady_clock::now() - called_at_;
   if (handlers_.on_answered) {
@@ -181,8 +186,9 @@
   }
   // What the broken call would have told may have been told: the whole list leaves no doubt.
   whole_next_ = true;
-  const auto delay = std::min(kFirstRetry * (1 << std::min(failures_++, 8)), kLongestRetry);
-  call_after(delay);
+  std::uniform_real_distribution<double> chance(0, 1);
+  const double first = chance(random_), second = chance(random_);
+  call_after(pace_.after_failure(first, second));
 }
 
 }  // namespace silverpin::node
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -8,8 +8,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 
 #include "net/host_list.h"
+#include "recovery/pace.h"
 #include "settings/settings.h"
 
 namespace silverpin::node {
@@ -26,7 +28,7 @@
   };
 
   Discovery(boost::asio::io_context& io, const Endpoint& endpoint, const SiteSettings& site,
-            std::uint64_t known_seq, Handlers handlers);
+            std::uint64_t known_seq, std::uint64_t seed, Handlers handlers);
 
   void start();      // lists are pushed
   void subscribe();  // discovery is asked
@@ -69,7 +71,8 @@
   bool whole_next_ = true;  // ask for the whole list
   bool running_ = false;
   bool news_ = false;
-  int failures_ = 0;
+  recovery::Pace pace_;
+  std::mt19937_64 random_;
   Duration patience_{0};
   std::chrono::steady_clock::time_point called_at_;
 };
--- /dev/null
+++ b/src/recovery/pace.cc
@@ -0,0 +1,17 @@
+#include "recovery/pace.h"
+
+#include <cmath>
+#include <utility>
+
+namespace silverpin::recovery {
+
+Duration Pace::after_failure(double chance, double second_chance) {
+  const double a = seconds(least_), b = seconds(most_);
+  if (std::exchange(failing_, true)) return from_seconds(a + chance * (b - a));
+  // The interval that one comes into is a long one the more likely the longer it is, and any moment
+  // of it is as likely as another.
+  const double interval = std::sqrt(a * a + chance * (b * b - a * a));
+  return from_seconds(second_chance * interval);
+}
+
+}  // namespace silverpin::recovery
--- a/src/recovery/standing.h
+++ b/src/recovery/standing.h
@@ -16,6 +16,8 @@
     Duration still = std::chrono::seconds(1);  // no look for so long is a standstill
     // So long, of the time in which it runs, it may hold at most.
     Duration hold = std::chrono::milliseconds(250);
+    // What is read for so long after it may have lain there all the time.
+    Duration settle = std::chrono::milliseconds(50);
   };
   enum class Stage {
     kSure,     // nothing speaks against what is known
@@ -34,6 +36,11 @@
   // The time of until() has come. True: what was held may go now.
   bool on_hold_over(Time now);
 
+  // How much older than it looks a request may be that is read now.
+  Duration unnoticed(Time now) const {
+    return standstills_ > 0 && now < woken_ + bounds_.settle ? gap_ : Duration{0};
+  }
+
   Stage stage() const { return stage_; }
   bool holds() const { return stage_ == Stage::kHolding; }
   Time until() const { return until_; }             // while it holds: when it ends at the latest
--- a/src/rig/balancer_process.cc
+++ b/src/rig/balancer_process.cc
@@ -63,7 +63,7 @@
       program_(std::move(program)),
       folder_(std::move(folder)),
       files_(std::move(files)),
-      address_(asio::ip::make_address("127.0.0.1"), 0) {
+      address_(asio::ip::make_address("127.0.0.1"), files_.port) {
   figures_.name = "n" + std::to_string(number);
 }
 
@@ -96,9 +96,16 @@
   char* const args[] = {program.data(), files_.added ? option.data() : nullptr, added.data(),
                         nullptr};
   char* const environment[] = {files_.platform ? env.data() : nullptr, nullptr};
+  // What is sent to it before it runs the program must not end in the rig's own handlers.
+  sigset_t all, before;
+  ::sigfillset(&all);
+  ::sigprocmask(SIG_SETMASK, &all, &before);
   pid_ = ::fork();
+  if (pid_ != 0) ::sigprocmask(SIG_SETMASK, &before, nullptr);
   if (pid_ < 0) throw std::runtime_error("cannot start another process");
   if (pid_ == 0) {
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) ::signal(number, SIG_DFL);
+    ::sigprocmask(SIG_SETMASK, &before, nullptr);
     const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     if (out >= 0) {
       ::dup2(out, 1);
--- a/src/rig/balancer_process.h
+++ b/src/rig/balancer_process.h
@@ -22,6 +22,9 @@
     std::function<std::string()> added;                              // the operator's; none: none
     // One of a group, which listens only while it holds an address: up once it runs.
     bool standby = false;
+    // Where it listens for the platform's clients, at each start; 0: where the system likes at the
+    // first one.
+    std::uint16_t port = 0;
   };
   BalancerProcess(Context& context, std::string program, std::string folder, int number,
                   Files files);
--- a/src/rig/main.cc
+++ b/src/rig/main.cc
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "model/tables.h"
+#include "rig/model/draw.h"
 #include "rig/moves.h"
 #include "rig/rehearsal.h"
 #include "rig/report/report.h"
@@ -121,6 +122,9 @@
   plant->add_option("--hold-caches", table.plant.caches_held, "keep the caches' gate this far open")
       ->check(CLI::Range(0.05, 1.0));
   plant->add_flag("--brief", brief, "a line a seed alone");
+  std::uint64_t drawn = 0;
+  CLI::App* draw = app.add_subcommand("draw", "print a scenario drawn at random, to be played");
+  draw->add_option("SEED", drawn)->required()->check(CLI::PositiveNumber);
   MoveOptions moves;
   CLI::App* move = app.add_subcommand(
       "moves", "a group of balancers whose service address moves, again and again");
@@ -141,6 +145,10 @@
   }
   try {
     if (*show) return report(folder);
+    if (*draw) {
+      std::printf("%s", draw_scenario(drawn).c_str());
+      return 0;
+    }
     if (*cluster) return run_cluster(nodes, replicas);
     if (*move) {
       if (moves.folder.empty()) moves.folder = "rehearsals/moves";
--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -218,6 +218,8 @@
     for (int b = 0; b < s.balancers; ++b) {
       BalancerProcess::Files files;
       files.standby = group_ != nullptr;
+      // While one is away others' connections must not be given its port.
+      if (s.memcache()) files.port = hold_port();
       if (s.memcache())
         files.platform = [this, b](const std::string& listen) {
           return configuration(s_, fleet_, b, seeds_.next(), listen);
@@ -377,6 +379,10 @@
     }
     const Duration away = i.length > Duration{0} ? i.length : kDefaultAway;
     if (i.what == What::kBalancerStop) return stop_balancer(b, away);
+    // What another incident has ended, and not started again yet, is not struck once more.
+    if (phases_[static_cast<std::size_t>(b)] == Phase::kDown) return;
+    if (phases_[static_cast<std::size_t>(b)] == Phase::kStarting) --restarting_;  // that start ends
+    phases_[static_cast<std::size_t>(b)] = Phase::kDown;
     ++restarting_;
     if (i.what == What::kBalancerKill) {
       process.signal(SIGKILL);
@@ -407,10 +413,12 @@
       if (process.stopped()) run_.load->set_listed(b, false);
     });
     run_.context.after(away, [this, b, &process] {
+      --restarting_;
+      if (!process.stopped()) return;  // killed meanwhile
       process.signal(SIGCONT);
+      if (phases_[static_cast<std::size_t>(b)] != Phase::kUp) return;
       run_.load->set_killed(b, false);
       run_.load->set_listed(b, true);
-      --restarting_;
     });
   }
 
@@ -426,7 +434,10 @@
 
   void start_again(int b) {
     fleet_.discovery().forget(b);
+    phases_[static_cast<std::size_t>(b)] = Phase::kStarting;
     balancers_[static_cast<std::size_t>(b)]->start([this, b] {
+      if (phases_[static_cast<std::size_t>(b)] != Phase::kStarting) return;  // told to end already
+      phases_[static_cast<std::size_t>(b)] = Phase::kUp;
       if (group_) {
         --restarting_;
         return;
@@ -457,6 +468,8 @@
   Random seeds_;
   std::unique_ptr<GroupNet> group_;
   std::vector<std::unique_ptr<BalancerProcess>> balancers_;
+  enum class Phase { kUp, kDown, kStarting };
+  std::vector<Phase> phases_ = std::vector<Phase>(static_cast<std::size_t>(s_.balancers));
   int restarting_ = 0;
   int struck_ = -1;  // the holder that has failed, until another has its address
   int moves_ = 0;
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -156,6 +156,9 @@
   ::kill(pid_, SIGSTOP);
   for (std::size_t i = 0; i < clients.size(); ++i)
     clients[i]->send("mg k" + std::to_string(i) + " v O2" + std::to_string(i) + " Pc=read,t=acme,d=5000\r\n");
+  // Its time is over before the program goes on: refused, though it could be served.
+  auto late = client();
+  late->send("mg k v O9 Pc=read,t=acme,d=900\r\n");
   discovery.hosts = host_entry("h1", old.server.dial(), "std", "draining") + "," +
                     host_entry("h2", fresh.server.dial());
   io_.run_for(std::chrono::milliseconds(1500));
@@ -164,6 +167,7 @@
     const std::string whole = "VA 2 O2" + std::to_string(i) + "\r\nv1\r\n";
     ASSERT_TRUE(wait([&] { return clients[i]->in == whole; })) << clients[i]->in;
   }
+  ASSERT_TRUE(wait([&] { return late->in.starts_with("SERVER_ERROR busy"); })) << late->in;
   EXPECT_EQ(old.ids.size(), before);
   EXPECT_EQ(fresh.ids.size(), clients.size());
   ASSERT_TRUE(wait([&] { return logged("the list is confirmed after "); }));
--- a/tests/rig/program_test.cc
+++ b/tests/rig/program_test.cc
@@ -61,6 +61,36 @@
   EXPECT_NE(out_.find("requests lost 0"), std::string::npos);
 }
 
+// Faults between processes: links that stall in one direction and break off, balancers that stand
+// still and go on, half of them killed, and killed again while they come back.
+TEST_F(RigProgramTest, FaultsBetweenProcesses) {
+  write(scenario_text("[[incident]]\nwhat = \"link-stall\"\nway = \"to-balancer\"\nhost = \"h0\"\n"
+                      "share = 0.5\nat_s = 0.5\nfor_s = 1\n"
+                      "[[incident]]\nwhat = \"link-reset\"\nhost = \"h1\"\nfactor = 0.05\n"
+                      "at_s = 1\nfor_s = 1\n"
+                      "[[incident]]\nwhat = \"link-delay\"\nhost = \"origin\"\nfactor = 20\n"
+                      "at_s = 0.2\nfor_s = 1\n"
+                      "[[incident]]\nwhat = \"balancer-stop\"\nbalancer = 3\nat_s = 0.6\nfor_s = 1.4\n"
+                      "[[incident]]\nwhat = \"balancer-kill\"\nshare = 0.5\nat_s = 1.2\nfor_s = 0.3\n"
+                      "[[incident]]\nwhat = \"balancer-kill\"\nshare = 0.5\nat_s = 1.6\nfor_s = 0.3\n",
+                      "[balancers]\ncount = 4\n"));
+  EXPECT_EQ(run(rehearse()), 0) << out_;
+  EXPECT_NE(out_.find("requests lost 0, effects twice 0, drains 0, cold hosts 0"),
+            std::string::npos)
+      << out_;
+  EXPECT_NE(out_.find("of all balancers together"), std::string::npos) << out_;
+  EXPECT_NE(out_.find("  list calls"), std::string::npos) << out_;
+}
+
+TEST_F(RigProgramTest, DrawsAScenarioThatCanBePlayed) {
+  EXPECT_EQ(run("draw 7"), 0);
+  const std::string first = out_;
+  EXPECT_EQ(run("draw 7"), 0);
+  EXPECT_EQ(out_, first) << "one seed, one text";
+  EXPECT_EQ(run("check " + write(out_)), 0) << out_;
+  EXPECT_EQ(run("draw 0"), 2);
+}
+
 // Both dialects behind the same balancers, and the RESP one alone, while slots move, a primary
 // fails over and balancers restart.
 TEST_F(RigProgramTest, RehearsalsWithClusters) {
--- a/tests/rig/scenario_test.cc
+++ b/tests/rig/scenario_test.cc
@@ -3,8 +3,10 @@
 
 #include <filesystem>
 #include <map>
+#include <set>
 
 #include "rig/model/arrivals.h"
+#include "rig/model/draw.h"
 #include "rig_harness.h"
 
 namespace silverpin::rig {
@@ -158,5 +160,54 @@
   EXPECT_NEAR(most, all * 0.222, all * 0.03);
 }
 
+// Whatever the seed: a scenario that can be played, with clients below what the hosts can do and no
+// news kept back while hosts come and go; over the seeds every kind of trouble comes.
+TEST(Drawn, EverySeedCanBePlayed) {
+  std::set<What> seen;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    const std::string text = draw_scenario(seed);
+    EXPECT_EQ(text, draw_scenario(seed));
+    const Scenario s = parse_scenario(text, "drawn.toml");
+    EXPECT_GE(s.incidents.size(), 3u);
+    EXPECT_LE(s.incidents.size(), 8u);
+    double can = 0;
+    for (const KindSpec& k : s.kinds) can += k.count * k.host.cores * k.speed.low;
+    EXPECT_LT(s.load.rate * 0.88 * 0.03, can);
+    bool down = false, moves = false;
+    for (const IncidentSpec& i : s.incidents) {
+      seen.insert(i.what);
+      down = down || i.what == What::kDiscoveryDown;
+      moves = moves || i.what <= What::kReplace;
+      EXPECT_LE(i.at + i.length, s.length - std::chrono::seconds(2));
+    }
+    EXPECT_FALSE(down && moves);
+  }
+  EXPECT_GE(seen.size(), 20u);
+}
+
+// Which balancers an incident strikes: one seed, one choice, as many as its share says.
+TEST(Drawn, BalancersAreStruckByShare) {
+  Scenario s = parse_scenario(scenario_text("[[incident]]\nwhat = \"balancer-stop\"\nat_s = 1\n"
+                                            "for_s = 1\nshare = 0.6\n",
+                                            "[balancers]\ncount = 12\n"),
+                              "x.toml");
+  const auto struck = s.balancers_struck(s.incidents[0]);
+  EXPECT_EQ(struck.size(), 8u);
+  EXPECT_TRUE(std::is_sorted(struck.begin(), struck.end()));
+  EXPECT_EQ(struck, s.balancers_struck(s.incidents[0]));
+  std::set<std::vector<int>> choices;
+  for (s.seed = 1; s.seed <= 20; ++s.seed) choices.insert(s.balancers_struck(s.incidents[0]));
+  EXPECT_GT(choices.size(), 10u);
+  EXPECT_THROW(parse_scenario(scenario_text("[[incident]]\nwhat = \"link-stall\"\nat_s = 1\n"),
+                              "x.toml"),
+               ScenarioError)
+      << "a stall without an end";
+  EXPECT_THROW(parse_scenario(scenario_text("[[incident]]\nwhat = \"link-delay\"\nat_s = 1\n"
+                                            "for_s = 1\nway = \"up\"\n"),
+                              "x.toml"),
+               ScenarioError);
+}
+
 }  // namespace
 }  // namespace silverpin::rig
--- a/tests/standing_test.cc
+++ b/tests/standing_test.cc
@@ -41,6 +41,17 @@
   EXPECT_EQ(s.stage(), Stage::kSure);
 }
 
+TEST(Standing, WhatIsReadShortlyBehindItMayBeAsOldAsTheStandstill) {
+  Standing s(seconds(1));
+  s.look(milliseconds(1800));
+  EXPECT_EQ(s.unnoticed(milliseconds(1801)), Duration{0});
+  s.look(seconds(5));
+  EXPECT_EQ(s.unnoticed(seconds(5)), milliseconds(3200));
+  s.on_word(milliseconds(5002), milliseconds(5001));
+  EXPECT_EQ(s.unnoticed(milliseconds(5049)), milliseconds(3200)) << "sure of the list, not of them";
+  EXPECT_EQ(s.unnoticed(milliseconds(5050)), Duration{0});
+}
+
 // One that runs for 100 ms in every 2 s holds for three of its turns and not for ever.
 TEST(Standing, OneThatRunsForMomentsOnlyDoesNotHoldForEver) {
   Standing s(Time{0});
