Arm the end of a hold also where discovery's own answer finds the standstill out

Cause (second reading): on_word() looked by itself, so that where the watch's answer was the first event behind a standstill nobody asked for a list and no timer bounded the hold; attempts waited for the next watch, up to 1 s in place of 250 ms. The timer of an earlier hold could likewise end a new one unlooked.

Change: every entry looks first, in the pool, which asks and arms; on_word() only judges the word.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -175,12 +175,15 @@
   confirm_();
   hold_timer_.expires_at(clock_.steady(standing_->until()));
   hold_timer_.async_wait([this](const error_code& e) {
-    if (!e && standing_->on_hold_over(now())) let_go("no list came; what was known goes on");
+    if (e) return;
+    look();
+    if (standing_->on_hold_over(now())) let_go("no list came; what was known goes on");
   });
 }
 
 void ServerPool::on_confirmed(Duration took) {
-  if (standing_ && standing_->on_word(now(), now() - took)) let_go("the list is confirmed");
+  look();
+  if (standing_ && standing_->on_word(now() - took)) let_go("the list is confirmed");
 }
 
 // What was held back had been decided on an old list, so it is decided anew: as if the host had
--- a/src/recovery/standing.cc
+++ b/src/recovery/standing.cc
@@ -20,8 +20,7 @@
   return true;
 }
 
-bool Standing::on_word(Time now, Time asked) {
-  look(now);
+bool Standing::on_word(Time asked) {
   // What had been asked for before the standstill may have been answered then, too.
   if (stage_ == Stage::kSure || asked < woken_) return false;
   const bool held = holds();
--- a/src/recovery/standing.h
+++ b/src/recovery/standing.h
@@ -31,8 +31,9 @@
   // To be called wherever the event loop comes in, and far more often than `still` where nothing
   // happens. True, once for each standstill: what is known is to be asked for anew.
   bool look(Time now);
-  // Discovery has answered a call that was made at `asked`. True: what was held may go now.
-  bool on_word(Time now, Time asked);
+  // Discovery has answered a call that was made at `asked`. True: what was held may go now. Before
+  // this and the next a look is due: the standstill may be found out here.
+  bool on_word(Time asked);
   // The time of until() has come. True: what was held may go now.
   bool on_hold_over(Time now);
 
--- a/tests/standing_test.cc
+++ b/tests/standing_test.cc
@@ -21,11 +21,11 @@
   EXPECT_TRUE(s.holds());
   EXPECT_EQ(s.stood_still(), milliseconds(7001));
   // Asked for before, answered behind: may have lain there all the time.
-  EXPECT_FALSE(s.on_word(milliseconds(9001), milliseconds(1900)));
+  EXPECT_FALSE(s.on_word(milliseconds(1900)));
   EXPECT_TRUE(s.holds());
-  EXPECT_TRUE(s.on_word(milliseconds(9004), milliseconds(9002)));
+  EXPECT_TRUE(s.on_word(milliseconds(9002)));
   EXPECT_EQ(s.stage(), Stage::kSure);
-  EXPECT_FALSE(s.on_word(milliseconds(9005), milliseconds(9003))) << "nothing was held";
+  EXPECT_FALSE(s.on_word(milliseconds(9003))) << "nothing was held";
   EXPECT_FALSE(s.on_hold_over(seconds(10)));
 }
 
@@ -37,7 +37,7 @@
   EXPECT_TRUE(s.on_hold_over(milliseconds(5250)));
   EXPECT_EQ(s.stage(), Stage::kUnsure);
   EXPECT_FALSE(s.holds());
-  EXPECT_FALSE(s.on_word(milliseconds(5800), milliseconds(5700)));
+  EXPECT_FALSE(s.on_word(milliseconds(5700)));
   EXPECT_EQ(s.stage(), Stage::kSure);
 }
 
@@ -47,7 +47,7 @@
   EXPECT_EQ(s.unnoticed(milliseconds(1801)), Duration{0});
   s.look(seconds(5));
   EXPECT_EQ(s.unnoticed(seconds(5)), milliseconds(3200));
-  s.on_word(milliseconds(5002), milliseconds(5001));
+  s.on_word(milliseconds(5001));
   EXPECT_EQ(s.unnoticed(milliseconds(5049)), milliseconds(3200)) << "sure of the list, not of them";
   EXPECT_EQ(s.unnoticed(milliseconds(5050)), Duration{0});
 }
@@ -101,7 +101,8 @@
           break;
         case 1: {
           const Time asked = now - milliseconds(below(200));
-          s.on_word(now, asked);
+          EXPECT_EQ(s.look(now), still);
+          s.on_word(asked);
           sure = sure || asked >= woken;
           break;
         }
