Ask for the whole list behind a break also where discovery is asked

Cause: Discovery::fail set `whole_next_` for pushed lists only. Where lists are asked for, the call behind a reset or a silence was a watch on the old version; a service that is another by then and counts anew keeps it waiting for ever. Changed: behind every break the whole list; a call that was turned away in order (503) is repeated as it was, as a whole list for all would be the dearer, the fuller the service is.

--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -141,7 +141,8 @@
 
 void Discovery::on_answer(std::uint64_t call, const error_code& error) {
   if (call != call_) return;
-  if (error || link_->parser->get().result() != http::status::ok) return fail(call);
+  if (error) return fail(call);
+  if (link_->parser->get().result() != http::status::ok) return fail(call, false);
   const bool keep_alive = link_->parser->get().keep_alive();
   if (!apply(link_->parser->get().body())) return fail(call);
   if (call != call_ || !running_) return;
@@ -177,10 +178,14 @@
   }
 }
 
-void Discovery::fail(std::uint64_t call) {
+// `broke`: the service did not answer, and may be another behind the break.
+void Discovery::fail(std::uint64_t call, bool broke) {
   if (call != call_) return;
   hang_up();
   if (asked_) {
+    // One that counts its versions anew would keep a watch on the old one waiting for ever. The whole
+    // list costs it more than changes do, so not where it only turned the call away.
+    whole_next_ = whole_next_ || broke;
     running_ = false;
     return handlers_.on_refused();
   }
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -55,7 +55,7 @@
   void on_answer(std::uint64_t call, const boost::system::error_code& error);
   void hang_up();
   bool apply(const std::string& body);
-  void fail(std::uint64_t call);
+  void fail(std::uint64_t call, bool broke = true);
   void call_after(Duration delay);
 
   Endpoint endpoint_;
