Tests of what has begun at a host, of answers ahead of their request, and of a second SIGTERM

Need: rows of docs/design/crossings.md without a test of their own. A half written request goes on at a host that begins to drain, an answer that comes before its request is written serves nobody and sends nothing twice, and a second SIGTERM with a host that hangs answers both requests of a connection that stays open and exits with 0.

--- a/tests/crossings_test.cc
+++ b/tests/crossings_test.cc
@@ -350,6 +350,42 @@
   EXPECT_TRUE(old.ids.empty());
 }
 
+// Half of a write is at its host when that begins to drain: it has begun there, and goes on.
+TEST_F(CoreTest, WhatHasBegunAtAHostGoesOnThere) {
+  ScriptedOrigin origin(io, 4096);
+  origin.server.reads = false;
+  begin();
+  list({listed("o", origin.server.local(), true)});
+  auto c = client();
+  const std::string text = put("k", "1", 4u << 20);
+  asio::async_write(c->socket, asio::buffer(text), [](auto, auto) {});
+  ASSERT_TRUE(wait([&] { return pool->open() == 1 && origin.server.peers.size() == 1; }));
+  ASSERT_TRUE(wait([&] { return origin.server.peers[0]->socket.available() > 0; }));
+  list({listed("o", origin.server.local(), true, HostState::kDraining)});
+  origin.server.peers[0]->read();
+  ASSERT_TRUE(wait([&] { return origin.saw("1"); }));
+  origin.answer("1", "r");
+  ASSERT_TRUE(wait([&] { return c->in == "HD O1 cr\r\n"; }));
+}
+
+// An answer comes while its request is being written. It cannot be that request's: nobody is served
+// with it, and what may have run by then is not sent again.
+TEST_F(CoreTest, AnAnswerAheadOfItsRequestIsNone) {
+  ScriptedOrigin origin(io, 4096);
+  origin.server.reads = false;
+  begin();
+  list({listed("o", origin.server.local(), true)});
+  auto c = client();
+  const std::string text = put("k", "1", 4u << 20);
+  asio::async_write(c->socket, asio::buffer(text), [](auto, auto) {});
+  ASSERT_TRUE(wait([&] { return pool->open() == 1 && origin.server.peers.size() == 1; }));
+  ASSERT_TRUE(wait([&] { return origin.server.peers[0]->socket.available() > 0; }));
+  origin.server.peers[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nr");
+  ASSERT_TRUE(wait([&] { return !c->in.empty(); }));
+  EXPECT_EQ(c->in, "SERVER_ERROR failed\r\n");
+  EXPECT_EQ(origin.server.peers.size(), 1u);
+}
+
 // ---- a keyed write is decided on within the time in which repeats are discarded, and its turn to be
 // written comes behind it
 
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -329,6 +329,28 @@
   }
 }
 
+// A host hangs, the end is asked for twice: what was taken is answered, and the exit is in order.
+TEST_F(ProgramTest, SecondTermWithAHostThatHangs) {
+  FakeDiscovery discovery(io_);
+  FakeCache cache(io_, [](const auto&, const auto&) { return std::string(); });
+  discovery.hosts = host_entry("h1", cache.server.dial());
+  write_config(config_text(discovery));
+  launch();
+  ASSERT_TRUE(wait([&] { return logged("listening") && discovery.calls > 1; }));
+  auto c = client();
+  c->send("mg k v O1 Pc=read,t=acme,d=5000\r\n");
+  ASSERT_TRUE(wait([&] { return cache.ids.size() == 1; }));
+  ::kill(pid_, SIGTERM);
+  ASSERT_TRUE(wait([&] { return logged("draining"); }));
+  ::kill(pid_, SIGTERM);
+  // On a connection that stays open it goes on asking.
+  c->send("mg k v O2 Pc=read,t=acme,d=5000\r\n");
+  ASSERT_TRUE(wait([&] { return exited(); }));
+  EXPECT_TRUE(WIFEXITED(*status_) && WEXITSTATUS(*status_) == 0);
+  ASSERT_TRUE(wait([&] { return c->closed; }));
+  EXPECT_EQ(std::count(c->in.begin(), c->in.end(), '\n'), 2) << c->in;
+}
+
 TEST_F(ProgramTest, TermAnswersAndExits) {
   FakeDiscovery discovery(io_);
   write_config(config_text(discovery));
