Wait in the tests for the attempt that is decided anew before the old host answers

Need: with review() taken out no test failed, as the old connection came up and its write asked anyway. Now the old connection stays down until the new host has been asked. And one test counted on 2 ms between two requests (seen to fail once with many tests at a time): nothing is overdue there now.

--- a/tests/crossings_test.cc
+++ b/tests/crossings_test.cc
@@ -76,6 +76,7 @@
 TEST_P(LeavingClientTest, BehindAnotherOnItsConnection) {
   site.most_connections = 1;
   site.streams_per_connection = 8;
+  site.slow_after = std::chrono::hours(1);  // also on a slow machine the first is not overdue
   begin();
   list({listed("h", cache.server.local())});
   auto first = client(), c = client(), last = client();
@@ -275,10 +276,12 @@
   c->send(get("k", "1"));
   ASSERT_TRUE(wait([&] { return limits->upstreams.used() == 1; }));
   change();
-  old.server.let();
   ASSERT_TRUE(wait([&] { return now.saw("1"); }));
   now.answer("1", "v");
   ASSERT_TRUE(wait([&] { return c->in == FakeCache::value("1", "v"); }));
+  old.server.let();
+  c->send(get("k", "2"));
+  ASSERT_TRUE(wait([&] { return now.saw("2"); }));
   EXPECT_TRUE(old.ids.empty());
 }
 
