--- a/tests/core_harness.h
+++ b/tests/core_harness.h
@@ -12,8 +12,8 @@
 #include "net/client_listener.h"
 #include "node_harness.h"
 
-// The core with real sockets on both sides, on the test's own event loop. Lists are the test's calls,
-// so that it decides between which two handlers one comes.
+// The core with real sockets on both sides, on the test's own event loop. Lists are the test's
+// calls, so that it decides between which two handlers one comes.
 namespace silverpin::node {
 
 // A server that can stop taking connections at the kernel: until let() they neither come up nor
@@ -148,7 +148,8 @@
 // The same over HTTP; a request has come once its body has.
 struct ScriptedOrigin {
   explicit ScriptedOrigin(asio::io_context& io, int receive_buffer = 0)
-      : server(io, [this](Peer& p) { on_data(p); }, receive_buffer) {}
+      : server(
+            io, [this](Peer& p) { on_data(p); }, receive_buffer) {}
   void answer(const std::string& id, const std::string& body) {
     from.at(id)->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
                       "\r\n\r\n" + body);
@@ -208,9 +209,9 @@
         [] {});
     RequestSink& sink = core();
     front = std::make_unique<MemcacheFront>(site, sink);
-    listener = std::make_unique<ClientListener>(
-        io, Endpoint(asio::ip::make_address("127.0.0.1"), 0), *limits, clock, sink,
-        [this] { return front->make(); });
+    listener =
+        std::make_unique<ClientListener>(io, Endpoint(asio::ip::make_address("127.0.0.1"), 0),
+                                         *limits, clock, sink, [this] { return front->make(); });
     listener->open();
   }
   virtual RequestSink& core() { return *pool; }  // as fronts see it
--- a/tests/crossings_test.cc
+++ b/tests/crossings_test.cc
@@ -389,8 +389,8 @@
   EXPECT_EQ(origin.server.peers.size(), 1u);
 }
 
-// ---- a keyed write is decided on within the time in which repeats are discarded, and its turn to be
-// written comes behind it
+// ---- a keyed write is decided on within the time in which repeats are discarded, and its turn to
+// be written comes behind it
 
 TEST_F(CoreTest, AKeyedRepeatIsNotWrittenBehindItsWindow) {
   ScriptedOrigin origin(io);
@@ -423,7 +423,8 @@
   c->send(put("k", "1"));
   ASSERT_TRUE(wait([&] { return c->in == "HD O1 cr1\r\n"; }));
   const Time since = clock.now();
-  ASSERT_TRUE(wait([&] { return clock.now() - since > milliseconds(30); }));  // it may be used again
+  ASSERT_TRUE(
+      wait([&] { return clock.now() - since > milliseconds(30); }));  // it may be used again
   // In one turn of the loop: the close first, then the request.
   origin.from.at("1")->close();
   c->in.clear();
@@ -513,7 +514,8 @@
 
 class ProcessEndTest : public NodeTest {};
 
-// Discovery moves while this process is leaving: what is still out has hosts that may come to drain.
+// Discovery moves while this process is leaving: what is still out has hosts that may come to
+// drain.
 TEST_F(ProcessEndTest, AReloadIsHeardInADrain) {
   FakeCache cache(io, [](const auto&, const auto&) { return std::string(); });
   discovery.hosts = host_entry("h1", cache.server.dial());
--- a/tests/customer_test.cc
+++ b/tests/customer_test.cc
@@ -15,15 +15,12 @@
   explicit Draw(std::uint64_t seed) : random_(seed) {}
   int below(int n) { return static_cast<int>(random_() % static_cast<std::uint64_t>(n)); }
   bool chance(int percent) { return below(100) < percent; }
-  std::int64_t one_of(std::vector<std::int64_t> all) {
-    return all[random_() % all.size()];
-  }
+  std::int64_t one_of(std::vector<std::int64_t> all) { return all[random_() % all.size()]; }
   // A name in characters that a list of names and values can carry.
   std::string name() {
     static constexpr std::string_view kOdd = "abzAZ09-_.:;/@!$%&()*+?[]{}|~^#<>'`";
     std::string text;
-    for (int i = 1 + below(chance(20) ? 60 : 8); i > 0; --i)
-      text += kOdd[random_() % kOdd.size()];
+    for (int i = 1 + below(chance(20) ? 60 : 8); i > 0; --i) text += kOdd[random_() % kOdd.size()];
     return text;
   }
 
@@ -52,18 +49,20 @@
   for (int i = 1 + d.below(5); i > 0; --i) {
     Klass k{d.name(), ""};
     if (!names.insert(k.name).second) continue;
-    static const std::vector<std::string> kinds = {"read_like", "idempotency_key",
-                                                   "non_idempotent", "of_a_later_version"};
+    static const std::vector<std::string> kinds = {"read_like", "idempotency_key", "non_idempotent",
+                                                   "of_a_later_version"};
     k.semantics = only < 3 ? kinds[static_cast<std::size_t>(only)]
                            : kinds[static_cast<std::size_t>(d.below(4))];
     const auto deadline = d.one_of({300, 500, 1500, 3000, 60000}) * kMs;
     classes += (classes.empty() ? "" : ",") + std::string("{\"name\":") + in_quotes(k.name) +
-               ",\"semantics\":" + in_quotes(k.semantics) + ",\"giveUp\":" + std::to_string(deadline);
+               ",\"semantics\":" + in_quotes(k.semantics) +
+               ",\"giveUp\":" + std::to_string(deadline);
     if (d.chance(80)) classes += ",\"aim\":" + std::to_string(deadline / d.one_of({1, 2, 10}));
     if (d.chance(70)) classes += ",\"keyTtl\":" + std::to_string(d.one_of({0, 1, 200, 5000}) * kMs);
     if (d.chance(70))
-      classes += ",\"keyScope\":" + in_quotes(std::vector<std::string>{"all", "zone", "cell"}[
-                                        static_cast<std::size_t>(d.below(3))]);
+      classes +=
+          ",\"keyScope\":" + in_quotes(std::vector<std::string>{
+                                 "all", "zone", "cell"}[static_cast<std::size_t>(d.below(3))]);
     if (d.chance(30)) classes += ",\"worth\":0.0,\"lateWorth\":0,\"streaming\":false";
     c.classes.push_back(k);
     classes += "}";
@@ -74,7 +73,8 @@
     std::string tenants;
     for (int i = d.below(4); i > 0; --i) {
       c.tenants.push_back(d.name());
-      tenants += (tenants.empty() ? "" : ",") + std::string("{\"name\":") + in_quotes(c.tenants.back());
+      tenants +=
+          (tenants.empty() ? "" : ",") + std::string("{\"name\":") + in_quotes(c.tenants.back());
       if (d.chance(60)) tenants += ",\"quotaPerS\":" + std::string(d.chance(30) ? "0" : "50.5");
       if (d.chance(50)) tenants += ",\"share\":0.25";
       tenants += "}";
@@ -91,10 +91,12 @@
     if (d.chance(70)) s += ",\"maxAttempts\":" + std::to_string(d.one_of({1, 2, 6}));
     if (d.chance(50)) s += ",\"secondCopies\":" + std::string(d.chance(50) ? "true" : "false");
     if (d.chance(50)) s += ",\"mayProbe\":false,\"cancel\":false";
-    if (d.chance(50)) s += ",\"retryAfter\":true,\"maxRetryAfter\":" +
-                           std::to_string(d.one_of({0, 1, 2000}) * kMs);
-    if (d.chance(60)) s += ",\"connectTimeout\":" + std::to_string(d.one_of({0, 50, 150, 3000}) * kMs);
-    if (d.chance(60)) s += ",\"connIdle\":" + std::to_string(d.one_of({0, 1, 60, 15000, 86400000}) * kMs);
+    if (d.chance(50))
+      s += ",\"retryAfter\":true,\"maxRetryAfter\":" + std::to_string(d.one_of({0, 1, 2000}) * kMs);
+    if (d.chance(60))
+      s += ",\"connectTimeout\":" + std::to_string(d.one_of({0, 50, 150, 3000}) * kMs);
+    if (d.chance(60))
+      s += ",\"connIdle\":" + std::to_string(d.one_of({0, 1, 60, 15000, 86400000}) * kMs);
     if (d.chance(60)) s += ",\"streamsPerConn\":" + std::to_string(d.one_of({0, 1, 2, 32, 100000}));
     if (d.chance(60)) s += ",\"mostHeld\":" + std::to_string(d.one_of({0, 1, 1000}));
     s += "}";
@@ -155,7 +157,10 @@
     for (const Klass& k : customer.classes) {
       for (const bool write : {false, true}) {
         const bool safe = k.semantics == "read_like", keyed = k.semantics == "idempotency_key";
-        const std::string id = std::string(safe ? "s" : keyed ? "k" : "u") + std::to_string(++asked);
+        const std::string id = std::string(safe    ? "s"
+                                           : keyed ? "k"
+                                                   : "u") +
+                               std::to_string(++asked);
         auto c = client();
         std::string props = " O" + id + " Pc=" + k.name;
         if (!customer.tenants.empty() && d.chance(70))
@@ -168,8 +173,8 @@
         const bool as_write = write || !safe;
         if (as_write && keyed && !write) props += ",k=key" + id;
         c->send(as_write ? "ms key 2" + props + "\r\nab\r\n" : "mg key v" + props + "\r\n");
-        ASSERT_TRUE(wait([&] { return c->in.ends_with("\r\n") || c->closed; },
-                         std::chrono::seconds(5)))
+        ASSERT_TRUE(
+            wait([&] { return c->in.ends_with("\r\n") || c->closed; }, std::chrono::seconds(5)))
             << props;
         EXPECT_FALSE(c->in.empty()) << "closed without an answer: " << props;
         EXPECT_FALSE(c->in.starts_with("CLIENT_ERROR")) << props << " got " << c->in;
--- a/tests/discovery_test.cc
+++ b/tests/discovery_test.cc
@@ -24,12 +24,11 @@
            host_entry("h1", "127.0.0.1:1") + "]}";
   }
 };
-INSTANTIATE_TEST_SUITE_P(Ends, DiscoveryCrossing,
-                         ::testing::Combine(::testing::Bool(),
-                                            ::testing::Values(End::kBeforeTheHead, End::kInTheHead,
-                                                              End::kInTheBody,
-                                                              End::kSilentInTheBody,
-                                                              End::kBetweenCalls)));
+INSTANTIATE_TEST_SUITE_P(
+    Ends, DiscoveryCrossing,
+    ::testing::Combine(::testing::Bool(),
+                       ::testing::Values(End::kBeforeTheHead, End::kInTheHead, End::kInTheBody,
+                                         End::kSilentInTheBody, End::kBetweenCalls)));
 
 // The service may be another behind it and count its versions anew: a watch that names the old
 // version would wait for ever. So the next call asks for the whole list, and that counts.
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -1,6 +1,6 @@
 // Client, host and list events in random order against the real core, from a printed seed, with an
-// auditor that counts sends, effects and answers; and defects planted at the core's borders, which it
-// has to catch.
+// auditor that counts sends, effects and answers; and defects planted at the core's borders, which
+// it has to catch.
 #include <algorithm>
 #include <deque>
 #include <random>
@@ -152,8 +152,8 @@
     for (const auto& p : server.peers) LateServer::read_now(*p);
   }
 
-  // What was written before the list has come when it does, so that all that comes later was written
-  // behind it. The state is the auditor's from the moment that the core is told.
+  // What was written before the list has come when it does, so that all that comes later was
+  // written behind it. The state is the auditor's from the moment that the core is told.
   void tell(Cache* changed = nullptr, HostState to = HostState::kServing) {
     ++lists;
     catch_up();
