Do not take what a client left unread behind; keep a host's pool while a write is posted

A client that leaves with a whole command unread: its command and its end lie in the kernel together, be it that the loop was late, that memory was short, or that it waited for a place in the accept queue. ClientSession::on_readable read the command, MemcacheFront::submit and ServerPool::submit took it, and it went out at once on a connection at rest; only the next turn read the end. Behind a full table that is seconds after the leaving. ServerPool::submit, which asks already whether the client's requests may go out, asks now too whether it is there (Caller::is_there, a poll for the peer's shutdown). Ruled out: a flag set at the read, which would be a second owner; asking at each write, as a pump over a long queue would ask for each that waits. Tests: LeavingClientTest.WithItsCommandUnread and WhileItWaitsToBeAccepted, by FIN and by reset. Seen to fail without it: the host got 0, 1, 2 in place of 0, 2, all four.

A host's pool was swept up under a posted write: with shared connections (RESP pools) what becomes ready leaves at the end of the turn, by a lambda that holds the pool (UpstreamPool::flush_soon). A list that drops the host and a tick in the same turn erased the pool first (Upstreams::arm_tick), as UpstreamPool::empty looked at connections, at those that wait and at a posted pump, not at a posted write. Test: CoreTest.AHostIsSweptUpInTheTurnInWhichSomethingIsToBeWritten; without the mend the plain build crashes with a segmentation fault each time. Memcache's pools share no connections and were not concerned.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -213,7 +213,7 @@
   look();
   const Duration unnoticed = standing_ ? standing_->unnoticed(now()) : Duration{0};
   if (unnoticed >= ask.budget || (site_.most_held > 0 && open_ >= static_cast<std::size_t>(site_.most_held)) ||
-      !caller->may_go_out()) {
+      !caller->may_go_out() || !caller->is_there()) {
     ask.payload->released();
     caller->on_final(ticket, *ask.payload, {Final::Kind::kRefused, {}, Duration{0}, nullptr});
     return;
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -410,8 +410,8 @@
   return !closed_ && socket_.available(error) > 0 && !error;
 }
 
-bool ClientSession::has_left() {
-  pollfd p{socket_.native_handle(), POLLRDHUP, 0};
+bool ClientSession::has_left() const {
+  pollfd p{const_cast<asio::ip::tcp::socket&>(socket_).native_handle(), POLLRDHUP, 0};
   return ::poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -79,6 +79,7 @@
   // Caller
   void on_final(Ticket ticket, const Payload& payload, Final final) override;
   bool may_go_out() const override { return !may_go_out_ || may_go_out_(); }
+  bool is_there() const override { return !has_left(); }
 
   // kFaulty: it has sent what makes no sense, and is being turned away.
   enum class Rest { kFaulty, kSilent, kPartial, kServed, kBusy };
@@ -86,7 +87,7 @@
   Rest rest() const;
   Time since() const { return since_; }
   bool has_input();  // bytes have come that were not read yet
-  bool has_left();   // the client has ended its side, also behind bytes that were not read yet
+  bool has_left() const;  // the client has ended its side, also behind bytes that were not read yet
   void close();      // at once
   // Closes at the first moment between requests from `leave_at` on; one that never asked for
   // anything, soon.
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -42,7 +42,10 @@
   // Takes back what may not go out any more.
   void review();
   void tick();
-  bool empty() const { return sharing_.open() == 0 && waiting_.empty() && !pump_posted_; }
+  // Nothing refers to it any more, what was posted to the event loop included.
+  bool empty() const {
+    return sharing_.open() == 0 && waiting_.empty() && !pump_posted_ && dirty_.empty();
+  }
   // When its least recently used idle connection became so.
   std::optional<Time> oldest_idle() const;
   void close_oldest_idle();
--- a/tests/crossings_test.cc
+++ b/tests/crossings_test.cc
@@ -233,6 +233,45 @@
   EXPECT_EQ(cache.ids, (std::vector<std::string>{"first", "last"}));
 }
 
+// Its command and its end lie in the kernel together: nobody waits for it when it is read. The host
+// has a connection at rest, so that what is taken goes out at once.
+TEST_P(LeavingClientTest, WithItsCommandUnread) {
+  begin();
+  list({listed("h", cache.server.local())});
+  auto other = client(), c = client();
+  other->send(get("k", "0"));
+  ASSERT_TRUE(wait([&] { return cache.saw("0") && limits->clients.used() == 2; }));
+  cache.answer("0", "v");
+  ASSERT_TRUE(wait([&] { return other->in == FakeCache::value("0", "v"); }));
+  c->send(get("k", "1"));
+  ASSERT_TRUE(gone(c, GetParam()));
+  other->send(get("k", "2"));
+  ASSERT_TRUE(wait([&] { return cache.saw("2"); }));
+  EXPECT_EQ(cache.ids, (std::vector<std::string>{"0", "2"}));
+  EXPECT_EQ(pool->open(), 1u);
+}
+
+// The same where it was never accepted while it was there: another held the last place.
+TEST_P(LeavingClientTest, WhileItWaitsToBeAccepted) {
+  begin();
+  list({listed("h", cache.server.local())});
+  auto busy = client();
+  busy->send(get("k", "0"));
+  ASSERT_TRUE(wait([&] { return cache.saw("0"); }));
+  limits->clients.set_most(1);
+  auto c = client();
+  c->send(get("k", "1"));
+  if (GetParam()) c->socket.set_option(asio::socket_base::linger(true, 0));
+  c->close();
+  cache.answer("0", "v");
+  ASSERT_TRUE(wait([&] { return busy->in == FakeCache::value("0", "v"); }));
+  busy->close();
+  auto last = client();
+  last->send(get("k", "2"));
+  ASSERT_TRUE(wait([&] { return cache.saw("2"); }));
+  EXPECT_EQ(cache.ids, (std::vector<std::string>{"0", "2"}));
+}
+
 // ---- the list changes while an attempt waits
 
 enum class Change { kDrains, kGoes, kRestarts, kMoves, kTakenOut };
@@ -318,6 +357,26 @@
 }
 
 // A write waits for an origin that is another by now: it goes there, at once and once.
+// A request is to be written at the end of the turn, the list drops its host, and the tick that
+// sweeps up comes before that end: it is due already, as the loop was late.
+TEST_F(CoreTest, AHostIsSweptUpInTheTurnInWhichSomethingIsToBeWritten) {
+  ScriptedCache cache(io), left(io);
+  site.shared_connections = true;
+  site.streams_per_connection = 4;
+  begin();
+  list({listed("h", cache.server.local())});
+  auto c = client();
+  ASSERT_TRUE(wait([&] { return limits->clients.used() == 1; }));
+  c->send(get("k", "1"));
+  std::this_thread::sleep_for(milliseconds(60));
+  while (limits->upstreams.used() == 0) io.run_one();
+  list({listed("g", left.server.local())});
+  ASSERT_TRUE(wait([&] { return left.saw("1"); }));
+  left.answer("1", "v");
+  ASSERT_TRUE(wait([&] { return c->in == FakeCache::value("1", "v"); }));
+  EXPECT_TRUE(cache.ids.empty());
+}
+
 TEST_F(CoreTest, AWriteFollowsTheOrigin) {
   ScriptedOrigin old(io), now(io);
   begin();
