Take a predecessor's answer that lies there when its time is over; force what crosses a hand-over

Need: the rows of docs/design/crossings.md on hand-overs rested on the tests that stood; nothing was forced into the moment in which a connection lies between two processes, nor before the yes.

New tests on the built program: the new process is stopped (SIGSTOP), so that what is passed lies in the socket for as long as the test wants, and the order is seen by what the old one holds and logs. Meanwhile a host drains, an operator takes one out, the client leaves (FIN and reset, its command whole and unread), the new one is told to end, the old or the new one is killed; and the old one ends, by SIGTERM and SIGKILL, between the new one's question and its yes.

Fault found by the last: a process that stands still for over a second while it asks finds its time over (upgrade.cc, wait_for: no poll at all once `until` has passed), presumes the other silent and lets go of the answer that lies there, with the listening sockets in it. Where the old one has ended meanwhile those were the last, and all that waited in their queue were reset. wait_for now looks once more at what lies there; 256 packets at most are taken. Ruled out: that the old one sent nothing (its log names the question, and the sockets were in the answer). Seen to fail without the mend three times of three (SIGTERM), to pass four times of four with it.

--- a/src/node/upgrade.cc
+++ b/src/node/upgrade.cc
@@ -34,6 +34,8 @@
 constexpr milliseconds kPresumed{10000};
 constexpr milliseconds kTick{50};
 constexpr std::size_t kMostCallers = 4;
+// Of one answer. The largest snapshot comes in fewer.
+constexpr int kMostPackets = 256;
 
 // A name may hold what a path cannot.
 std::string path_of(const std::string& folder, const std::string& name, const char* kind) {
@@ -86,11 +88,12 @@
   return ::getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &n) == 0 && peer.uid == ::geteuid();
 }
 
+// Waits until then, and no more where it has passed: what lies there counts all the same.
 bool wait_for(int fd, short events, SteadyTime until) {
   const auto left =
       std::chrono::duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
   pollfd p{fd, events, 0};
-  return left.count() > 0 && ::poll(&p, 1, static_cast<int>(left.count())) > 0;
+  return ::poll(&p, 1, std::max(0, static_cast<int>(left.count()))) > 0;
 }
 
 enum class Asked { kNobody, kSilent, kBusy, kAnswered };
@@ -104,9 +107,11 @@
   const auto until = std::chrono::steady_clock::now() + kAnswer;
   if (!same_user(fd.get()) || !send_packet(fd.get(), encode(handover::Hello{1, name}), {}))
     return Asked::kSilent;
+  // A process that stood still meanwhile finds the answer here, and who gave it may have ended since:
+  // to let go of the sockets in it would reset all that wait in their queue.
   handover::Snapshot whole;
   std::vector<Descriptor> sockets;
-  while (wait_for(fd.get(), POLLIN, until)) {
+  for (int n = 0; n < kMostPackets && wait_for(fd.get(), POLLIN, until); ++n) {
     Received r = receive_packet(fd.get(), handover::kMaxMessage, handover::kMaxDescriptors);
     if (r.n <= 0) return Asked::kSilent;
     auto message = handover::decode(r.packet.bytes);
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -179,12 +179,17 @@
   asio::io_context io_{1};
   FakeDiscovery discovery_{io_};
   std::vector<std::string> lines_;  // of the commands that came to host s-1
+  // What asks for the key "held" gets no answer.
+  static std::string answer_to(const std::string& line, const std::string& id) {
+    return line.starts_with("mg held ") ? std::string() : FakeCache::value(id, "v");
+  }
   FakeCache cache_{io_, [this](const std::string& line, const std::string& id) {
                      lines_.push_back(line);
-                     return FakeCache::value(id, "v");
+                     return answer_to(line, id);
                    }};
-  FakeCache cache_2_{
-      io_, [](const std::string&, const std::string& id) { return FakeCache::value(id, "v"); }};
+  FakeCache cache_2_{io_, [](const std::string& line, const std::string& id) {
+                       return answer_to(line, id);
+                     }};
   std::string dir_;
   Endpoint listen_;
   int ids_ = 0;
@@ -476,5 +481,167 @@
   }
 }
 
+// ---- something else happens while a connection is being passed
+
+// The new process stands still, so that the client's connection lies between the two for as long as
+// the test wants. The old one is kept by a request that gets no answer.
+class PassingTest : public UpgradeTest {
+ protected:
+  void begin() {
+    old = start();
+    ASSERT_TRUE(serving(*old));
+    holder = Peer::dial(io_, listen_);
+    c = Peer::dial(io_, listen_);
+    for (auto& p : {holder, c}) ASSERT_TRUE(ask(*p, "k").starts_with("VA 1 "));
+    holder->send(get("held"));
+    ASSERT_TRUE(wait([&] { return cache_.ids.size() + cache_2_.ids.size() > 2; }));
+    next = start();
+    ASSERT_TRUE(serving(*next));
+    ASSERT_TRUE(wait([&] { return old->logged("the other process serves"); }));
+    ::kill(next->pid, SIGSTOP);
+    const std::size_t before = old->descriptors();
+    ::kill(old->pid, SIGTERM);
+    ASSERT_TRUE(wait([&] { return old->descriptors() < before; })) << "it was not passed on";
+    lines_.clear();
+    c->in.clear();
+  }
+  void ask_for_many() {
+    std::string text;
+    for (int i = 0; i < kMany; ++i) text += get("k" + std::to_string(i));
+    c->send(text);
+  }
+  ::testing::AssertionResult many_answered() {
+    return wait([&] { return std::count(c->in.begin(), c->in.end(), '\n') == 2 * kMany; });
+  }
+  void end_old() {
+    holder->close();
+    ASSERT_TRUE(wait([&] { return old->exited(); }));
+    EXPECT_TRUE(old->ended_well()) << old->log;
+  }
+  bool asked_hosts_for(const std::string& id) const {
+    return std::count(cache_.ids.begin(), cache_.ids.end(), id) +
+               std::count(cache_2_.ids.begin(), cache_2_.ids.end(), id) >
+           0;
+  }
+
+  static constexpr int kMany = 20;  // keys, of which both hosts have some
+  std::unique_ptr<Process> old, next;
+  std::shared_ptr<Peer> holder, c;
+};
+
+TEST_F(PassingTest, AHostDrains) {
+  ASSERT_NO_FATAL_FAILURE(begin());
+  discovery_.hosts = host_entry("s-1", cache_.server.dial(), "std", "draining") + "," +
+                     host_entry("s-2", cache_2_.server.dial());
+  ask_for_many();
+  run_for(io_, milliseconds(1100));  // a standstill, behind which lists are asked for anew
+  ::kill(next->pid, SIGCONT);
+  ASSERT_TRUE(many_answered()) << c->in << next->log;
+  EXPECT_EQ(lines_.size(), 0u) << lines_[0];
+  end_old();
+}
+
+TEST_F(PassingTest, AnOperatorTakesAHostOut) {
+  ASSERT_NO_FATAL_FAILURE(begin());
+  ASSERT_EQ(call(*old, "POST /cache-hosts/s-1/maint"), 200);
+  ask_for_many();
+  ::kill(next->pid, SIGCONT);
+  ASSERT_TRUE(many_answered()) << c->in << next->log;
+  EXPECT_EQ(lines_.size(), 0u) << lines_[0];
+  end_old();
+}
+
+// Its command has come whole, and it has left: nobody waits for it at the new process.
+TEST_F(PassingTest, TheClientLeaves) {
+  for (const bool by_reset : {false, true}) {
+    ASSERT_NO_FATAL_FAILURE(begin());
+    c->send(get("k"));
+    const std::string id = "id" + std::to_string(ids_);
+    if (by_reset) c->socket.set_option(asio::socket_base::linger(true, 0));
+    c->close();
+    ::kill(next->pid, SIGCONT);
+    auto other = Peer::dial(io_, listen_);
+    EXPECT_TRUE(ask(*other, "k").starts_with("VA 1 "));
+    end_old();
+    EXPECT_TRUE(ask(*other, "k").starts_with("VA 1 "));
+    EXPECT_FALSE(asked_hosts_for(id)) << "by " << (by_reset ? "reset" : "FIN");
+  }
+}
+
+// What it asked for in between is answered, and then its connection is given back in order.
+TEST_F(PassingTest, TheNewOneIsToldToEndToo) {
+  ASSERT_NO_FATAL_FAILURE(begin());
+  ask_for_many();
+  ::kill(next->pid, SIGTERM);
+  ::kill(next->pid, SIGCONT);
+  ASSERT_TRUE(many_answered()) << c->in << next->log;
+  ASSERT_TRUE(wait([&] { return c->closed; }));
+  EXPECT_EQ(std::count(c->in.begin(), c->in.end(), '\n'), 2 * kMany);
+  end_old();
+  ASSERT_TRUE(wait([&] { return next->exited(); }));
+  EXPECT_TRUE(next->ended_well()) << next->log;
+}
+
+TEST_F(PassingTest, TheOldOneIsKilled) {
+  ASSERT_NO_FATAL_FAILURE(begin());
+  ::kill(old->pid, SIGKILL);
+  ASSERT_TRUE(wait([&] { return old->exited(); }));
+  ask_for_many();
+  ::kill(next->pid, SIGCONT);
+  ASSERT_TRUE(many_answered()) << c->in << next->log;
+  auto other = Peer::dial(io_, listen_);
+  EXPECT_TRUE(ask(*other, "k").starts_with("VA 1 "));
+}
+
+// The other direction: what lay between the two is closed with the new one, and comes again.
+TEST_F(PassingTest, TheNewOneIsKilled) {
+  ASSERT_NO_FATAL_FAILURE(begin());
+  ::kill(next->pid, SIGKILL);
+  ASSERT_TRUE(wait([&] { return c->closed; }));
+  EXPECT_EQ(c->in, "");
+  auto again = Peer::dial(io_, listen_);  // the old one hears it, though it is to end
+  EXPECT_TRUE(ask(*again, "k").starts_with("VA 1 "));
+  end_old();
+}
+
+// ---- the yes does not come
+
+// The new one stands still between its question and its yes, and the old one is told to end, or
+// killed: who is connected is answered, and who comes then has one of the two.
+TEST_F(UpgradeTest, TheOldOneEndsBeforeTheYes) {
+  for (const int signal : {SIGTERM, SIGKILL}) {
+    auto old = start();
+    ASSERT_TRUE(serving(*old));
+    auto c = Peer::dial(io_, listen_);
+    ASSERT_TRUE(ask(*c, "k").starts_with("VA 1 "));
+    // It may have said yes before it could be stopped: then another one is tried.
+    std::unique_ptr<Process> next;
+    for (int i = 0; i < 50 && !next; ++i) {
+      old->log.clear();
+      next = start();
+      ASSERT_TRUE(wait([&] { return old->logged("asks for this one's place"); }));
+      ::kill(next->pid, SIGSTOP);
+      run_for(io_, milliseconds(50));
+      if (!old->logged("the other process serves")) break;
+      next.reset();
+      ASSERT_TRUE(wait([&] { return old->logged("the other process has ended"); }));
+    }
+    ASSERT_TRUE(next) << "it always came to its yes";
+    ::kill(old->pid, signal);
+    if (signal == SIGTERM) {
+      auto fresh = Peer::dial(io_, listen_);
+      EXPECT_TRUE(ask(*fresh, "k").starts_with("VA 1 "));
+      EXPECT_TRUE(ask(*c, "k").starts_with("VA 1 "));
+    }
+    ASSERT_TRUE(wait([&] { return old->exited(); }));
+    EXPECT_EQ(old->ended_well(), signal == SIGTERM) << old->log;
+    auto late = Peer::dial(io_, listen_);  // waits in the queue that the new one was passed
+    late->send(get("k"));
+    ::kill(next->pid, SIGCONT);
+    ASSERT_TRUE(wait([&] { return answered(*late) || late->closed; }));
+    EXPECT_TRUE(late->in.starts_with("VA 1 ")) << late->in << next->log;
+  }
+}
+
 }  // namespace
 }  // namespace silverpin::node
