Read a command's end before closing for time or place; let last answers leave before the exit

Three crossings found by reading, each forced in a test that failed first.

A command that becomes whole in the turn in which it is closed has been taken, as far as its client can tell, and was lost. (1) ClientSession::tick closed a half written command whose time was over though its rest lay unread; it reads once more now, and closes what is not whole even then, so that a trickle gains nothing. (2) ClientListener::make_room, which spares whoever has just spoken, did not spare a slow writer whose input lay unread. Tests: ACommandThatBecomesWholeInTheTurnOfItsEndIsAnswered, ACommandThatBecomesWholeIsNotClosedForItsPlace; without the mends both clients are closed with nothing.

(3) Balancer::arm_drain failed what was open and stopped the loop in one handler where a process stands still over the drain's last 0.15 s. A client's several answers of one turn leave by a posted flush (ClientSession::answer), which never ran. The end is posted behind it now. Test: WhatIsAnsweredInTheLastTurnLeaves reads what the system holds at the stop: 0 answers of 3 without the mend.

Ruled out: the silent and the served, whose input was looked for already; a close that is posted, which looks again.

--- a/src/net/client_listener.cc
+++ b/src/net/client_listener.cc
@@ -198,8 +198,7 @@
   std::pair<int, Time> best_rank{kKeeps, Time::max()};
   for (const auto& s : sessions_) {
     const std::pair<int, Time> r{rank(*s), s->since()};
-    const bool speaking =
-        r.first > 0 && r.first < 5;  // for those, input means that they just spoke
+    const bool speaking = r.first > 0;  // for those, input means that they just spoke
     if (r < best_rank && r.first < kKeeps && !(speaking && s->has_input())) {
       best_rank = r;
       best = s;
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -443,7 +443,10 @@
   if (!reading_ && has_left()) return close();
   if (blocked_) pump();  // memory may have come free
   if (closed_) return;
-  // One that has just spoken is heard first.
+  // One that has just spoken is heard first: in this very turn its command may have become whole.
+  if (overdue(now) && !over() && !blocked_ && !pump_posted_ && unwritten_ == 0 && has_input())
+    on_readable();
+  if (closed_) return;
   if (overdue(now) && (rest() == Rest::kPartial || unwritten_ > 0 || blocked_ || !has_input()))
     return close();
   if (slots_.empty()) on_all_written();
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -508,15 +508,20 @@
     if (since >= longest_deadline_ + kDrainExit ||
         ((since >= kDrainAccept || succeeded()) && sessions == 0 && !more &&
          (!upgrade_ || upgrade_->flushed()))) {
-      if (memcache_) memcache_->discovery.stop();
-      for (auto& p : cluster_pools_) p->stop();
-      if (member_) member_->end();
-      if (upgrade_) upgrade_->end();
-      io_.stop();
+      // Behind what has been posted by now: answers just given may leave at the end of the turn.
+      boost::asio::post(io_, [this] { end(); });
       return;
     }
     arm_drain();
   });
 }
 
+void Balancer::end() {
+  if (memcache_) memcache_->discovery.stop();
+  for (auto& p : cluster_pools_) p->stop();
+  if (member_) member_->end();
+  if (upgrade_) upgrade_->end();
+  io_.stop();
+}
+
 }  // namespace silverpin::node
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -98,6 +98,7 @@
   void give_back_away();
   void begin_drain();
   void arm_drain();
+  void end();
   template <typename F>
   void each_listener(F&& f) {
     if (memcache_) f(*memcache_->listener);
--- a/tests/core_harness.h
+++ b/tests/core_harness.h
@@ -211,7 +211,8 @@
     front = std::make_unique<MemcacheFront>(site, sink);
     listener =
         std::make_unique<ClientListener>(io, Endpoint(asio::ip::make_address("127.0.0.1"), 0),
-                                         *limits, clock, sink, [this] { return front->make(); });
+                                         *limits, clock, sink, [this] { return front->make(); },
+                                         times);
     listener->open();
   }
   virtual RequestSink& core() { return *pool; }  // as fronts see it
@@ -253,6 +254,7 @@
       "connIdle":15000000000,"streamsPerConn":1,"mostHeld":1000}})");
   std::uint64_t seed = 1, seq = 0;
   std::size_t sockets = 256, memory_mb = 32;
+  SessionTimes times;
   Clock clock;
   std::unique_ptr<Limits> limits;  // outlives the loop
   asio::io_context io{1};
--- a/tests/crossings_test.cc
+++ b/tests/crossings_test.cc
@@ -512,6 +512,40 @@
   EXPECT_EQ(std::count(origin.ids.begin(), origin.ids.end(), "2"), 1);
 }
 
+// ---- a client's connection is closed, its command comes whole
+
+// The rest of a command comes in the turn in which its time is over, or in which its place is needed.
+// The loop is late, so that the ticks are due; the test's own timer is the first of them.
+TEST_F(CoreTest, ACommandThatBecomesWholeInTheTurnOfItsEndIsAnswered) {
+  times.first_command = milliseconds(40);
+  begin();
+  auto c = client();
+  c->send("m");
+  ASSERT_TRUE(wait([&] { return limits->clients.used() == 1; }));
+  run_for(io, milliseconds(5));  // read
+  asio::steady_timer first(io, milliseconds(1));
+  first.async_wait([&](auto) { c->send("n\r\n"); });
+  std::this_thread::sleep_for(milliseconds(120));
+  ASSERT_TRUE(wait([&] { return !c->in.empty() || c->closed; }));
+  EXPECT_EQ(c->in, "MN\r\n");
+}
+
+TEST_F(CoreTest, ACommandThatBecomesWholeIsNotClosedForItsPlace) {
+  begin();
+  auto c = client();
+  c->send("m");
+  ASSERT_TRUE(wait([&] { return limits->clients.used() == 1; }));
+  run_for(io, milliseconds(1050));  // a slow writer
+  limits->clients.set_most(1);
+  auto other = client();
+  other->send("mn\r\n");
+  // Between the moment in which the loop has heard of the newcomer, and its acceptance.
+  c->send("n\r\n");
+  EXPECT_FALSE(listener->stop());
+  ASSERT_TRUE(wait([&] { return !c->in.empty() || c->closed; }));
+  EXPECT_EQ(c->in, "MN\r\n");
+}
+
 // ---- a drain
 
 // What waits to be accepted has been taken as far as its clients can tell.
@@ -573,6 +607,25 @@
 
 class ProcessEndTest : public NodeTest {};
 
+// A process that stands still in its drain wakes behind its last moment: what is open is failed and
+// the process ends in one turn, and several answers of one client leave together.
+TEST_F(ProcessEndTest, WhatIsAnsweredInTheLastTurnLeaves) {
+  FakeCache cache(io, [](const auto&, const auto&) { return std::string(); });
+  discovery.hosts = host_entry("h1", cache.server.dial());
+  begin();
+  auto c = client();
+  c->send(get("k1", "1") + get("k2", "2") + get("k3", "3"));
+  ASSERT_TRUE(wait([&] { return cache.ids.size() >= 3; }));
+  balancer->drain();
+  std::this_thread::sleep_for(milliseconds(3700));
+  ASSERT_TRUE(wait([&] { return io.stopped(); }));
+  // The program would end here: what has not left by now never does.
+  c->on_data = [](Peer&) {};
+  c->socket.non_blocking(true);
+  LateServer::read_now(*c);
+  EXPECT_EQ(std::count(c->in.begin(), c->in.end(), '\n'), 3) << c->in;
+}
+
 // Discovery moves while this process is leaving: what is still out has hosts that may come to
 // drain.
 TEST_F(ProcessEndTest, AReloadIsHeardInADrain) {
