Tell the origin what the client has left, not the whole time that the client wrote

Cause: OriginConnection::encode (src/front/memcache/origin_connection.cc) sent `X-Props` as the client had written it, `d` included, while CacheConnection::encode writes what is left. Fetches behind a miss, a reset or a connection that came up late, second copies and repeated writes told the origin the whole time again. Operators saw it as "further attempts told the server more time than the client had left".

Found beside it: the line to a cache host was rewritten at the first place that reads like the list, so that a key of the same text was changed in its place (Command::encode); and an attempt with less than a millisecond left told 1 ms, which is more than was left.

Change: one function, remaining_deadline() in src/front/memcache/deadline.h, gives what an attempt tells; both back ends use it, and Command::props_with_deadline() replaces the value of `d` and no other byte. Where the list stands in the line is kept from parsing. permit() lets nothing out with less than 1 ms left.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -301,7 +301,7 @@
 Permit ServerPool::permit(const Attempt& attempt) const {
   const auto it = calls_.find(attempt.request);
   // Behind a standstill its time may have passed before its time-out has come round.
-  if (it == calls_.end() || it->second.over || now() >= attempt.until ||
+  if (it == calls_.end() || it->second.over || attempt.until - now() < kMinAttemptTime ||
       now() >= attempt.begin_by || !it->second.caller->may_go_out())
     return Permit::kOver;
   const auto* host = policy_.host(attempt.host);
--- a/src/front/memcache/cache_connection.cc
+++ b/src/front/memcache/cache_connection.cc
@@ -1,7 +1,6 @@
 #include "front/memcache/cache_connection.h"
 
-#include <algorithm>
-
+#include "front/memcache/deadline.h"
 #include "front/memcache/memcache_front.h"
 
 namespace silverpin {
@@ -10,9 +9,8 @@
 using memcache::AnswerReader;
 
 void CacheConnection::encode(Outgoing& out) {
-  const auto left = std::chrono::floor<std::chrono::milliseconds>(out.attempt->until - now());
   const auto& command = command_of(*out.attempt->payload);
-  out.head = command.encode(std::max(left, std::chrono::milliseconds(1)));
+  out.head = command.encode(remaining_deadline(*out.attempt, now()));
   if (command.kind == memcache::Command::Kind::kSet) {
     out.body = command.body;
     out.tail = "\r\n";
--- a/src/front/memcache/origin_connection.cc
+++ b/src/front/memcache/origin_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <sstream>
 
+#include "front/memcache/deadline.h"
 #include "front/memcache/memcache_front.h"
 
 namespace silverpin {
@@ -93,7 +94,7 @@
                                           path_of(command.key), 11);
   request.set(http::field::host, "origin");
   request.set("X-Trace-Id", command.id);
-  request.set("X-Props", command.props);
+  request.set("X-Props", command.props_with_deadline(remaining_deadline(*out.attempt, now())));
   if (set) {
     request.content_length(command.body.size());
     out.body = command.body;
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -37,6 +38,9 @@
 };
 using AttemptPtr = std::shared_ptr<Attempt>;
 
+// The least time that can be told to a server. With less left to the client an attempt is not begun.
+inline constexpr Duration kMinAttemptTime = std::chrono::milliseconds(1);
+
 // Whether the next byte of an attempt may go out.
 enum class Permit {
   kGo,
--- a/src/proto/memcache.cc
+++ b/src/proto/memcache.cc
@@ -77,12 +77,16 @@
   return at ? std::string_view(props).substr(at->first, at->second) : std::string_view{};
 }
 
-std::string Command::encode(std::chrono::milliseconds left) const {
+std::string Command::props_with_deadline(std::chrono::milliseconds remaining) const {
+  std::string told = props;
+  if (const auto d = find_prop(props, "d"))
+    told.replace(d->first, d->second, std::to_string(remaining.count()));
+  return told;
+}
+
+std::string Command::encode(std::chrono::milliseconds remaining) const {
   std::string out = line;
-  if (const auto d = find_prop(props, "d")) {
-    const auto props_at = line.find(" P" + props) + 2;
-    out.replace(props_at + d->first, d->second, std::to_string(left.count()));
-  }
+  out.replace(props_offset, props.size(), props_with_deadline(remaining));
   return out += "\r\n";
 }
 
@@ -149,6 +153,7 @@
       if (!is_id(c.id)) return ClientError{"bad id"};
     } else if (word[0] == 'P' && c.props.empty()) {
       c.props = word.substr(1);
+      c.props_offset = static_cast<std::size_t>(word.data() - line.data()) + 1;
       if (!are_props(c.props)) return ClientError{"bad properties"};
     } else if (word == "v" && !set && !value) {
       value = true;
--- a/src/proto/memcache.h
+++ b/src/proto/memcache.h
@@ -24,13 +24,17 @@
   Kind kind = Kind::kNoop;
   std::string line;  // as it came, without its end
   std::string key;
-  std::string id;     // the opaque token
-  std::string props;  // the list of names and values
+  std::string id;                // the opaque token
+  std::string props;             // the list of names and values
+  std::size_t props_offset = 0;  // where it stands in `line`
   std::string body;
 
   std::string_view prop(std::string_view name) const;  // empty if there is none
-  // The line to a cache host, with `d` set to what is left. The rest goes on unchanged.
-  std::string encode(std::chrono::milliseconds left) const;
+  // The list of names and values with the value of `d`, where the client sent one, replaced by
+  // `remaining`. Every other byte is the client's.
+  std::string props_with_deadline(std::chrono::milliseconds remaining) const;
+  // The line to a cache host, with its line end and with the list as props_with_deadline() has it.
+  std::string encode(std::chrono::milliseconds remaining) const;
 };
 
 // What a client has sent wrongly. What follows it may be the rest of it, and is not read.
--- a/tests/core_harness.h
+++ b/tests/core_harness.h
@@ -147,6 +147,7 @@
       : server(io, [this](Peer& p) {
           for (std::string line = p.take_line(); !line.empty(); line = p.take_line()) {
             ids.push_back(id_of(line));
+            lines.push_back(line);
             from[ids.back()] = p.shared_from_this();
             if (on_command) on_command(p, ids.back());
           }
@@ -158,6 +159,7 @@
   bool saw(const std::string& id) const { return from.count(id) > 0; }
 
   std::vector<std::string> ids;
+  std::vector<std::string> lines;  // of the commands, as they came
   std::map<std::string, std::shared_ptr<Peer>> from;
   std::function<void(Peer&, const std::string& id)> on_command;
   LateServer server;
@@ -178,6 +180,7 @@
   bool saw(const std::string& id) const { return from.count(id) > 0; }
 
   std::vector<std::string> ids;
+  std::vector<std::string> heads;  // of the requests, as they came
   std::map<std::string, std::shared_ptr<Peer>> from;
   std::function<void(Peer&, const std::string& id)> on_request;
   LateServer server;
@@ -193,6 +196,7 @@
       p.in.erase(0, end + 4 + body);
       const auto at = head.find("X-Trace-Id: ") + 12;
       ids.push_back(head.substr(at, head.find("\r\n", at) - at));
+      heads.push_back(head);
       from[ids.back()] = p.shared_from_this();
       if (on_request) on_request(p, ids.back());
     }
@@ -227,10 +231,9 @@
         [] {});
     RequestSink& sink = core();
     front = std::make_unique<MemcacheFront>(site, sink);
-    listener =
-        std::make_unique<ClientListener>(io, Endpoint(asio::ip::make_address("127.0.0.1"), 0),
-                                         *limits, clock, sink, [this] { return front->make(); },
-                                         times);
+    listener = std::make_unique<ClientListener>(
+        io, Endpoint(asio::ip::make_address("127.0.0.1"), 0), *limits, clock, sink,
+        [this] { return front->make(); }, times);
     listener->open();
   }
   virtual RequestSink& core() { return *pool; }  // as fronts see it
