--- a/bench/address_set.cc
+++ b/bench/address_set.cc
@@ -1,7 +1,9 @@
-// Whether an address lies in one of 10, 1,000 or 100,000 networks: the trie that is used, and a plain
-// list of networks that is gone through from its start. Half of the addresses lie in one.
+// Whether an address lies in one of 10, 1,000 or 100,000 networks: the trie that is used, and a
+// plain list of networks that is gone through from its start. Half of the addresses lie in one.
 //
 //   cmake --build build --target silverpin_bench_address_set && build/silverpin_bench_address_set
+#include "net/address_set.h"
+
 #include <benchmark/benchmark.h>
 
 #include <boost/asio/ip/network_v4.hpp>
@@ -9,8 +11,6 @@
 #include <random>
 #include <vector>
 
-#include "net/address_set.h"
-
 namespace {
 
 using namespace silverpin;
@@ -31,8 +31,7 @@
     }
     while (asked.size() < kAsked) {
       const ip::network_v4& n = list[random() % list.size()];
-      const std::uint32_t inside =
-          n.address().to_uint() | (random() & ~n.netmask().to_uint());
+      const std::uint32_t inside = n.address().to_uint() | (random() & ~n.netmask().to_uint());
       asked.emplace_back(asked.size() % 2 ? inside : random());
     }
   }
--- a/bench/sketches.cc
+++ b/bench/sketches.cc
@@ -1,6 +1,6 @@
 // Counting the most frequent of 10^3 to 10^7 distinct keys: the sketch that is used, and a map that
-// counts exactly; and quantiles of as many values: the sketch, and all of them kept and sorted. Time of
-// one step; memory and errors as counters.
+// counts exactly; and quantiles of as many values: the sketch, and all of them kept and sorted.
+// Time of one step; memory and errors as counters.
 //
 //   cmake --build build --target silverpin_bench_sketches && build/silverpin_bench_sketches
 //
@@ -67,8 +67,10 @@
   for (auto _ : state) ++exact[all[i++ % all.size()]];
   // A node's link, hash, text (short ones lie in it) and count, and its place among the buckets.
   state.counters["KiB"] =
-      static_cast<double>(exact.size() * (16 + sizeof(std::pair<const std::string, std::uint64_t>)) +
-                          exact.bucket_count() * sizeof(void*)) / 1024;
+      static_cast<double>(exact.size() *
+                              (16 + sizeof(std::pair<const std::string, std::uint64_t>)) +
+                          exact.bucket_count() * sizeof(void*)) /
+      1024;
 }
 
 void quantile(benchmark::State& state) {
--- a/bench/store.cc
+++ b/bench/store.cc
@@ -1,8 +1,10 @@
-// What a durable write costs: the store that is used, the same without waiting for the disk, and two
-// plain ways to the same end: a file that is written, synced and renamed, and a record that is
+// What a durable write costs: the store that is used, the same without waiting for the disk, and
+// two plain ways to the same end: a file that is written, synced and renamed, and a record that is
 // written over itself and synced. Say where: the folder decides.
 //
 //   cmake --build build --target silverpin_bench_store && build/silverpin_bench_store /some/folder
+#include "store/store.h"
+
 #include <benchmark/benchmark.h>
 #include <fcntl.h>
 #include <unistd.h>
@@ -13,8 +15,6 @@
 #include <stdexcept>
 #include <string>
 
-#include "store/store.h"
-
 namespace {
 
 using silverpin::store::Store;
--- a/src/address/ability.cc
+++ b/src/address/ability.cc
@@ -38,9 +38,8 @@
     const bool graced = waits(static_cast<Part>(i)) && able_ && now - s.since < settings_.grace;
     if (!s.there && !graced) return kMissing[i];
   }
-  const auto late = std::count_if(late_at_.begin(), late_at_.end(), [&](Time t) {
-    return now - t <= settings_.late_window;
-  });
+  const auto late = std::count_if(late_at_.begin(), late_at_.end(),
+                                  [&](Time t) { return now - t <= settings_.late_window; });
   if (static_cast<std::size_t>(late) >= settings_.late_times) return "its event loop is late";
   return {};
 }
--- a/src/address/deal.cc
+++ b/src/address/deal.cc
@@ -51,9 +51,8 @@
       for (const Able& a : able) p.preferences.push_back(preference(w, a.name));
     places.push_back(std::move(p));
   }
-  std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
-    return a.wanted->address < b.wanted->address;
-  });
+  std::sort(places.begin(), places.end(),
+            [](const Place& a, const Place& b) { return a.wanted->address < b.wanted->address; });
   for (Place& p : places) {
     const auto it = holders.find(p.wanted->address);
     const auto at = it == holders.end() ? by_name.end() : by_name.find(it->second);
--- a/src/address/keeper.h
+++ b/src/address/keeper.h
@@ -52,8 +52,8 @@
   // Everybody that is well, this instance left out; and whether it can do the work itself.
   void on_peers(Time now, const std::vector<Peer>& peers);
   void on_able(Time now, bool able, std::string_view why);
-  // An operator's wish: hands the address over to this instance, or to the best where none is named.
-  // Returns why not, or nothing.
+  // An operator's wish: hands the address over to this instance, or to the best where none is
+  // named. Returns why not, or nothing.
   std::string move(Time now, const std::string& address, const std::string& to);
   // It ends: gives all up in order, the best successors first.
   void leave(Time now);
--- a/src/address/succession.cc
+++ b/src/address/succession.cc
@@ -37,8 +37,8 @@
     return finish(true, "version " + std::to_string(present_.version) + ": " + name_ +
                             (add_ ? " votes" : " does not vote"));
   if (!valid(wish()))
-    return finish(false, "there must be one voter at least, and " + std::to_string(kMostVoters) +
-                             " at most");
+    return finish(
+        false, "there must be one voter at least, and " + std::to_string(kMostVoters) + " at most");
   stage_ = Stage::kAsks;
   ballot_ = {++highest_, self_};
   promised_.clear();
@@ -55,8 +55,8 @@
 }
 
 bool Succession::quorum(const std::map<std::string, bool>& forgot) const {
-  const auto remember = std::count_if(forgot.begin(), forgot.end(),
-                                      [](const auto& f) { return !f.second; });
+  const auto remember =
+      std::count_if(forgot.begin(), forgot.end(), [](const auto& f) { return !f.second; });
   return static_cast<std::size_t>(remember) >= present_.majority() ||
          forgot.size() == present_.names.size();
 }
@@ -164,9 +164,10 @@
   if (now >= until_) {
     if (stage_ == Stage::kTells)
       return finish(false, "chosen, and too few have heard of it: it goes on by itself");
-    return finish(false, "not changed for certain: no majority of the voters that there are, or "
-                         "that there would be, answers and is up to date" +
-                             (last_no_.empty() ? "" : "; " + last_no_));
+    return finish(false,
+                  "not changed for certain: no majority of the voters that there are, or "
+                  "that there would be, answers and is up to date" +
+                      (last_no_.empty() ? "" : "; " + last_no_));
   }
   if (now >= again_at_) send_round(now);
 }
--- a/src/address/succession.h
+++ b/src/address/succession.h
@@ -18,11 +18,12 @@
 //
 //   asks          who goes by the present set, and what was accepted    a quorum: proposes
 //   proposes      the wish, or what another has left half done          a quorum: it is chosen
-//   tells         all voters of the new set                             a majority goes by it: done,
+//   tells         all voters of the new set                             a majority goes by it:
+//   done,
 //                                                                       or the wish's own turn
 //
-// A quorum is a majority of the voters that have never lost their memory, or all voters. The wish is
-// proposed only where a majority of the set that there would be answers and is up to date:
+// A quorum is a majority of the voters that have never lost their memory, or all voters. The wish
+// is proposed only where a majority of the set that there would be answers and is up to date:
 // otherwise the group could decide nothing more, taking the change back included.
 class Succession {
  public:
@@ -48,7 +49,8 @@
   // The newest set that it has seen chosen.
   const Voters& voters() const { return present_; }
 
-  static constexpr Duration kTakes = std::chrono::seconds(6), kAgain = std::chrono::milliseconds(200);
+  static constexpr Duration kTakes = std::chrono::seconds(6),
+                            kAgain = std::chrono::milliseconds(200);
 
  private:
   enum class Stage { kAsks, kProposes, kTells };
@@ -69,8 +71,8 @@
   Stage stage_ = Stage::kAsks;
   Voters present_, next_;
   Ballot ballot_;
-  std::uint64_t highest_ = 0;                // ballot heard of
-  std::map<std::string, bool> promised_;     // by voter: whether it has forgotten
+  std::uint64_t highest_ = 0;             // ballot heard of
+  std::map<std::string, bool> promised_;  // by voter: whether it has forgotten
   std::map<std::string, bool> accepted_;
   std::set<std::string> ready_, told_;
   Ballot left_at_;  // of what another has left half done
--- a/src/address/tenure.cc
+++ b/src/address/tenure.cc
@@ -257,7 +257,8 @@
   if (round.granted.size() >= majority()) return ask_for_votes(now);
   const std::size_t taken = round.answered.size() - round.granted.size();
   if (taken + majority() > voters_.names.size())
-    give_up_election(now, r.holder.none() ? std::string("others hold it") : "held by " + r.holder.name);
+    give_up_election(now,
+                     r.holder.none() ? std::string("others hold it") : "held by " + r.holder.name);
 }
 
 // ---- ends
--- a/src/address/tenure.h
+++ b/src/address/tenure.h
@@ -20,12 +20,14 @@
 //
 //   state         may hold  announced  leaves it when
 //   idle          no        no         wanted, and it is time: candidate
-//   candidate     no        no         a majority grants: holder; it cannot be, or time is up: idle,
+//   candidate     no        no         a majority grants: holder; it cannot be, or time is up:
+//   idle,
 //                                      or cut off if too few voters answered
 //   holder        yes       yes        told to hand over: handing over; told to release, or the
 //                                      lease is near its end: releasing
 //   handing over  no        yes        the successor announces, or the overlap is over: releasing
-//   releasing     no        withdrawn  the carrier has withdrawn, or the lease is over: idle, or cut
+//   releasing     no        withdrawn  the carrier has withdrawn, or the lease is over: idle, or
+//   cut
 //                                      off
 //   cut off       no        no         a majority of the voters answers: idle
 //
@@ -92,8 +94,9 @@
   // the successor, have said that they know of the end, what it had accepted has `drain` more. One
   // that is cut off while it gives up in order is not known to have, and has its lease and no more.
   bool may_serve(Time now, Duration drain) const {
-    return holds(now) || ((state_ == State::kHandingOver || state_ == State::kReleasing) &&
-                          now < serves_until_) ||
+    return holds(now) ||
+           ((state_ == State::kHandingOver || state_ == State::kReleasing) &&
+            now < serves_until_) ||
            (in_order_at_ && end_known_ && now < *in_order_at_ + drain);
   }
   // Since when it has been giving up in order, while it may still be listened on.
@@ -151,11 +154,11 @@
   bool wanted_ = false;
   int rank_ = 0;
   Time try_at_;
-  bool invited_ = false;  // the holder keeps it for this instance
-  bool looking_ = false;  // a candidate that has not asked for votes yet
+  bool invited_ = false;         // the holder keeps it for this instance
+  bool looking_ = false;         // a candidate that has not asked for votes yet
   Time raise_at_ = Time::max();  // when the holder takes a newer term
   Term term_ = 0;                // of the present or last tenure
-  Term newest_ = 0;  // heard of
+  Term newest_ = 0;              // heard of
   Holder believed_;
   Time free_at_{0};  // when what is known of its present holder's lease has run out
   std::uint64_t next_number_ = 1;
@@ -166,10 +169,10 @@
   Time overlap_ends_{0};
   Time poll_at_{0};
   std::optional<Time> in_order_at_;
-  Time serves_until_{0};      // of an address that is being given up
+  Time serves_until_{0};       // of an address that is being given up
   std::uint64_t release_ = 0;  // number of the ask that told of the end
   std::set<std::string> release_heard_;
-  bool end_known_ = false;  // by a majority of the voters, or by the successor
+  bool end_known_ = false;     // by a majority of the voters, or by the successor
   bool cut_off_next_ = false;  // after the withdrawal
   std::size_t reached_ = 0;
   std::uint64_t tenures_ = 0;
--- a/src/address/voter.cc
+++ b/src/address/voter.cc
@@ -168,8 +168,14 @@
     record_.accepted = c.next;
   }
   ChangeDecision d;
-  d.reply = {c.kind,           c.number,             why_not.empty(),  record_.forgot,
-             record_.voters,   record_.promised,     record_.accepted_at, record_.accepted,
+  d.reply = {c.kind,
+             c.number,
+             why_not.empty(),
+             record_.forgot,
+             record_.voters,
+             record_.promised,
+             record_.accepted_at,
+             record_.accepted,
              std::move(why_not)};
   d.changed = !(record_ == before);
   return d;
--- a/src/announce/bgp_session.h
+++ b/src/announce/bgp_session.h
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "structures/time.h"
 #include "proto/bgp.h"
+#include "structures/time.h"
 
 // The state of one BGP peering, after RFC 4271, section 8. No I/O, no clock.
 namespace silverpin::bgp {
--- a/src/announce/command_carrier.cc
+++ b/src/announce/command_carrier.cc
@@ -87,8 +87,7 @@
         again_at_ = now + kPause;
         return;
       }
-      actions_.push_back(
-          {why.empty() ? Action::Kind::kWithdrawn : Action::Kind::kGivenUp, why});
+      actions_.push_back({why.empty() ? Action::Kind::kWithdrawn : Action::Kind::kGivenUp, why});
       state_ = State::kIdle;
       if (again_) claim(now, *std::exchange(again_, std::nullopt));
       return;
--- a/src/announce/command_carrier.h
+++ b/src/announce/command_carrier.h
@@ -38,13 +38,13 @@
   // ---- what is to be done, in order
   struct Action {
     enum class Kind {
-      kClaim,       // run the one
-      kRelease,     // run the other
-      kCut,         // end what runs; on_end() comes all the same
-      kAnnounced,   // tell: it is claimed
-      kWithdrawn,   // tell: it is released
-      kFailed,      // tell: the claim has failed
-      kGivenUp,     // tell: it cannot be released
+      kClaim,      // run the one
+      kRelease,    // run the other
+      kCut,        // end what runs; on_end() comes all the same
+      kAnnounced,  // tell: it is claimed
+      kWithdrawn,  // tell: it is released
+      kFailed,     // tell: the claim has failed
+      kGivenUp,    // tell: it cannot be released
     } kind;
     std::string why;
   };
--- a/src/announce/speaker.cc
+++ b/src/announce/speaker.cc
@@ -75,8 +75,8 @@
                     [now](const Session& s) { return s.established() && !s.quiet(now); }));
 }
 
-// A session that has ended has taken its routes with it at the router: what is left of them there is
-// the router's hold time's matter, and a newer term is preferred to it.
+// A session that has ended has taken its routes with it at the router: what is left of them there
+// is the router's hold time's matter, and a newer term is preferred to it.
 void Speaker::settle(Time now) {
   for (auto it = routes_.begin(); it != routes_.end();) {
     const std::string& address = it->first;
@@ -92,9 +92,8 @@
         events_.push_back({Event::Kind::kFailed, address});
       }
     } else if (route.stage == Stage::kWithdrawing &&
-               std::all_of(sessions_.begin(), sessions_.end(), [](const Session& s) {
-                 return !s.established() || s.settled();
-               })) {
+               std::all_of(sessions_.begin(), sessions_.end(),
+                           [](const Session& s) { return !s.established() || s.settled(); })) {
       events_.push_back({Event::Kind::kWithdrawn, address});
       it = routes_.erase(it);
       continue;
--- a/src/announce/speaker.h
+++ b/src/announce/speaker.h
@@ -26,8 +26,8 @@
 // address is announced and when it is withdrawn. No I/O, no clock.
 //
 // Each tenure's term goes into what is announced, so that a router that hears two follows the newer
-// at once: LOCAL_PREF grows with it, and MED, which the routers of another AS go by, falls. One that
-// is about to go carries the community of RFC 8326 and the least preference.
+// at once: LOCAL_PREF grows with it, and MED, which the routers of another AS go by, falls. One
+// that is about to go carries the community of RFC 8326 and the least preference.
 class Speaker {
  public:
   Speaker(const SpeakerSettings& settings, const std::vector<SessionSettings>& routers,
--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -212,7 +212,8 @@
 void ServerPool::submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) {
   look();
   const Duration unnoticed = standing_ ? standing_->unnoticed(now()) : Duration{0};
-  if (unnoticed >= ask.budget || (site_.most_held > 0 && open_ >= static_cast<std::size_t>(site_.most_held)) ||
+  if (unnoticed >= ask.budget ||
+      (site_.most_held > 0 && open_ >= static_cast<std::size_t>(site_.most_held)) ||
       !caller->may_go_out() || !caller->is_there()) {
     ask.payload->released();
     caller->on_final(ticket, *ask.payload, {Final::Kind::kRefused, {}, Duration{0}, nullptr});
@@ -305,9 +306,8 @@
       now() >= attempt.begin_by || !it->second.caller->may_go_out())
     return Permit::kOver;
   const auto* host = policy_.host(attempt.host);
-  return host && host->takes_new() && host->started_at == attempt.host_started
-             ? Permit::kGo
-             : Permit::kElsewhere;
+  return host && host->takes_new() && host->started_at == attempt.host_started ? Permit::kGo
+                                                                               : Permit::kElsewhere;
 }
 
 // The first byte is the answer: no other attempt may serve from here on. From now on both sides'
--- a/src/core/server_pool.h
+++ b/src/core/server_pool.h
@@ -54,8 +54,7 @@
   // From now on what would go to hosts other than the origin waits after a standstill, until a list
   // has come that was asked for since; see recovery::Standing. `confirm` asks for one, from the
   // event loop and not before it returns; `log` gets a line at the end of each standstill.
-  void mind_standstills(std::function<void()> confirm,
-                        std::function<void(const std::string&)> log);
+  void mind_standstills(std::function<void()> confirm, std::function<void(const std::string&)> log);
   // Discovery has answered a call that took so long, and what it told has been taken.
   void on_confirmed(Duration took);
   // An operator's words on hosts; see Policy.
--- a/src/group/instance.h
+++ b/src/group/instance.h
@@ -64,8 +64,7 @@
   // ---- what is to be done
   struct Send {
     std::string endpoint, to;
-    decltype(Datagram::body)
-        body;
+    decltype(Datagram::body) body;
   };
   std::vector<Send> take_sends();
   std::vector<address::Keeper::Carry> take_carries() { return keeper_.take_carries(); }
@@ -97,7 +96,7 @@
   membership::Group group_;
   address::Keeper keeper_;
   std::optional<address::Voter> voter_;
-  address::Voters voters_;  // the newest that was heard of
+  address::Voters voters_;                       // the newest that was heard of
   std::map<std::string, address::Voters> told_;  // what each voter last said that it goes by
   Time mend_at_{0};
   std::uint64_t seen_revision_ = 0;
--- a/src/member/bgp_links.cc
+++ b/src/member/bgp_links.cc
@@ -81,8 +81,7 @@
 
 void BgpLinks::carry_out() {
   if (std::exchange(carrying_, true)) return;  // whoever is at it goes on until nothing is left
-  for (auto actions = speaker_.take_actions(); !actions.empty();
-       actions = speaker_.take_actions())
+  for (auto actions = speaker_.take_actions(); !actions.empty(); actions = speaker_.take_actions())
     for (auto& [router, action] : actions) {
       using Kind = bgp::Session::Action::Kind;
       switch (action.kind) {
--- a/src/member/bgp_links.h
+++ b/src/member/bgp_links.h
@@ -14,8 +14,9 @@
 
 namespace silverpin::member {
 
-// The connections of a bgp::Speaker: dials and accepts, carries bytes, and tells it how much of them
-// a router has not taken. Every connection belongs to one router and one way; all end with this.
+// The connections of a bgp::Speaker: dials and accepts, carries bytes, and tells it how much of
+// them a router has not taken. Every connection belongs to one router and one way; all end with
+// this.
 class BgpLinks {
  public:
   using Log = std::function<void(const std::string& line)>;
--- a/src/member/command.cc
+++ b/src/member/command.cc
@@ -64,8 +64,8 @@
   ::posix_spawnattr_setsigmask(&attributes, &none);
   ::posix_spawnattr_setsigdefault(&attributes, &defaults);
   ::posix_spawnattr_setpgroup(&attributes, 0);
-  ::posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETPGROUP | POSIX_SPAWN_SETSIGMASK |
-                                              POSIX_SPAWN_SETSIGDEF);
+  ::posix_spawnattr_setflags(
+      &attributes, POSIX_SPAWN_SETPGROUP | POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETSIGDEF);
   posix_spawn_file_actions_t files;
   ::posix_spawn_file_actions_init(&files);
   ::posix_spawn_file_actions_addopen(&files, 0, "/dev/null", O_RDONLY, 0);
@@ -75,7 +75,8 @@
                                   argv.data(), envp.data());
   ::posix_spawn_file_actions_destroy(&files);
   ::posix_spawnattr_destroy(&attributes);
-  const int descriptor = error == 0 ? static_cast<int>(::syscall(SYS_pidfd_open, running_->pid, 0)) : -1;
+  const int descriptor =
+      error == 0 ? static_cast<int>(::syscall(SYS_pidfd_open, running_->pid, 0)) : -1;
   if (descriptor < 0) {
     if (error == 0) {
       running_->kill_group();
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -36,9 +36,9 @@
 }
 
 std::uint64_t unix_ms() {
-  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
-                                        std::chrono::system_clock::now().time_since_epoch())
-                                        .count());
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
 }
 
 }  // namespace
@@ -164,13 +164,14 @@
     return socket_->send(to, keys_.seal(lease_now(), plain));
   auto* const gossip = std::get_if<membership::Message>(&d.body);
   if (!gossip || gossip->updates.size() < 2) return;
-  const auto half = gossip->updates.begin() + static_cast<std::ptrdiff_t>(gossip->updates.size() / 2);
+  const auto half =
+      gossip->updates.begin() + static_cast<std::ptrdiff_t>(gossip->updates.size() / 2);
   group::Datagram rest = d;
-  rest.body = membership::Message{membership::Message::Kind::kTold,
-                                  0,
-                                  {},
-                                  {std::make_move_iterator(half),
-                                   std::make_move_iterator(gossip->updates.end())}};
+  rest.body = membership::Message{
+      membership::Message::Kind::kTold,
+      0,
+      {},
+      {std::make_move_iterator(half), std::make_move_iterator(gossip->updates.end())}};
   gossip->updates.erase(half, gossip->updates.end());
   send(to, std::move(d));
   send(to, std::move(rest));
@@ -397,10 +398,9 @@
   if (verb == "voters" && (words >> what >> name) && (what == "add" || what == "remove") &&
       !(words >> more)) {
     const bool add = what == "add";
-    instance_->change_voters(lease_now(), name, add,
-                             [answer](bool done, const std::string& outcome) {
-                               answer(outcome_json(done, outcome));
-                             });
+    instance_->change_voters(
+        lease_now(), name, add,
+        [answer](bool done, const std::string& outcome) { answer(outcome_json(done, outcome)); });
     return work();
   }
   if (verb == "move" && (words >> what)) {
@@ -411,7 +411,8 @@
       return work();
     }
   }
-  answer(outcome_json(false, "status, move ADDRESS [INSTANCE], voters add NAME, voters remove NAME"));
+  answer(
+      outcome_json(false, "status, move ADDRESS [INSTANCE], voters add NAME, voters remove NAME"));
 }
 
 std::string Member::status() const {
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -21,9 +21,9 @@
 
 namespace silverpin::member {
 
-// This process as one of a group of balancers: carries the datagrams of a group::Instance, keeps its
-// voter's record, carries addresses to routers or by commands, and tells whoever owns it when one is
-// to be listened on. Runs on lease_now().
+// This process as one of a group of balancers: carries the datagrams of a group::Instance, keeps
+// its voter's record, carries addresses to routers or by commands, and tells whoever owns it when
+// one is to be listened on. Runs on lease_now().
 class Member : private group::Memory {
  public:
   struct Owner {
--- a/src/member/status.cc
+++ b/src/member/status.cc
@@ -138,9 +138,7 @@
     out += row;
   };
   const auto word = [](const json& o, const char* key) { return o.value(key, std::string()); };
-  const auto number = [](const json& o, const char* key) {
-    return o.value(key, std::int64_t{0});
-  };
+  const auto number = [](const json& o, const char* key) { return o.value(key, std::int64_t{0}); };
   try {
     add("%s, %.1f s up, %s\n", word(j, "name").c_str(),
         static_cast<double>(number(j, "up_ms")) / 1e3, word(j, "able").c_str());
@@ -202,23 +200,21 @@
 
  private:
   void read() {
-    socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this()](const error_code& e,
-                                                                              std::size_t n) {
-      if (e || !self->owner_) return self->end();
-      self->in_.append(self->chunk_.data(), n);
-      const auto line = self->in_.find('\n');
-      if (line == std::string::npos)
-        return self->in_.size() > kMostLine ? self->end() : self->read();
-      self->owner_->command_(self->in_.substr(0, line), [self](const std::string& json) {
-        self->answer(json + "\n");
-      });
-    });
+    socket_.async_read_some(
+        asio::buffer(chunk_), [self = shared_from_this()](const error_code& e, std::size_t n) {
+          if (e || !self->owner_) return self->end();
+          self->in_.append(self->chunk_.data(), n);
+          const auto line = self->in_.find('\n');
+          if (line == std::string::npos)
+            return self->in_.size() > kMostLine ? self->end() : self->read();
+          self->owner_->command_(self->in_.substr(0, line),
+                                 [self](const std::string& json) { self->answer(json + "\n"); });
+        });
   }
   void answer(std::string text) {
     out_ = std::move(text);
-    asio::async_write(
-        socket_, asio::buffer(out_),
-        [self = shared_from_this()](const error_code&, std::size_t) { self->end(); });
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self = shared_from_this()](const error_code&, std::size_t) { self->end(); });
   }
 
   StatusSocket* owner_;
--- a/src/member/status.h
+++ b/src/member/status.h
@@ -12,8 +12,8 @@
 #include "net/datagram_socket.h"
 #include "settings/group_file.h"
 
-// What a running member tells operators: JSON over a socket in its folder, and the two ways in which
-// `silverpin address` prints it.
+// What a running member tells operators: JSON over a socket in its folder, and the two ways in
+// which `silverpin address` prints it.
 namespace silverpin::member {
 
 struct StatusFigures {
--- a/src/model/bound.cc
+++ b/src/model/bound.cc
@@ -38,8 +38,7 @@
   // Each fetch takes one request of mean work off the hosts.
   const double fetched = std::min(reads, left / (1e-3 * scenario.origin.read_ms));
   const double by_hosts = std::min(read_work, can * span);
-  const double share =
-      reads > 0 ? std::min(1.0, by_hosts / read_work + fetched / reads) : 1;
+  const double share = reads > 0 ? std::min(1.0, by_hosts / read_work + fetched / reads) : 1;
   return (share * read_worth + writes_share * write_worth) / (read_worth + write_worth);
 }
 
--- a/src/model/tables.cc
+++ b/src/model/tables.cc
@@ -46,7 +46,9 @@
       served += by_second[s].worth_served;
     }
     const double got = asked > 0 ? served / asked : 1, most = most_worth(scenario, from, to);
-    add(out, "       demand from %.0f to %.0f s: worth %.1f of the %.1f at most that could be had: %.0f%%\n",
+    add(out,
+        "       demand from %.0f to %.0f s: worth %.1f of the %.1f at most that could be had: "
+        "%.0f%%\n",
         seconds(from), seconds(to), 100 * got, 100 * most, 100 * got / most);
   }
 }
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -21,24 +21,26 @@
   std::string host;
   PayloadPtr payload;
   Time until{0};
-  bool asking = false;   // the host is to take it though it does not own its slot yet
-  bool replica = false;  // the host is to read it though it is a replica
-  bool unsafe = false;   // its class must never run twice
-  bool ended = false;    // its outcome is known
-  bool parked = false;   // held back, so that it has not gone anywhere yet
+  bool asking = false;    // the host is to take it though it does not own its slot yet
+  bool replica = false;   // the host is to read it though it is a replica
+  bool unsafe = false;    // its class must never run twice
+  bool ended = false;     // its outcome is known
+  bool parked = false;    // held back, so that it has not gone anywhere yet
   bool assigned = false;  // to a connection
   // Of the host's process that was decided on; another one under its name is another decision.
   std::optional<Time> host_started;
-  // Its first byte goes out before this or not at all: behind it repeats are not discarded any more.
+  // Its first byte goes out before this or not at all: behind it repeats are not discarded any
+  // more.
   Time begin_by = Time::max();
-  struct Timer {         // of its time-out, in its owner's terms
+  struct Timer {  // of its time-out, in its owner's terms
     std::uint32_t place = UINT32_MAX, life = 0;
   } timer;
   std::weak_ptr<UpstreamConnection> connection;
 };
 using AttemptPtr = std::shared_ptr<Attempt>;
 
-// The least time that can be told to a server. With less left to the client an attempt is not begun.
+// The least time that can be told to a server. With less left to the client an attempt is not
+// begun.
 inline constexpr Duration kMinAttemptTime = std::chrono::milliseconds(1);
 
 // Whether the next byte of an attempt may go out.
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -438,8 +438,9 @@
     if (now - since_ > kLinger) close();
     return;
   }
-  // Where nothing is read, its leaving is not heard either: behind a full pipeline, a fault, a short
-  // memory or a command that has to wait, what it had asked for would still go out much later.
+  // Where nothing is read, its leaving is not heard either: behind a full pipeline, a fault, a
+  // short memory or a command that has to wait, what it had asked for would still go out much
+  // later.
   if (!reading_ && has_left()) return close();
   if (blocked_) pump();  // memory may have come free
   if (closed_) return;
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -86,9 +86,9 @@
   // What it is doing, for who must go when descriptors run short.
   Rest rest() const;
   Time since() const { return since_; }
-  bool has_input();  // bytes have come that were not read yet
+  bool has_input();       // bytes have come that were not read yet
   bool has_left() const;  // the client has ended its side, also behind bytes that were not read yet
-  void close();      // at once
+  void close();           // at once
   // Closes at the first moment between requests from `leave_at` on; one that never asked for
   // anything, soon.
   void drain(Time leave_at);
--- a/src/net/upstream_connection.cc
+++ b/src/net/upstream_connection.cc
@@ -77,7 +77,8 @@
 // ---- writing
 
 // Whether a request's next byte may go out: not once nobody waits for it, though it may have been
-// half written, and not the first one to a host that is to get nothing new. Else what becomes of it.
+// half written, and not the first one to a host that is to get nothing new. Else what becomes of
+// it.
 std::optional<Result> UpstreamConnection::held_back(const Outgoing& out) const {
   const Permit permit = out.attempt->ended ? Permit::kOver : events_.permit(*out.attempt);
   if (permit == Permit::kGo || (permit == Permit::kElsewhere && out.written > 0)) return {};
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -45,8 +45,8 @@
   // The attempt has been given up; the connection ends unless others wait on it. True: it was taken
   // back, so that it has not run.
   bool abandon(const AttemptPtr& attempt);
-  // Takes back what may not go out any more: nobody waits for it, or its host is to get nothing new.
-  // What has been wholly written stays out, and its outcome counts.
+  // Takes back what may not go out any more: nobody waits for it, or its host is to get nothing
+  // new. What has been wholly written stays out, and its outcome counts.
   void review();
   // The host is another, or at another address: answers to what is out, and then ends.
   void retire();
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -131,10 +131,9 @@
           },
           [this] { discovery.subscribe(); }),
       front(site, pool),
-      discovery(
-          io, config.discovery, site, config.known ? config.known->seq : 0, config.seed,
-          {[this](const HostList& list) { take(list); }, [this] { pool.on_list_refused(); },
-           [this](Duration took) { pool.on_confirmed(took); }}) {
+      discovery(io, config.discovery, site, config.known ? config.known->seq : 0, config.seed,
+                {[this](const HostList& list) { take(list); }, [this] { pool.on_list_refused(); },
+                 [this](Duration took) { pool.on_confirmed(took); }}) {
   if (config.known) take(*config.known);
 }
 
--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -24,8 +24,8 @@
 constexpr milliseconds kPushedPatience{500};
 // A service that works through calls in turn may take its time-out of 2 s.
 constexpr milliseconds kAskedPatience{2000};
-// A watch calls once a second where nothing happens. While discovery is away the fleet calls twice as
-// often as that, and no more in any moment: what failed for one has most likely failed for all.
+// A watch calls once a second where nothing happens. While discovery is away the fleet calls twice
+// as often as that, and no more in any moment: what failed for one has most likely failed for all.
 constexpr milliseconds kLeastRetry{250};
 constexpr milliseconds kMostRetry{750};
 // Answers that come at once and hold nothing new must not become a busy loop. The next call of a
@@ -183,8 +183,8 @@
   if (call != call_) return;
   hang_up();
   if (asked_) {
-    // One that counts its versions anew would keep a watch on the old one waiting for ever. The whole
-    // list costs it more than changes do, so not where it only turned the call away.
+    // One that counts its versions anew would keep a watch on the old one waiting for ever. The
+    // whole list costs it more than changes do, so not where it only turned the call away.
     whole_next_ = whole_next_ || broke;
     running_ = false;
     return handlers_.on_refused();
--- a/src/node/upgrade.cc
+++ b/src/node/upgrade.cc
@@ -107,8 +107,8 @@
   const auto until = std::chrono::steady_clock::now() + kAnswer;
   if (!same_user(fd.get()) || !send_packet(fd.get(), encode(handover::Hello{1, name}), {}))
     return Asked::kSilent;
-  // A process that stood still meanwhile finds the answer here, and who gave it may have ended since:
-  // to let go of the sockets in it would reset all that wait in their queue.
+  // A process that stood still meanwhile finds the answer here, and who gave it may have ended
+  // since: to let go of the sockets in it would reset all that wait in their queue.
   handover::Snapshot whole;
   std::vector<Descriptor> sockets;
   for (int n = 0; n < kMostPackets && wait_for(fd.get(), POLLIN, until); ++n) {
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -201,10 +201,10 @@
   }
 }
 
-// Clients that come back into an overload feed it, and those that come back late in their time do so
-// for nothing: half a second for all cost a tenth of what diesel-surge's lookups can be worth. So
-// as many are called back soon, within any aim, as the gates would let in, and the rest are to stay
-// away until it is over. In step they would be the next overload.
+// Clients that come back into an overload feed it, and those that come back late in their time do
+// so for nothing: half a second for all cost a tenth of what diesel-surge's lookups can be worth.
+// So as many are called back soon, within any aim, as the gates would let in, and the rest are to
+// stay away until it is over. In step they would be the next overload.
 Duration Policy::retry_after(const Active& r) {
   const double room = r.beyond_share ? 0 : std::min(gate_.fraction(), cache_gate_.fraction());
   const Duration wait = uniform() < room ? gate_.target() : kStayAway;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -71,7 +71,7 @@
   kNotSent,
   kMiss,
   kRedirected,  // a whole answer that names another host, and proves that nothing ran
-  kTakenBack  // before its first byte, as the host takes nothing new by now, or is another
+  kTakenBack    // before its first byte, as the host takes nothing new by now, or is another
 };
 
 constexpr bool never_ran(Result r) {
@@ -146,9 +146,9 @@
     HostIndex host;
     Time sent_at;
     Fate fate = Fate::kOut;
-    bool slow = false;   // and counted as such while still out
-    bool broke = false;  // its connection did
-    bool begun = false;  // to answer
+    bool slow = false;        // and counted as such while still out
+    bool broke = false;       // its connection did
+    bool begun = false;       // to answer
     bool redirected = false;  // or taken back: the host has done nothing for it
   };
 
@@ -160,7 +160,7 @@
     double work;
     Time aim, deadline;
     std::vector<Attempt> attempts;
-    int taken_back = 0;  // of them
+    int taken_back = 0;                            // of them
     bool beyond_share = false;                     // of its tenant, and refused for that
     bool over = false;                             // had its final answer
     bool streaming = false;                        // its answer has begun
--- a/src/pool/sharing.cc
+++ b/src/pool/sharing.cc
@@ -69,7 +69,8 @@
     const bool proven = settings_.shared && c.answered >= kProven;
     if (proven || now - c.since >= kRested) return idle_[i];
   }
-  if (want.unsafe || want.unnamed || idle_.empty() || now - all_[idle_.back()].since > longest) return std::nullopt;
+  if (want.unsafe || want.unnamed || idle_.empty() || now - all_[idle_.back()].since > longest)
+    return std::nullopt;
   return idle_.back();
 }
 
--- a/src/proto/group_wire.cc
+++ b/src/proto/group_wire.cc
@@ -1,10 +1,10 @@
 #include "proto/group_wire.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <algorithm>
 #include <utility>
 
-#include <google/protobuf/stubs/logging.h>
-
 #include "group.pb.h"
 
 namespace silverpin::group {
--- a/src/proto/resp.h
+++ b/src/proto/resp.h
@@ -50,7 +50,7 @@
   }
   const std::string& wire() const { return wire_; }  // ready to be sent on
   std::string take_wire() && { return std::move(wire_); }
-  void push_back(std::string_view arg);              // after the others; for those that are built
+  void push_back(std::string_view arg);  // after the others; for those that are built
   static Command of(const std::vector<std::string_view>& args);
 
  private:
--- a/src/recovery/pace.h
+++ b/src/recovery/pace.h
@@ -8,8 +8,8 @@
 // chance alone calls that failed in step come back as a wave: the first waits are short, and all of
 // them fall into one moment. Here the first wait is that which somebody meets who comes at any time
 // into a row of calls that has gone on for ever (the residual life of its intervals), and the later
-// ones are the intervals themselves. So N that fail in the same instant call N / mean times a second
-// from that instant on, in every moment alike, however long it lasts. No I/O, no clock.
+// ones are the intervals themselves. So N that fail in the same instant call N / mean times a
+// second from that instant on, in every moment alike, however long it lasts. No I/O, no clock.
 class Pace {
  public:
   // Intervals lie evenly between the two.
--- a/src/recovery/standing.h
+++ b/src/recovery/standing.h
@@ -44,8 +44,8 @@
 
   Stage stage() const { return stage_; }
   bool holds() const { return stage_ == Stage::kHolding; }
-  Time until() const { return until_; }             // while it holds: when it ends at the latest
-  Duration stood_still() const { return gap_; }     // the last time that it did
+  Time until() const { return until_; }          // while it holds: when it ends at the latest
+  Duration stood_still() const { return gap_; }  // the last time that it did
   Time woken() const { return woken_; }
   int standstills() const { return standstills_; }  // since its start
 
--- a/src/rig/balancer_process.h
+++ b/src/rig/balancer_process.h
@@ -37,7 +37,7 @@
   void start(std::function<void()> ready);
   void signal(int number);
   bool stopped() const { return stopped_; }  // by SIGSTOP
-  void reload();  // writes the configuration anew, then SIGHUP
+  void reload();                             // writes the configuration anew, then SIGHUP
   // From now on its exit is no crash.
   void expect_exit() { exit_expected_ = true; }
   bool running();  // reaps it
--- a/src/rig/group_net.cc
+++ b/src/rig/group_net.cc
@@ -79,8 +79,7 @@
                      std::to_string(members_[me].port()) + "\"\nannounce = \"" +
                      relay_->public_address(me) + "\"\nseeds = [";
   for (int i = 0; i < instances_; ++i)
-    if (i != instance)
-      text += "\"" + relay_->public_address(static_cast<std::size_t>(i)) + "\", ";
+    if (i != instance) text += "\"" + relay_->public_address(static_cast<std::size_t>(i)) + "\", ";
   text += "]\nnetworks = [\"127.0.0.0/8\"]\nkey_file = \"" + folder_ + "/group.key\"\nfolder = \"" +
           folder_ + "/" + name_of(instance) + "\"\nvoters = [";
   for (int i = 0; i < voters_; ++i) text += "\"" + name_of(i) + "\", ";
--- a/src/rig/group_net.h
+++ b/src/rig/group_net.h
@@ -62,7 +62,7 @@
   BgpRouter router_;
   std::unique_ptr<DatagramRelay> relay_;
   std::vector<DatagramRelay::Endpoint> members_;
-  std::uint16_t port_ = 0;                   // of all instances' listeners
+  std::uint16_t port_ = 0;                    // of all instances' listeners
   std::deque<asio::ip::tcp::acceptor> held_;  // keep that port for them
   asio::ip::tcp::endpoint service_;
 };
--- a/src/rig/judge/stampede.h
+++ b/src/rig/judge/stampede.h
@@ -27,8 +27,8 @@
   struct Figures {
     double mean_before = 0;  // a tenth of a second, from `from` up to `at`
     double most_before = 0;
-    double most = 0;       // in any tenth from `at` up to `end`
-    double most_at = 0;    // its begin, seconds of the run
+    double most = 0;        // in any tenth from `at` up to `end`
+    double most_at = 0;     // its begin, seconds of the run
     std::uint64_t all = 0;  // from `at` up to `end`
     // `most` as a multiple of the mean before, which counts as one a tenth at least.
     double times() const { return most / (mean_before > 1 ? mean_before : 1); }
--- a/src/rig/main.cc
+++ b/src/rig/main.cc
@@ -117,7 +117,8 @@
       ->check(CLI::Range(1, 1000));
   plant->add_option("--seed", seed, "the first one")->check(CLI::PositiveNumber);
   plant->add_option("--seeds", table.seeds, "so many runs")->check(CLI::Range(1, 10000));
-  plant->add_option("--hold-origin", table.plant.origin_held, "keep the origin's gate this far open")
+  plant
+      ->add_option("--hold-origin", table.plant.origin_held, "keep the origin's gate this far open")
       ->check(CLI::Range(0.05, 1.0));
   plant->add_option("--hold-caches", table.plant.caches_held, "keep the caches' gate this far open")
       ->check(CLI::Range(0.05, 1.0));
--- a/src/rig/model/draw.cc
+++ b/src/rig/model/draw.cc
@@ -141,8 +141,10 @@
   void link(double at) {
     static constexpr const char* kWays[] = {"both", "to-host", "to-balancer"};
     const auto kind = random_.below(3);
-    begin(kind == 0 ? "link-stall" : kind == 1 ? "link-delay" : "link-reset", at,
-          pick(0.5, kLongest));
+    begin(kind == 0   ? "link-stall"
+          : kind == 1 ? "link-delay"
+                      : "link-reset",
+          at, pick(0.5, kLongest));
     add(out_, "way = \"%s\"\nshare = %.2f\nfactor = %.3f\n", kWays[random_.below(3)],
         pick(0.2, 0.7), kind == 1 ? pick(5, 150) : pick(0.01, 0.1));
     if (random_.chance(0.3)) {
@@ -155,8 +157,8 @@
 
   void trouble(double at) {
     static constexpr std::pair<const char*, double> kTroubles[] = {
-        {"pause", 0},   {"hang", 0},   {"slow", 4},   {"errors", 0.5}, {"resets", 0.3},
-        {"refuse", 0},  {"silent", 0}, {"spoil", 0.2}};
+        {"pause", 0},    {"hang", 0},   {"slow", 4},   {"errors", 0.5},
+        {"resets", 0.3}, {"refuse", 0}, {"silent", 0}, {"spoil", 0.2}};
     const auto& [what, most] = kTroubles[random_.below(8)];
     begin(what, at, pick(0.5, kLongest));
     if (most > 0) add(out_, "factor = %.2f\n", most > 1 ? pick(1.5, most) : pick(0.02, most));
--- a/src/rig/model/scenario.cc
+++ b/src/rig/model/scenario.cc
@@ -169,14 +169,13 @@
     std::tie(i.to_host, i.to_balancer) = k.choice("way", std::pair(true, true), kWays);
   if (!strikes_hosts(i.what) && !strikes_links(i.what) && !(i.host + i.kind + i.zone).empty())
     k.bad("what", "'" + std::string(name_of(i.what)) + "' strikes no host");
-  const bool lasts = i.what == What::kPause || i.what == What::kHang || i.what == What::kSlow ||
-                     i.what == What::kErrors || i.what == What::kResets ||
-                     i.what == What::kRefuse || i.what == What::kSilent || i.what == What::kSpoil ||
-                     i.what == What::kBurst || i.what == What::kDemand ||
-                     i.what == What::kDiscoveryDown || i.what == What::kMoveSlots ||
-                     i.what == What::kJam || i.what == What::kHolderStop ||
-                     i.what == What::kHolderCut || i.what == What::kBalancerStop ||
-                     strikes_links(i.what);
+  const bool lasts =
+      i.what == What::kPause || i.what == What::kHang || i.what == What::kSlow ||
+      i.what == What::kErrors || i.what == What::kResets || i.what == What::kRefuse ||
+      i.what == What::kSilent || i.what == What::kSpoil || i.what == What::kBurst ||
+      i.what == What::kDemand || i.what == What::kDiscoveryDown || i.what == What::kMoveSlots ||
+      i.what == What::kJam || i.what == What::kHolderStop || i.what == What::kHolderCut ||
+      i.what == What::kBalancerStop || strikes_links(i.what);
   if (lasts && i.length == Duration{0}) k.bad("for_s", "is missing: this one needs a length");
   if (i.what == What::kFailover && s.clusters[static_cast<std::size_t>(i.cluster)].replicas == 0)
     k.bad("cluster", "has no replica that could take over");
--- a/src/rig/model/scenario.h
+++ b/src/rig/model/scenario.h
@@ -157,12 +157,12 @@
   Duration length{0};
   std::string host, kind, zone, tenant;  // whom it strikes; "origin" is a host here
   int cluster = -1;
-  double share = 1;     // of those that fit
-  double factor = 1;    // how slow, how likely, how much
-  int balancer = -1;    // -1: `share` of them, one after the other
+  double share = 1;                         // of those that fit
+  double factor = 1;                        // how slow, how likely, how much
+  int balancer = -1;                        // -1: `share` of them, one after the other
   bool to_host = true, to_balancer = true;  // which directions of a link
-  Duration stagger{0};  // between balancers, or between hosts
-  Duration drain{0};    // before a kill, restart or replacement
+  Duration stagger{0};                      // between balancers, or between hosts
+  Duration drain{0};                        // before a kill, restart or replacement
   int line = 0;
 };
 
@@ -178,8 +178,8 @@
   Duration warm_up{0};  // at its start; counts for the rules, not for the figures
   int balancers = 1;
   int memory_mb = 192, sockets = 1024;
-  // So many of the balancers vote on who holds the service address that clients come to; 0: each has
-  // an address of its own.
+  // So many of the balancers vote on who holds the service address that clients come to; 0: each
+  // has an address of its own.
   int group_voters = 0;
   LoadSpec load;
   std::vector<ClassSpec> classes;
--- a/src/rig/moves.cc
+++ b/src/rig/moves.cc
@@ -50,8 +50,8 @@
   return in_order(f) || f == Fault::kNoRouter ? GroupNet::kOverlap : Duration{0};
 }
 
-// One question on a connection of its own: who are you, and is this key there? The first is answered
-// by whoever has the connection, the second only by one that may serve.
+// One question on a connection of its own: who are you, and is this key there? The first is
+// answered by whoever has the connection, the second only by one that may serve.
 class Probe : public std::enable_shared_from_this<Probe> {
  public:
   struct Answer {
@@ -118,8 +118,8 @@
   asio::steady_timer timer_;
   std::function<void(const Answer&)> done_;
   Answer answer_;
-  const std::string out_ = resp::Command::of({"CLUSTER", "MYID"}).wire() +
-                           resp::Command::of({"GET", "probe"}).wire();
+  const std::string out_ =
+      resp::Command::of({"CLUSTER", "MYID"}).wire() + resp::Command::of({"GET", "probe"}).wire();
   std::array<char, 512> in_{};
   resp::ReplyReader reader_{resp::Bounds{}};
   std::string reply_;
@@ -175,7 +175,8 @@
     for (const auto& [fault, name] : kFaults)
       if (options_.only == name) only = fault;
     for (int r = 0; r < options_.rounds; ++r) {
-      const Fault fault = only ? *only : kFaults[static_cast<std::size_t>(r) % kFaults.size()].first;
+      const Fault fault =
+          only ? *only : kFaults[static_cast<std::size_t>(r) % kFaults.size()].first;
       if (!play(fault)) break;
       if (options_.progress) progress(r + 1);
     }
@@ -190,10 +191,10 @@
 
  private:
   std::string operator_file(int i) const {
-    return "[process]\nname = \"" + GroupNet::name_of(i) + "\"\nsockets = 512\n[[pool]]\nname = " +
-           "\"p\"\nseeds = [\"" + cluster_.address(0) + "\"]\n[[listener]]\nname = \"l\"\n" +
-           "address = \"" + net_.listen(i) + "\"\npool = \"p\"\nservice = \"" +
-           GroupNet::kService + "\"\n" + net_.tables(i);
+    return "[process]\nname = \"" + GroupNet::name_of(i) +
+           "\"\nsockets = 512\n[[pool]]\nname = " + "\"p\"\nseeds = [\"" + cluster_.address(0) +
+           "\"]\n[[listener]]\nname = \"l\"\n" + "address = \"" + net_.listen(i) +
+           "\"\npool = \"p\"\nservice = \"" + GroupNet::kService + "\"\n" + net_.tables(i);
   }
   int fail(const std::string& why) {
     std::fprintf(stderr, "silverpin_rig: %s; logs in %s\n", why.c_str(), options_.folder.c_str());
@@ -232,8 +233,8 @@
       }
       const int who = instance_of(a.who);
       if (round_ && a.answered > round_->struck) {
-        round_->longest_gap = std::max(round_->longest_gap,
-                                       a.answered - std::max(last_served_, round_->struck));
+        round_->longest_gap =
+            std::max(round_->longest_gap, a.answered - std::max(last_served_, round_->struck));
         if (who >= 0 && who != round_->old_holder && !round_->served_again)
           round_->served_again = a.answered;
       }
@@ -274,8 +275,7 @@
   }
   void note_routes(std::size_t routes) {
     const Time now = context_.now();
-    if (two_since_ && round_)
-      round_->two_routes = std::max(round_->two_routes, now - *two_since_);
+    if (two_since_ && round_) round_->two_routes = std::max(round_->two_routes, now - *two_since_);
     if (routes < 2) {
       two_since_.reset();
     } else if (!two_since_) {
@@ -380,23 +380,24 @@
         too_long += r.two_serve > GroupNet::kOverlap;
         std::vector<double> late_ms;
         for (const Duration d : r.late_serving) late_ms.push_back(millis(d));
-        all.push_back({{"fault", name},
-                       {"served_again_ms", r.served_again ? millis(*r.served_again - r.struck) : -1},
-                       {"gap_ms", millis(r.longest_gap)},
-                       {"probes_failed", r.failed_probes},
-                       {"two_routes_ms", millis(r.two_routes)},
-                       {"two_serve_ms", millis(r.two_serve)},
-                       {"struck_at_s", millis(r.struck) / 1e3},
-                       {"old", GroupNet::name_of(r.old_holder)},
-                       {"old_served_late_ms", late_ms}});
+        all.push_back(
+            {{"fault", name},
+             {"served_again_ms", r.served_again ? millis(*r.served_again - r.struck) : -1},
+             {"gap_ms", millis(r.longest_gap)},
+             {"probes_failed", r.failed_probes},
+             {"two_routes_ms", millis(r.two_routes)},
+             {"two_serve_ms", millis(r.two_serve)},
+             {"struck_at_s", millis(r.struck) / 1e3},
+             {"old", GroupNet::name_of(r.old_holder)},
+             {"old_served_late_ms", late_ms}});
       }
       if (count == 0) continue;
       std::sort(times.begin(), times.end());
       const auto at = [&times](double q) {
-        return times.empty() ? -1
-                             : times[std::min(times.size() - 1,
-                                              static_cast<std::size_t>(
-                                                  q * static_cast<double>(times.size())))];
+        return times.empty()
+                   ? -1
+                   : times[std::min(times.size() - 1, static_cast<std::size_t>(
+                                                          q * static_cast<double>(times.size())))];
       };
       std::printf("%-24s %6d  %8.0f %8.0f %9.0f  %8.0f %8d  %9.0f  %9.0f  %d\n", name, count,
                   at(0.5), at(0.99), times.empty() ? -1 : times.back(), gap, failed, routes, serve,
--- a/src/rig/moves.h
+++ b/src/rig/moves.h
@@ -4,7 +4,8 @@
 #include <string>
 
 // How a service address moves: five real balancers in a group, a router, and a probe that asks
-// through the router all the time, while the holder is killed, stopped, cut off or told to hand over.
+// through the router all the time, while the holder is killed, stopped, cut off or told to hand
+// over.
 namespace silverpin::rig {
 
 struct MoveOptions {
@@ -22,7 +23,8 @@
 
 // Returns the exit code: 0; 1 where nobody took an address over within 20 s, two served at once for
 // longer than the overlap of an orderly move, or the old one beside its successor where it hands
-// nothing over; 2 where it could not be carried out. The report has the other times; none of them is judged.
+// nothing over; 2 where it could not be carried out. The report has the other times; none of them
+// is judged.
 int run_moves(const MoveOptions& options);
 
 }  // namespace silverpin::rig
--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -283,8 +283,16 @@
     run_.load->close_all();
     if (run_.interrupted()) run_.io.restart();
     end_balancers();
-    RunFigures figures{s_,      run_.context.auditor, run_.context.stampede, run_.tally, *run_.load,
-                       fleet_, {},                   {},                     run_.samples, run_.lag};
+    RunFigures figures{s_,
+                       run_.context.auditor,
+                       run_.context.stampede,
+                       run_.tally,
+                       *run_.load,
+                       fleet_,
+                       {},
+                       {},
+                       run_.samples,
+                       run_.lag};
     for (const auto& c : clusters_) figures.clusters.push_back(c.get());
     for (const auto& b : balancers_) figures.balancers.push_back(b->figures());
     const int verdict = write_report(figures, options_.folder);
@@ -527,10 +535,17 @@
   run.until([&] { return run.load->done(); },
             s.length + longest_deadline(s) + std::chrono::seconds(2));
   run.load->close_all();
-  return write_report(
-      {s, run.context.auditor, run.context.stampede, run.tally, *run.load, none, {}, {},
-       run.samples, run.lag},
-      options.folder);
+  return write_report({s,
+                       run.context.auditor,
+                       run.context.stampede,
+                       run.tally,
+                       *run.load,
+                       none,
+                       {},
+                       {},
+                       run.samples,
+                       run.lag},
+                      options.folder);
 }
 
 }  // namespace silverpin::rig
--- a/src/rig/servers/bgp_router.cc
+++ b/src/rig/servers/bgp_router.cc
@@ -73,23 +73,23 @@
   void read() {
     if (router_->frozen_ || router_->is_cut(peer_)) return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(in_), [self = shared_from_this()](const error_code& e,
-                                                                           std::size_t n) {
-      self->reading_ = false;
-      if (!self->router_) return;
-      if (self->router_->is_cut(self->peer_)) {
-        self->lost_ = true;  // it got lost on its way, and with it all that follows
-        return;
-      }
-      if (e || self->lost_) return self->end();
-      self->reader_.feed({self->in_.data(), n});
-      while (auto item = self->reader_.next()) {
-        if (!std::holds_alternative<bgp::Message>(*item) ||
-            !self->take(std::get<bgp::Message>(*item)))
-          return self->end();
-      }
-      self->read();
-    });
+    socket_.async_read_some(
+        asio::buffer(in_), [self = shared_from_this()](const error_code& e, std::size_t n) {
+          self->reading_ = false;
+          if (!self->router_) return;
+          if (self->router_->is_cut(self->peer_)) {
+            self->lost_ = true;  // it got lost on its way, and with it all that follows
+            return;
+          }
+          if (e || self->lost_) return self->end();
+          self->reader_.feed({self->in_.data(), n});
+          while (auto item = self->reader_.next()) {
+            if (!std::holds_alternative<bgp::Message>(*item) ||
+                !self->take(std::get<bgp::Message>(*item)))
+              return self->end();
+          }
+          self->read();
+        });
   }
   bool take(const bgp::Message& message) {
     heard_ = router_->clock_();
@@ -146,7 +146,8 @@
                               if (!self->router_) return;
                               if (e) return self->end();
                               error_code ignored;
-                              for (auto& s : self->sides_) s.set_option(tcp::no_delay(true), ignored);
+                              for (auto& s : self->sides_)
+                                s.set_option(tcp::no_delay(true), ignored);
                               self->up_ = true;
                               self->read(0);
                               self->read(1);
@@ -172,8 +173,8 @@
     if (router_->is_cut(next_hop_)) return;
     busy_[side] = true;
     sides_[side].async_read_some(
-        asio::buffer(buffers_[side]), [self = shared_from_this(), side](const error_code& e,
-                                                                        std::size_t n) {
+        asio::buffer(buffers_[side]),
+        [self = shared_from_this(), side](const error_code& e, std::size_t n) {
           if (!self->router_) return;
           if (e) {
             self->busy_[side] = false;
@@ -244,8 +245,8 @@
 }
 
 std::uint16_t BgpRouter::forward(const bgp::Prefix& prefix, std::uint16_t to_port) {
-  auto acceptor = std::make_unique<tcp::acceptor>(
-      io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  auto acceptor =
+      std::make_unique<tcp::acceptor>(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
   const auto port = acceptor->local_endpoint().port();
   accept_client(*acceptor, prefix, to_port);
   forwards_[prefix] = std::move(acceptor);
--- a/src/rig/servers/fleet.h
+++ b/src/rig/servers/fleet.h
@@ -5,8 +5,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "rig/servers/cache_server.h"
 #include "rig/judge/context.h"
+#include "rig/servers/cache_server.h"
 #include "rig/servers/discovery_server.h"
 #include "rig/servers/links.h"
 #include "rig/servers/origin_server.h"
@@ -36,7 +36,7 @@
     std::uint64_t served, turned_away;
   };
   std::vector<HostFigures> figures() const;
-  const Links* links() const { return links_.get(); }  // none where nothing troubles them
+  const Links* links() const { return links_.get(); }    // none where nothing troubles them
   void warm_with(const std::vector<std::string>& keys);  // as if they had been asked for lately
 
  private:
--- a/src/rig/servers/links.cc
+++ b/src/rig/servers/links.cc
@@ -79,14 +79,13 @@
   tcp::socket& to(std::size_t way) { return ends_[1 - way]; }
 
   void read(std::size_t way) {
-    from(way).async_read_some(
-        asio::buffer(pieces_[way]),
-        [self = shared_from_this(), way](const error_code& e, std::size_t n) {
-          if (self->closed_) return;
-          if (e && e != asio::error::eof) return self->reset();
-          self->sizes_[way] = e ? 0 : n;
-          self->pass(way);
-        });
+    from(way).async_read_some(asio::buffer(pieces_[way]),
+                              [self = shared_from_this(), way](const error_code& e, std::size_t n) {
+                                if (self->closed_) return;
+                                if (e && e != asio::error::eof) return self->reset();
+                                self->sizes_[way] = e ? 0 : n;
+                                self->pass(way);
+                              });
   }
 
   // An end of the stream passes like a piece of it.
@@ -159,8 +158,7 @@
         link->acceptor.async_accept([me = *this](const error_code& e, tcp::socket socket) {
           if (e == asio::error::operation_aborted || !me.link->acceptor.is_open()) return;
           if (!e && me.link->sessions.size() < kMostSessions) {
-            const auto session =
-                std::make_shared<Session>(*me.links, *me.link, std::move(socket));
+            const auto session = std::make_shared<Session>(*me.links, *me.link, std::move(socket));
             me.link->sessions.insert(session);
             session->start();
           }
--- a/src/settings/group_file.cc
+++ b/src/settings/group_file.cc
@@ -58,8 +58,7 @@
 std::vector<std::string> names(Keys& keys, std::string_view key) {
   auto all = keys.texts(key);
   for (const auto& n : all)
-    if (n.empty() || n.size() > 64 ||
-        n.find_first_of(" \t\"\\") != std::string::npos)
+    if (n.empty() || n.size() > 64 || n.find_first_of(" \t\"\\") != std::string::npos)
       keys.bad(key, "holds what is no name: " + n);
   return all;
 }
@@ -107,11 +106,10 @@
   std::sort(g.founding.names.begin(), g.founding.names.end());
   if (g.founding.names.empty()) keys.bad("voters", "is missing");
   if (!address::valid(g.founding))
-    keys.bad("voters", "must be up to " + std::to_string(address::kMostVoters) +
-                           " different names");
+    keys.bad("voters",
+             "must be up to " + std::to_string(address::kMostVoters) + " different names");
   g.membership.period = keys.time("probe_ms", 1e-3, 200, 20, 60'000);
-  g.membership.most_wait =
-      std::max<Duration>(g.membership.least_wait, g.membership.period * 3 / 4);
+  g.membership.most_wait = std::max<Duration>(g.membership.least_wait, g.membership.period * 3 / 4);
   g.membership.suspicion = keys.real("suspicion", 3, 1, 100);
   g.membership.most_members = static_cast<std::size_t>(keys.whole("most_members", 320, 2, 2000));
   read_times(keys, g);
--- a/src/settings/group_file.h
+++ b/src/settings/group_file.h
@@ -37,9 +37,9 @@
 };
 
 struct GroupFile {
-  std::string name;      // of this instance
-  std::string listen;    // datagrams; IP and port
-  std::string announce;  // as others are told to reach it; where it listens, if empty
+  std::string name;                   // of this instance
+  std::string listen;                 // datagrams; IP and port
+  std::string announce;               // as others are told to reach it; where it listens, if empty
   std::vector<std::string> networks;  // that members' datagrams may come from
   std::string key_file;
   Duration key_change{std::chrono::seconds(60)};
--- a/src/settings/operator.cc
+++ b/src/settings/operator.cc
@@ -83,7 +83,8 @@
 // policy either, whose targets follow the shortest aim.
 void add_default_class(RespPool& pool, const std::string& name, const char* word, Repeat repeat) {
   for (const RespClass& c : pool.classes)
-    if (c.prefix.empty() && std::find(c.commands.begin(), c.commands.end(), word) != c.commands.end())
+    if (c.prefix.empty() &&
+        std::find(c.commands.begin(), c.commands.end(), word) != c.commands.end())
       return;
   RequestClass r;
   r.repeat = repeat;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,9 +20,9 @@
   Duration connect_timeout{0};
   Duration idle_close{0};  // hosts close connections that have stood idle for this long
   int streams_per_connection = 1;
-  bool shared_connections = false;     // not only where no other can be had
+  bool shared_connections = false;                    // not only where no other can be had
   Duration slow_after{std::chrono::milliseconds(2)};  // no answer that took less counts as slow
-  std::size_t most_unsafe = SIZE_MAX;  // attempts on one connection that must never run twice
+  std::size_t most_unsafe = SIZE_MAX;       // attempts on one connection that must never run twice
   std::size_t most_connections = SIZE_MAX;  // to all hosts together
   std::int64_t most_held = 0;  // requests that may be open at once; 0: no limit is stated
 };
--- a/src/settings/toml_keys.h
+++ b/src/settings/toml_keys.h
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "structures/time.h"
 #include "settings/field_error.h"
+#include "structures/time.h"
 
 // Reading of the TOML files that operators write: every error names file, line, key and reason, and
 // keys that nobody knows are errors.
--- a/src/trace/heavy_hitters.cc
+++ b/src/trace/heavy_hitters.cc
@@ -14,7 +14,9 @@
 constexpr std::size_t kMostWidth = std::size_t{1} << 24, kMostDepth = 16;
 constexpr std::uint64_t kMostCount = std::numeric_limits<std::uint64_t>::max();
 
-std::uint64_t plus(std::uint64_t a, std::uint64_t b) { return a > kMostCount - b ? kMostCount : a + b; }
+std::uint64_t plus(std::uint64_t a, std::uint64_t b) {
+  return a > kMostCount - b ? kMostCount : a + b;
+}
 
 }  // namespace
 
@@ -116,7 +118,8 @@
 }
 
 std::size_t HeavyHitters::most_bytes() const {
-  constexpr std::size_t kNode = sizeof(std::pair<const std::uint64_t, std::size_t>) + 2 * sizeof(void*);
+  constexpr std::size_t kNode =
+      sizeof(std::pair<const std::uint64_t, std::size_t>) + 2 * sizeof(void*);
   return sizeof *this + cells_.size() * sizeof(cells_[0]) +
          options_.most * (sizeof(Kept) + options_.most_text + 1 + kNode);
 }
--- a/src/trace/heavy_hitters.h
+++ b/src/trace/heavy_hitters.h
@@ -11,8 +11,8 @@
 namespace silverpin::trace {
 
 // The most frequent of a stream of texts (keys, tenants, clients) in bounded memory. A count-min
-// sketch (Cormode and Muthukrishnan, 2005) with conservative update (Estan and Varghese, 2002) counts
-// all of them; those with the highest counts are kept by name.
+// sketch (Cormode and Muthukrishnan, 2005) with conservative update (Estan and Varghese, 2002)
+// counts all of them; those with the highest counts are kept by name.
 //
 // A count is never below the truth. It is above it by more than e * total() / width for about one
 // text in exp(depth) at most, and nobody who does not know the secret can choose which: the hash is
@@ -20,10 +20,11 @@
 class HeavyHitters {
  public:
   struct Options {
-    std::size_t width = 4096;    // counters a row; rounded up to a power of two, 2^24 at most
-    std::size_t depth = 4;       // rows, 16 at most
-    std::size_t most = 64;       // texts that are kept by name
-    std::size_t most_text = 64;  // bytes of each; what is longer is cut, and still counted as a whole
+    std::size_t width = 4096;  // counters a row; rounded up to a power of two, 2^24 at most
+    std::size_t depth = 4;     // rows, 16 at most
+    std::size_t most = 64;     // texts that are kept by name
+    std::size_t most_text =
+        64;  // bytes of each; what is longer is cut, and still counted as a whole
     std::array<unsigned char, 16> secret{};
   };
   struct Entry {
@@ -56,8 +57,8 @@
 
   Options options_;
   std::size_t mask_ = 0;
-  std::vector<std::uint64_t> cells_;  // row by row
-  std::vector<Kept> kept_;            // a heap, the least frequent in front
+  std::vector<std::uint64_t> cells_;                      // row by row
+  std::vector<Kept> kept_;                                // a heap, the least frequent in front
   std::unordered_map<std::uint64_t, std::size_t> place_;  // by hash, in kept_
   std::uint64_t total_ = 0;
 };
--- a/src/trace/quantile_sketch.cc
+++ b/src/trace/quantile_sketch.cc
@@ -69,7 +69,8 @@
   if (&other == this) return merge(QuantileSketch(other));
   // From the top, so that what is drawn together is the lowest of both.
   for (int i = other.highest_; i >= other.lowest_; --i)
-    if (const auto n = other.buckets_[static_cast<std::size_t>(i - other.first_)]; n > 0) add_to(i, n);
+    if (const auto n = other.buckets_[static_cast<std::size_t>(i - other.first_)]; n > 0)
+      add_to(i, n);
   zeros_ += other.zeros_;
   count_ += other.count_;
   collapsed_ = collapsed_ || other.collapsed_;
--- a/src/trace/quantile_sketch.h
+++ b/src/trace/quantile_sketch.h
@@ -12,8 +12,8 @@
 class QuantileSketch {
  public:
   // accuracy: the relative error, from 0.0001 to 0.5. most_buckets, from 16 to 65536: 2048 span 17
-  // orders of magnitude at 1%. Where values lie further apart the lowest are drawn together, and only
-  // quantiles among those lose the bound. Throws std::invalid_argument.
+  // orders of magnitude at 1%. Where values lie further apart the lowest are drawn together, and
+  // only quantiles among those lose the bound. Throws std::invalid_argument.
   explicit QuantileSketch(double accuracy = 0.01, std::size_t most_buckets = 2048);
 
   // Below 1e-12, and what is no number, counts as zero; above 1e18 as that.
@@ -21,7 +21,8 @@
   // False, and nothing has changed, where the other's accuracy is another.
   bool merge(const QuantileSketch& other);
   std::uint64_t count() const { return count_; }
-  // q from 0 to 1, of the values so far by rank q * (count - 1), rounded down; 0 where there is none.
+  // q from 0 to 1, of the values so far by rank q * (count - 1), rounded down; 0 where there is
+  // none.
   double quantile(double q) const;
   // Some of the lowest were drawn together.
   bool collapsed() const { return collapsed_; }
@@ -33,7 +34,7 @@
 
   double accuracy_, log_gamma_;
   std::vector<std::uint64_t> buckets_;
-  int first_ = 0;              // index of buckets_[0]
+  int first_ = 0;                  // index of buckets_[0]
   int lowest_ = 0, highest_ = -1;  // of those in use
   std::uint64_t zeros_ = 0, count_ = 0;
   bool collapsed_ = false;
--- a/tests/bgp_test.cc
+++ b/tests/bgp_test.cc
@@ -1,5 +1,5 @@
-// BGP-4: messages as RFC 4271 has them, sessions against each other and against a peer that does not
-// keep to it, and announcements to several routers.
+// BGP-4: messages as RFC 4271 has them, sessions against each other and against a peer that does
+// not keep to it, and announcements to several routers.
 #include <gtest/gtest.h>
 
 #include <random>
@@ -50,8 +50,8 @@
   open.as = 4200000001;
   open.hold_time = 9;
   open.id = 0x7f00000b;
-  const std::string body = bytes({4, 0x5b, 0xa0, 0, 9, 127, 0, 0, 11, 8, 2, 6, 65, 4, 0xfa, 0x56,
-                                  0xea, 0x01});
+  const std::string body =
+      bytes({4, 0x5b, 0xa0, 0, 9, 127, 0, 0, 11, 8, 2, 6, 65, 4, 0xfa, 0x56, 0xea, 0x01});
   EXPECT_EQ(encode(open), framed(1, body));
   const auto item = read(framed(1, body));
   const auto& back = std::get<Open>(std::get<Message>(item));
@@ -178,8 +178,8 @@
 
 // Known by nobody, optional: passed over.
 TEST(BgpCodec, UnknownOptionalAttributesAreLeftOut) {
-  const std::string attributes = bytes({0x40, 1, 1, 0, 0x40, 2, 0, 0x40, 3, 4, 10, 0, 0, 1}) +
-                                 bytes({0xd0, 99, 0, 2, 1, 2});
+  const std::string attributes =
+      bytes({0x40, 1, 1, 0, 0x40, 2, 0, 0x40, 3, 4, 10, 0, 0, 1}) + bytes({0xd0, 99, 0, 2, 1, 2});
   const auto item = read(framed(2, bytes({0, 0, 0, static_cast<int>(attributes.size())}) +
                                        attributes + bytes({32, 10, 0, 0, 9})));
   EXPECT_EQ(std::get<Update>(std::get<Message>(item)).attributes->next_hop, 0x0a000001u);
@@ -247,8 +247,8 @@
     const Time end = now + length;
     settle();
     while (now < end) {
-      now = std::min(end, std::max(now + milliseconds(1), std::min(sides[0].next(),
-                                                                   sides[1].next())));
+      now = std::min(end,
+                     std::max(now + milliseconds(1), std::min(sides[0].next(), sides[1].next())));
       for (Session& s : sides)
         if (s.next() <= now) s.on_timer(now);
       settle();
@@ -421,8 +421,8 @@
   void bring_up(std::size_t r) {
     ASSERT_TRUE(std::exchange(dialled[r], false));
     speaker->on_connected(now, r, Way::kOut);
-    speaker->on_bytes(now, r, Way::kOut, encode(Open{r == 1 ? 65000u : 64512u, 180, 1, true}) +
-                                             encode(Keepalive{}));
+    speaker->on_bytes(now, r, Way::kOut,
+                      encode(Open{r == 1 ? 65000u : 64512u, 180, 1, true}) + encode(Keepalive{}));
     carry();
     ASSERT_TRUE(speaker->session(r).established());
   }
--- a/tests/crossings_test.cc
+++ b/tests/crossings_test.cc
@@ -433,9 +433,9 @@
   ASSERT_TRUE(wait([&] { return c->in == "HD O1 cr\r\n"; }));
 }
 
-// The origin answers a second time, some milliseconds late, when the next fetch is out: HTTP does not
-// tell whose answer it is. On a busy machine the connection may have rested meanwhile, and another try
-// is made.
+// The origin answers a second time, some milliseconds late, when the next fetch is out: HTTP does
+// not tell whose answer it is. On a busy machine the connection may have rested meanwhile, and
+// another try is made.
 TEST_F(CoreTest, ALateSecondAnswerOfTheOriginIsNobodysValue) {
   ScriptedCache cache(io);
   ScriptedOrigin origin(io);
@@ -549,8 +549,8 @@
 
 // ---- a client's connection is closed, its command comes whole
 
-// The rest of a command comes in the turn in which its time is over, or in which its place is needed.
-// The loop is late, so that the ticks are due; the test's own timer is the first of them.
+// The rest of a command comes in the turn in which its time is over, or in which its place is
+// needed. The loop is late, so that the ticks are due; the test's own timer is the first of them.
 TEST_F(CoreTest, ACommandThatBecomesWholeInTheTurnOfItsEndIsAnswered) {
   times.first_command = milliseconds(100);
   begin();
--- a/tests/fuzz/bgp_fuzz.cc
+++ b/tests/fuzz/bgp_fuzz.cc
@@ -1,6 +1,6 @@
 // Any bytes, cut anywhere, through the reader of BGP messages and a session that is up. What must
-// hold: no crash, an end, the same messages however the input is cut, and updates that read the same
-// again.
+// hold: no crash, an end, the same messages however the input is cut, and updates that read the
+// same again.
 #include <algorithm>
 #include <cstdint>
 #include <cstdlib>
--- a/tests/fuzz/group_fuzz.cc
+++ b/tests/fuzz/group_fuzz.cc
@@ -1,5 +1,5 @@
-// Any bytes as a group's datagram, as a member's own word and as a voter's record. What must hold: no
-// crash; what is taken is within its bounds, reads the same again, and can be given to a member.
+// Any bytes as a group's datagram, as a member's own word and as a voter's record. What must hold:
+// no crash; what is taken is within its bounds, reads the same again, and can be given to a member.
 #include <cstdint>
 #include <cstdlib>
 #include <string>
--- a/tests/group_sim.h
+++ b/tests/group_sim.h
@@ -39,8 +39,7 @@
   GroupSim(std::uint64_t seed, int instances, int addresses, int voters = 3,
            address::KeeperSettings keeper = {})
       : random_(seed) {
-    for (int i = 0; i < addresses; ++i)
-      keeper.addresses.push_back({"svc" + std::to_string(i), {}});
+    for (int i = 0; i < addresses; ++i) keeper.addresses.push_back({"svc" + std::to_string(i), {}});
     keeper_ = keeper;
     for (int v = 0; v < voters; ++v) founding_.names.push_back(name_of(v));
     std::sort(founding_.names.begin(), founding_.names.end());
@@ -222,7 +221,8 @@
   };
 
   Time local(const Node& n) const {
-    return n.offset + Duration(static_cast<Duration::rep>(static_cast<double>(now_.count()) * n.rate));
+    return n.offset +
+           Duration(static_cast<Duration::rep>(static_cast<double>(now_.count()) * n.rate));
   }
   Time true_time(const Node& n, Time t) const {
     return Time(static_cast<Duration::rep>(static_cast<double>((t - n.offset).count()) / n.rate)) +
@@ -314,8 +314,8 @@
   }
   void drop_routes_after(Node& n, Duration delay) {
     after(delay, [this, &n, epoch = n.epoch] {
-      const bool silent = epoch != n.epoch || !n.instance || n.paused ||
-                          cut.count({n.name, "router"}) > 0;
+      const bool silent =
+          epoch != n.epoch || !n.instance || n.paused || cut.count({n.name, "router"}) > 0;
       if (!silent || (epoch != n.epoch && n.instance && !n.paused)) return;
       for (auto& [address, by] : router.routes) by.erase(n.name);
     });
--- a/tests/group_sim_test.cc
+++ b/tests/group_sim_test.cc
@@ -1,10 +1,10 @@
 // Groups under the simulated clock: elections, moves, splits, pauses, crashes, keys of memory.
+#include "group_sim.h"
+
 #include <gtest/gtest.h>
 
 #include <cstdlib>
 
-#include "group_sim.h"
-
 namespace silverpin::group {
 namespace {
 
@@ -20,8 +20,8 @@
     sim = std::make_unique<GroupSim>(seed, instances, addresses, 3, keeper);
     sim->check = [this, addresses] {
       for (int a = 0; a < addresses; ++a)
-        for (const auto& who : {sim->holders("svc" + std::to_string(a)),
-                                sim->serving("svc" + std::to_string(a))})
+        for (const auto& who :
+             {sim->holders("svc" + std::to_string(a)), sim->serving("svc" + std::to_string(a))})
           ASSERT_LE(who.size(), 1u) << who[0] << " and " << who[1] << "\n" << story();
     };
   }
@@ -101,8 +101,8 @@
   }
 }
 
-// Cut off from the router only: the lease goes on, the announcement does not arrive. Whoever runs it
-// says that it is not able.
+// Cut off from the router only: the lease goes on, the announcement does not arrive. Whoever runs
+// it says that it is not able.
 TEST_F(GroupSimTest, AHolderThatCannotDoTheWorkHandsOver) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
@@ -242,7 +242,8 @@
   sim->run(seconds(5));
   EXPECT_EQ(sim->holder(kSvc), "") << "nobody's promise can be kept";
   bool said = false;
-  for (const auto& line : sim->lines()) said = said || line.find("gives no vote") != std::string::npos;
+  for (const auto& line : sim->lines())
+    said = said || line.find("gives no vote") != std::string::npos;
   EXPECT_TRUE(said);
   for (const char* voter : {"n000", "n001", "n002"}) sim->set_disk_full(voter, false);
   EXPECT_TRUE(owned(seconds(5))) << story();
@@ -356,8 +357,8 @@
   EXPECT_EQ(sim->instance("n000")->group().find("n004")->state, membership::State::kAlive);
 }
 
-// All of it at once, under a bad network. The invariant is checked after each event; at the end, once
-// all is well, the address has an owner within the bound.
+// All of it at once, under a bad network. The invariant is checked after each event; at the end,
+// once all is well, the address has an owner within the bound.
 void GroupSimTest::everything_at_once(bool forget, bool change) {
   const char* more = std::getenv("SILVERPIN_GROUP_RUNS");
   const int runs = more ? std::atoi(more) : 25;
@@ -443,12 +444,13 @@
   for (int a = 0; a < 3; ++a) EXPECT_EQ(sim->holders("svc" + std::to_string(a)).size(), 1u);
   const auto datagrams = sim->datagrams, bytes = sim->bytes, writes = sim->writes;
   sim->run(seconds(10));
-  std::printf("%d members at rest: %.1f datagrams and %.0f bytes a second each, %llu writes, "
-              "datagrams of %llu bytes at most\n",
-              size, static_cast<double>(sim->datagrams - datagrams) / (10 * size),
-              static_cast<double>(sim->bytes - bytes) / (10 * size),
-              static_cast<unsigned long long>(sim->writes - writes),
-              static_cast<unsigned long long>(sim->most_datagram));
+  std::printf(
+      "%d members at rest: %.1f datagrams and %.0f bytes a second each, %llu writes, "
+      "datagrams of %llu bytes at most\n",
+      size, static_cast<double>(sim->datagrams - datagrams) / (10 * size),
+      static_cast<double>(sim->bytes - bytes) / (10 * size),
+      static_cast<unsigned long long>(sim->writes - writes),
+      static_cast<unsigned long long>(sim->most_datagram));
   EXPECT_LT(sim->most_datagram + 45, kMostDatagram);
   EXPECT_EQ(sim->writes, writes) << "nothing is written at rest";
   const Time killed = sim->now();
--- a/tests/lease_model_test.cc
+++ b/tests/lease_model_test.cc
@@ -22,7 +22,8 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kTick = milliseconds(250);
-constexpr std::size_t kVoters = 4, kCandidates = 2, kMostOnTheWay = 12;  // the fourth at first only in name
+constexpr std::size_t kVoters = 4, kCandidates = 2,
+                      kMostOnTheWay = 12;  // the fourth at first only in name
 const Voters kAll{1, {"a", "b", "c"}};
 const std::string kNames[kVoters] = {"a", "b", "c", "d"};
 const std::string kAddress = "svc";
@@ -397,8 +398,8 @@
   EXPECT_GT(tenures, static_cast<std::size_t>(runs)) << "hardly anybody was ever elected";
 }
 
-// The same while voters come and go by the wishes of two drivers that know nothing of each other and
-// may be gone at any moment. Nobody forgets here: one that has come back to an old set by
+// The same while voters come and go by the wishes of two drivers that know nothing of each other
+// and may be gone at any moment. Nobody forgets here: one that has come back to an old set by
 // forgetting, and hears of no newer one, is what the operators' page warns of.
 TEST(LeaseModelTest, NoTwoHoldersWhileVotersChange) {
   const char* more = std::getenv("SILVERPIN_MODEL_RUNS");
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -33,7 +33,8 @@
   }
   // An address of this process's own: its port is listened on only now and then, and nobody else
   // may have it meanwhile.
-  const asio::ip::address_v4 here{0x7f000000u | 0x640000u | (static_cast<unsigned>(::getpid()) & 0xffffu)};
+  const asio::ip::address_v4 here{0x7f000000u | 0x640000u |
+                                  (static_cast<unsigned>(::getpid()) & 0xffffu)};
   std::uint16_t free_port(bool udp) {
     if (udp) return asio::ip::udp::socket(io, {here, 0}).local_endpoint().port();
     return tcp::acceptor(io, {here, 0}).local_endpoint().port();
@@ -45,23 +46,24 @@
     port = free_port(false);
     const std::string command = "[\"/bin/sh\", \"-c\", \"";
     text = "[process]\nname = \"n0\"\n[[pool]]\nname = \"p\"\nseeds = [\"" + cluster->address(0) +
-           "\"]\nrefresh_interval_ms = 20\n[[pool.class]]\nname = \"all\"\ncommands = [\"READ\", \"WRITE\"]\n"
-           "deadline_ms = 20000\n[[listener]]\nname = \"l\"\naddress = \"" + here.to_string() + ":" +
-           std::to_string(port) + "\"\npool = \"p\"\nservice = \"svc\"\n[group]\nlisten = " +
-           "\"" + here.to_string() + ":" + std::to_string(free_port(true)) +
+           "\"]\nrefresh_interval_ms = 20\n[[pool.class]]\nname = \"all\"\ncommands = [\"READ\", "
+           "\"WRITE\"]\n"
+           "deadline_ms = 20000\n[[listener]]\nname = \"l\"\naddress = \"" +
+           here.to_string() + ":" + std::to_string(port) +
+           "\"\npool = \"p\"\nservice = \"svc\"\n[group]\nlisten = " + "\"" + here.to_string() +
+           ":" + std::to_string(free_port(true)) +
            "\"\nnetworks = [\"127.0.0.0/8\"]\nkey_file = \"" + folder + "/key\"\nfolder = \"" +
-           folder + "\"\nvoters = [\"n0\"]\nlease_ms = 1500\npatience_ms = 700\nlate_ms = 5000\n" + group +
-           "\n[[address]]\nname = \"svc\"\nclaim = " + command + claim + "\"]\nrelease = " +
-           command + release + "\"]\n";
+           folder + "\"\nvoters = [\"n0\"]\nlease_ms = 1500\npatience_ms = 700\nlate_ms = 5000\n" +
+           group + "\n[[address]]\nname = \"svc\"\nclaim = " + command + claim +
+           "\"]\nrelease = " + command + release + "\"]\n";
     limits = std::make_unique<Limits>(512, 64, 64);
-    balancer = std::make_unique<Balancer>(io, std::nullopt, *limits,
-                                          parse_operator(text, "test.toml"),
-                                          [this](const std::string& line) { log.push_back(line); });
+    balancer =
+        std::make_unique<Balancer>(io, std::nullopt, *limits, parse_operator(text, "test.toml"),
+                                   [this](const std::string& line) { log.push_back(line); });
   }
   bool logged(const std::string& part) const {
-    return std::any_of(log.begin(), log.end(), [&](const std::string& l) {
-      return l.find(part) != std::string::npos;
-    });
+    return std::any_of(log.begin(), log.end(),
+                       [&](const std::string& l) { return l.find(part) != std::string::npos; });
   }
   bool listens() {
     boost::system::error_code error;
@@ -142,7 +144,8 @@
   begin_member();
   auto c = served();
   cluster->fault = [](int, const resp::Command& command) {
-    return command.size() > 2 && command[2] == "slow" ? RespCluster::Fault::kSlow : RespCluster::Fault::kNone;
+    return command.size() > 2 && command[2] == "slow" ? RespCluster::Fault::kSlow
+                                                      : RespCluster::Fault::kNone;
   };
   c->send(wire({"RPUSH", "k", "slow"}));
   ASSERT_TRUE(wait([this] { return ran("slow") == 1; }));
@@ -209,7 +212,7 @@
   EXPECT_TRUE(ask("voters add nobody").contains("error"));
   EXPECT_TRUE(ask("frob").contains("error"));
   EXPECT_TRUE(ask(std::string(2000, 'x')).contains("error"));
-  struct stat s{};
+  struct stat s {};
   ASSERT_EQ(::stat((folder + "/n0.sock").c_str(), &s), 0);
   EXPECT_EQ(s.st_mode & 0777, 0600u);
 }
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -135,8 +135,8 @@
   EXPECT_FALSE(exited());
 }
 
-// Stopped for over a second, with requests of its clients and news of discovery waiting for it: what
-// they ask for goes by the news, though they come first.
+// Stopped for over a second, with requests of its clients and news of discovery waiting for it:
+// what they ask for goes by the news, though they come first.
 TEST_F(ProgramTest, BehindAStandstillNothingGoesByTheOldList) {
   FakeDiscovery discovery(io_);
   const auto answer = [](const auto&, const auto& id) { return FakeCache::value(id, "v1"); };
@@ -155,7 +155,8 @@
   const auto before = old.ids.size();
   ::kill(pid_, SIGSTOP);
   for (std::size_t i = 0; i < clients.size(); ++i)
-    clients[i]->send("mg k" + std::to_string(i) + " v O2" + std::to_string(i) + " Pc=read,t=acme,d=5000\r\n");
+    clients[i]->send("mg k" + std::to_string(i) + " v O2" + std::to_string(i) +
+                     " Pc=read,t=acme,d=5000\r\n");
   discovery.hosts = host_entry("h1", old.server.dial(), "std", "draining") + "," +
                     host_entry("h2", fresh.server.dial());
   io_.run_for(std::chrono::milliseconds(1500));
--- a/tests/rig/program_test.cc
+++ b/tests/rig/program_test.cc
@@ -64,16 +64,17 @@
 // Faults between processes: links that stall in one direction and break off, balancers that stand
 // still and go on, half of them killed, and killed again while they come back.
 TEST_F(RigProgramTest, FaultsBetweenProcesses) {
-  write(scenario_text("[[incident]]\nwhat = \"link-stall\"\nway = \"to-balancer\"\nhost = \"h0\"\n"
-                      "share = 0.5\nat_s = 0.5\nfor_s = 1\n"
-                      "[[incident]]\nwhat = \"link-reset\"\nhost = \"h1\"\nfactor = 0.05\n"
-                      "at_s = 1\nfor_s = 1\n"
-                      "[[incident]]\nwhat = \"link-delay\"\nhost = \"origin\"\nfactor = 20\n"
-                      "at_s = 0.2\nfor_s = 1\n"
-                      "[[incident]]\nwhat = \"balancer-stop\"\nbalancer = 3\nat_s = 0.6\nfor_s = 1.4\n"
-                      "[[incident]]\nwhat = \"balancer-kill\"\nshare = 0.5\nat_s = 1.2\nfor_s = 0.3\n"
-                      "[[incident]]\nwhat = \"balancer-kill\"\nshare = 0.5\nat_s = 1.6\nfor_s = 0.3\n",
-                      "[balancers]\ncount = 4\n"));
+  write(scenario_text(
+      "[[incident]]\nwhat = \"link-stall\"\nway = \"to-balancer\"\nhost = \"h0\"\n"
+      "share = 0.5\nat_s = 0.5\nfor_s = 1\n"
+      "[[incident]]\nwhat = \"link-reset\"\nhost = \"h1\"\nfactor = 0.05\n"
+      "at_s = 1\nfor_s = 1\n"
+      "[[incident]]\nwhat = \"link-delay\"\nhost = \"origin\"\nfactor = 20\n"
+      "at_s = 0.2\nfor_s = 1\n"
+      "[[incident]]\nwhat = \"balancer-stop\"\nbalancer = 3\nat_s = 0.6\nfor_s = 1.4\n"
+      "[[incident]]\nwhat = \"balancer-kill\"\nshare = 0.5\nat_s = 1.2\nfor_s = 0.3\n"
+      "[[incident]]\nwhat = \"balancer-kill\"\nshare = 0.5\nat_s = 1.6\nfor_s = 0.3\n",
+      "[balancers]\ncount = 4\n"));
   EXPECT_EQ(run(rehearse()), 0) << out_;
   EXPECT_NE(out_.find("requests lost 0, effects twice 0, drains 0, cold hosts 0"),
             std::string::npos)
--- a/tests/rig/rig_harness.h
+++ b/tests/rig/rig_harness.h
@@ -9,8 +9,8 @@
 #include <string>
 
 #include "proto/memcache.h"
-#include "rig/servers/fleet.h"
 #include "rig/load/load.h"
+#include "rig/servers/fleet.h"
 
 namespace silverpin::rig {
 
--- a/tests/rig/scenario_test.cc
+++ b/tests/rig/scenario_test.cc
@@ -199,9 +199,9 @@
   std::set<std::vector<int>> choices;
   for (s.seed = 1; s.seed <= 20; ++s.seed) choices.insert(s.balancers_struck(s.incidents[0]));
   EXPECT_GT(choices.size(), 10u);
-  EXPECT_THROW(parse_scenario(scenario_text("[[incident]]\nwhat = \"link-stall\"\nat_s = 1\n"),
-                              "x.toml"),
-               ScenarioError)
+  EXPECT_THROW(
+      parse_scenario(scenario_text("[[incident]]\nwhat = \"link-stall\"\nat_s = 1\n"), "x.toml"),
+      ScenarioError)
       << "a stall without an end";
   EXPECT_THROW(parse_scenario(scenario_text("[[incident]]\nwhat = \"link-delay\"\nat_s = 1\n"
                                             "for_s = 1\nway = \"up\"\n"),
--- a/tests/rig/stampede_test.cc
+++ b/tests/rig/stampede_test.cc
@@ -25,8 +25,8 @@
   const auto probes = all.figures(Stampede::Kind::kProbe, seconds(0), seconds(2), seconds(4));
   EXPECT_DOUBLE_EQ(probes.times(), 1);
   // What lies behind the end is not looked at; nothing at all is nothing.
-  EXPECT_EQ(all.figures(Stampede::Kind::kConnection, seconds(0), seconds(2), milliseconds(2300)).all,
-            0u);
+  EXPECT_EQ(
+      all.figures(Stampede::Kind::kConnection, seconds(0), seconds(2), milliseconds(2300)).all, 0u);
   EXPECT_DOUBLE_EQ(
       all.figures(Stampede::Kind::kListCall, seconds(0), seconds(2), seconds(4)).times(), 0);
 }
--- a/tests/seal_test.cc
+++ b/tests/seal_test.cc
@@ -161,12 +161,8 @@
   reply.voters = {2, {"n1", "n2", "n3"}};
   add(reply);
   add(address::Tell{address::Tell::Kind::kAnnounces, "svc", 8});
-  add(address::Change{address::Change::Kind::kAccept,
-                      3,
-                      {7, "n1"},
-                      {1, {"a", "b", "c"}},
-                      {2, {"a", "b"}},
-                      true});
+  add(address::Change{
+      address::Change::Kind::kAccept, 3, {7, "n1"}, {1, {"a", "b", "c"}}, {2, {"a", "b"}}, true});
   add(address::Changed{address::Change::Kind::kAccept,
                        3,
                        true,
--- a/tests/standing_test.cc
+++ b/tests/standing_test.cc
@@ -83,8 +83,8 @@
     Duration held_running{0};
     bool sure = true;
     for (int i = 0; i < 400; ++i) {
-      const Duration step = below(20) == 0 ? milliseconds(1000 + below(9000))
-                                           : milliseconds(below(120));
+      const Duration step =
+          below(20) == 0 ? milliseconds(1000 + below(9000)) : milliseconds(below(120));
       const bool was_held = s.holds();
       if (was_held && step < bounds.still) held_running += step;
       now += step;
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -29,7 +29,8 @@
  public:
   Sink(RequestSink& core, Defect defect) : core_(core), defect_(defect) {}
   void submit(const std::shared_ptr<Caller>& caller, Ticket ticket, Ask ask) override {
-    // The core keeps what it has taken until it says that its name is free; so does one that forgets.
+    // The core keeps what it has taken until it says that its name is free; so does one that
+    // forgets.
     if (defect_ == Defect::kLosesARequest && ++taken_ % 50 == 0)
       return lost_.push_back(std::move(ask.payload));
     core_.submit(caller, ticket, std::move(ask));
@@ -227,8 +228,8 @@
     });
   }
 
-  // Ends the client's side. False where the end stands behind bytes for which the balancer's side has
-  // no room: it is still the client's, and cannot be heard by who does not read.
+  // Ends the client's side. False where the end stands behind bytes for which the balancer's side
+  // has no room: it is still the client's, and cannot be heard by who does not read.
   static bool end_has_come(Peer& p) {
     boost::system::error_code ignored;
     p.socket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -187,9 +187,8 @@
                      lines_.push_back(line);
                      return answer_to(line, id);
                    }};
-  FakeCache cache_2_{io_, [](const std::string& line, const std::string& id) {
-                       return answer_to(line, id);
-                     }};
+  FakeCache cache_2_{
+      io_, [](const std::string& line, const std::string& id) { return answer_to(line, id); }};
   std::string dir_;
   Endpoint listen_;
   int ids_ = 0;
--- a/tests/voter_test.cc
+++ b/tests/voter_test.cc
@@ -167,12 +167,14 @@
   using Kind = Change::Kind;
   EXPECT_TRUE(voter.on_change(now, change(Kind::kPrepare, 1, kThree, {})).reply.good);
   const auto accept = change(Kind::kAccept, 1, kThree, kFour);
-  EXPECT_FALSE(voter.on_change(now + milliseconds(999), accept).reply.good) << "it has just started";
+  EXPECT_FALSE(voter.on_change(now + milliseconds(999), accept).reply.good)
+      << "it has just started";
   const Time later = now + times.lease;
   for (const Voters& bad : {Voters{2, {"a", "b", "c", "d", "e"}}, Voters{3, {"a", "b", "c", "d"}},
                             Voters{2, {"c", "b", "a", "d"}}, Voters{2, {"a", "b", "c"}}})
     EXPECT_FALSE(voter.on_change(later, change(Kind::kAccept, 1, kThree, bad)).reply.good);
-  EXPECT_FALSE(voter.on_change(later, change(Kind::kAccept, 1, kFour, {3, {"a", "b", "c"}})).reply.good)
+  EXPECT_FALSE(
+      voter.on_change(later, change(Kind::kAccept, 1, kFour, {3, {"a", "b", "c"}})).reply.good)
       << "it goes by another set";
   const auto d = voter.on_change(later, accept);
   EXPECT_TRUE(d.reply.good && d.changed);
@@ -205,17 +207,18 @@
   EXPECT_EQ(voter.record().voters, kFour);
   EXPECT_TRUE(voter.record().promised.none());
   const Voters five{3, {"a", "b", "c", "d", "e"}};
-  EXPECT_FALSE(voter.on_change(later + milliseconds(999), change(Kind::kAccept, 1, kFour, five))
-                   .reply.good)
+  EXPECT_FALSE(
+      voter.on_change(later + milliseconds(999), change(Kind::kAccept, 1, kFour, five)).reply.good)
       << "not a lease yet";
-  EXPECT_TRUE(voter.on_change(later + seconds(1), change(Kind::kAccept, 1, kFour, five)).reply.good);
+  EXPECT_TRUE(
+      voter.on_change(later + seconds(1), change(Kind::kAccept, 1, kFour, five)).reply.good);
   EXPECT_FALSE(voter.on_change(later, change(Kind::kAdopt, 1, kThree, kTwo)).reply.good)
       << "never back";
   // One that was away catches up, over several sets if need be.
   EXPECT_TRUE(voter.on_change(later, change(Kind::kAdopt, 0, kThree, {7, {"x", "y"}})).reply.good);
-  EXPECT_FALSE(voter.on_change(later + seconds(9), change(Kind::kAccept, 1, {7, {"x", "y"}},
-                                                          {8, {"x"}}))
-                   .reply.good)
+  EXPECT_FALSE(
+      voter.on_change(later + seconds(9), change(Kind::kAccept, 1, {7, {"x", "y"}}, {8, {"x"}}))
+          .reply.good)
       << "it is no voter any more";
 }
 
