Give each test process an address block of its own, with no port given twice

Cause: free_address of tests/upgrade_test.cc let its probe go before the program listened, and the fixture called it once for the clients' address and once for the operators' one of each process. The kernel chooses among some 7,000 ports for such a probe, so the second call now and then gave the first one's port again: the program itself held it. Its AdminServer (opened first in Balancer's constructor) was who "listens here and could not be asked", and the client listener's bind then failed with "Address already in use". tests/member_test.cc let go of its ports likewise, at an address that two processes share whose ids are equal modulo 65,536.

Reproduced: the program started with ROUTER_ADMIN equal to `listen`, 127.64.92.226:42181, printed the lines of the failed run and exited with 1.

Change: LoopbackBlock (src/rig/loopback) owns a /24 network of 127.64.0.0/10 from the choice to the end of the process. The lock is an abstract Unix socket: scoped to the network namespace like the addresses, dropped by the kernel when its process ends, not inherited by programs. Its ports lie outside the kernel's ephemeral range, none is given twice, none that a server on all addresses has. Both fixtures use it; a process of the upgrade tests ends with its test however that ends.

--- /dev/null
+++ b/src/rig/loopback/loopback_block.cc
@@ -0,0 +1,105 @@
+#include "rig/loopback/loopback_block.h"
+
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cerrno>
+#include <cstddef>
+#include <fstream>
+#include <stdexcept>
+#include <system_error>
+
+namespace silverpin::rig {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::uint32_t kNetwork = 0x7f400000;  // 127.64.0.0/10
+constexpr std::uint32_t kBlockSize = 256;
+// Ports below this one are for privileged processes.
+constexpr std::uint32_t kFirstUserPort = 1024;
+constexpr std::uint32_t kEndOfPorts = 65'536;
+// Coprime to kBlocks: processes that start one after the other begin their search far apart.
+constexpr int kStride = 4999;
+
+// The abstract name of a block's lock; false if another process holds it.
+bool lock_name(int descriptor, int block) {
+  const std::string name = "silverpin-loopback-block-" + std::to_string(block);
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  std::copy(name.begin(), name.end(), address.sun_path + 1);  // behind the zero of abstract names
+  const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
+  if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), size) == 0) return true;
+  if (errno != EADDRINUSE)
+    throw std::system_error(errno, std::system_category(), "lock of a loopback block");
+  return false;
+}
+
+struct PortRange {
+  std::uint32_t begin, end;
+};
+
+// The larger one of the ranges below and above the ports that the kernel chooses from.
+PortRange ports_outside_ephemeral_range() {
+  std::uint32_t low = 32'768, high = 60'999;  // the kernel's own defaults
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> low >> high;
+  const PortRange below{kFirstUserPort, std::max(low, kFirstUserPort)};
+  const PortRange above{std::min(high + 1, kEndOfPorts), kEndOfPorts};
+  return below.end - below.begin >= above.end - above.begin ? below : above;
+}
+
+template <typename Protocol>
+bool can_be_bound(const asio::ip::address_v4& address, std::uint16_t port) {
+  asio::io_context io;
+  typename Protocol::socket socket(io);
+  error_code error;
+  socket.open(Protocol::v4(), error);
+  if (!error) socket.bind({address, port}, error);
+  return !error;
+}
+
+int first_block_of_process() {
+  return static_cast<int>(static_cast<std::int64_t>(::getpid()) * kStride % LoopbackBlock::kBlocks);
+}
+
+}  // namespace
+
+LoopbackBlock::LoopbackBlock() : LoopbackBlock(first_block_of_process()) {}
+
+LoopbackBlock::LoopbackBlock(int first) {
+  const PortRange ports = ports_outside_ephemeral_range();
+  lowest_port_ = ports.begin;
+  end_port_ = ports.end;
+  lock_ = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (lock_ < 0) throw std::system_error(errno, std::system_category(), "socket");
+  for (int i = 0; i < kBlocks; ++i) {
+    block_ = (first + i) % kBlocks;
+    if (lock_name(lock_, block_)) return;
+  }
+  ::close(lock_);
+  throw std::system_error(EADDRINUSE, std::system_category(), "no loopback block is free");
+}
+
+LoopbackBlock::~LoopbackBlock() { ::close(lock_); }
+
+asio::ip::address_v4 LoopbackBlock::address(int index) const {
+  return asio::ip::address_v4(kNetwork + static_cast<std::uint32_t>(block_) * kBlockSize + 1 +
+                              static_cast<std::uint32_t>(index));
+}
+
+std::uint16_t LoopbackBlock::next_port() {
+  while (end_port_ > lowest_port_) {
+    const auto port = static_cast<std::uint16_t>(--end_port_);
+    if (can_be_bound<asio::ip::tcp>(address(), port) &&
+        can_be_bound<asio::ip::udp>(address(), port))
+      return port;
+  }
+  throw std::runtime_error("all ports of a loopback block are given");
+}
+
+}  // namespace silverpin::rig
--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -10,6 +10,7 @@
 
 #include "member/status.h"
 #include "resp_harness.h"
+#include "rig/loopback/loopback_block.h"
 #include "store/store.h"
 
 namespace silverpin::node {
@@ -31,19 +32,14 @@
     balancer.reset();
     std::filesystem::remove_all(folder);
   }
-  // An address of this process's own: its port is listened on only now and then, and nobody else
-  // may have it meanwhile.
-  const asio::ip::address_v4 here{0x7f000000u | 0x640000u |
-                                  (static_cast<unsigned>(::getpid()) & 0xffffu)};
-  std::uint16_t free_port(bool udp) {
-    if (udp) return asio::ip::udp::socket(io, {here, 0}).local_endpoint().port();
-    return tcp::acceptor(io, {here, 0}).local_endpoint().port();
-  }
+  // Its ports are listened on only now and then.
+  rig::LoopbackBlock addresses;
+  const asio::ip::address_v4 here = addresses.address();
   // The only voter of its group, which claims its address by commands.
   void begin_member(const std::string& claim = "true", const std::string& release = "true",
                     const std::string& group = "") {
     cluster = std::make_unique<RespCluster>(io, 1, 0);
-    port = free_port(false);
+    port = addresses.next_port();
     const std::string command = "[\"/bin/sh\", \"-c\", \"";
     text = "[process]\nname = \"n0\"\n[[pool]]\nname = \"p\"\nseeds = [\"" + cluster->address(0) +
            "\"]\nrefresh_interval_ms = 20\n[[pool.class]]\nname = \"all\"\ncommands = [\"READ\", "
@@ -51,7 +47,7 @@
            "deadline_ms = 20000\n[[listener]]\nname = \"l\"\naddress = \"" +
            here.to_string() + ":" + std::to_string(port) +
            "\"\npool = \"p\"\nservice = \"svc\"\n[group]\nlisten = " + "\"" + here.to_string() +
-           ":" + std::to_string(free_port(true)) +
+           ":" + std::to_string(addresses.next_port()) +
            "\"\nnetworks = [\"127.0.0.0/8\"]\nkey_file = \"" + folder + "/key\"\nfolder = \"" +
            folder + "\"\nvoters = [\"n0\"]\nlease_ms = 1500\npatience_ms = 700\nlate_ms = 5000\n" +
            group + "\n[[address]]\nname = \"svc\"\nclaim = " + command + claim +
@@ -224,7 +220,7 @@
   Limits others(512, 64, 64);
   try {
     Operator second = parse_operator(text, "test.toml");
-    second.group->listen = here.to_string() + ":" + std::to_string(free_port(true));
+    second.group->listen = here.to_string() + ":" + std::to_string(addresses.next_port());
     Balancer other(io, std::nullopt, others, std::move(second));
   } catch (const std::exception& e) {
     why = e.what();
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -1,6 +1,7 @@
 // A new version beside the old one: the built program, its peers played by the test.
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/un.h>
 #include <sys/wait.h>
@@ -16,21 +17,13 @@
 #include "net/descriptor_link.h"
 #include "node_harness.h"
 #include "proto/handover_wire.h"
+#include "rig/loopback/loopback_block.h"
 
 namespace silverpin::node {
 namespace {
 
 using std::chrono::milliseconds;
 
-// On a loopback address of this test's own: on a shared one a port that is free now may be another
-// test's by the time that the program listens.
-Endpoint free_address(asio::io_context& io) {
-  const auto pid = static_cast<std::uint32_t>(::getpid());
-  const asio::ip::address_v4 own(0x7f400000u | (pid % 0x3fff00u + 1));
-  tcp::acceptor probe(io, Endpoint(own, 0));
-  return probe.local_endpoint();
-}
-
 std::string text(const Endpoint& e) {
   std::ostringstream out;
   out << e;
@@ -52,7 +45,8 @@
     pid = ::fork();
     if (pid == 0) {
       ::dup2(pipe[1], 2);
-      ::close_range(3, ~0U, 0);  // the test's own
+      ::close_range(3, ~0U, 0);            // the test's own
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the test, and gives its address back
       ::execve(SILVERPIN_PROGRAM, args, env);
       ::_exit(127);
     }
@@ -116,7 +110,7 @@
     char dir[] = "/tmp/silverpin-upgrade-XXXXXX";
     ASSERT_NE(::mkdtemp(dir), nullptr);
     dir_ = dir;
-    listen_ = free_address(io_);
+    listen_ = addresses_.next_endpoint();
     discovery_.hosts =
         host_entry("s-1", cache_.server.dial()) + "," + host_entry("s-2", cache_2_.server.dial());
     write_config(text(listen_));
@@ -131,7 +125,7 @@
     std::filesystem::rename(dir_ + "/new.json", dir_ + "/config.json");
   }
   std::unique_ptr<Process> start() {
-    return std::make_unique<Process>(io_, dir_, free_address(io_));
+    return std::make_unique<Process>(io_, dir_, addresses_.next_endpoint());
   }
   ::testing::AssertionResult wait(const std::function<bool()>& done) {
     if (run_until(io_, done)) return ::testing::AssertionSuccess();
@@ -176,6 +170,7 @@
   }
 
   static constexpr std::size_t kSockets = 256, kMemoryMb = 48;
+  rig::LoopbackBlock addresses_;
   asio::io_context io_{1};
   FakeDiscovery discovery_{io_};
   std::vector<std::string> lines_;  // of the commands that came to host s-1
