Lists of balancers, cluster nodes and operators' words hold thousands by default

Need: no cap below 1,024 on lists of balancers or servers. A group kept 320 members by default and 2,000 at most, a RESP pool 256 nodes, operators 256 words, the replay guard 1,024 senders for good: members that had been replaced kept new ones out until a restart. Pools' `balancers` ended at 1,000.

Change: 2,048 members and nodes by default, 16,384 at most; 4,096 words, as many as a hand-over carries; the replay guard holds twice the members of the largest group, and makes room by forgetting the sender that has been silent for longest.

--- a/src/cluster/router.h
+++ b/src/cluster/router.h
@@ -15,7 +15,7 @@
 
 struct RouterSettings {
   std::vector<std::string> seeds;  // "host:port"; asked for the slots first
-  std::size_t most_nodes = 256;
+  std::size_t most_nodes = 2048;
   int most_redirections = 5;  // per request
   // Between two refreshes of the slots, at least; after failed ones it doubles, up to the other.
   Duration refresh_interval = std::chrono::milliseconds(100);
--- a/src/membership/group.h
+++ b/src/membership/group.h
@@ -48,6 +48,10 @@
   std::vector<Update> updates;
 };
 
+// The largest bound that an operator may set: with room to spare for a group of all the balancers
+// that the project is designed for.
+inline constexpr int kMaxMembers = 16'384;
+
 struct GroupSettings {
   std::vector<std::string> seeds;  // endpoints
   // A member is probed each period, another each time.
@@ -56,8 +60,8 @@
   Duration least_wait{std::chrono::milliseconds(40)}, most_wait{std::chrono::milliseconds(150)};
   int indirect = 3;      // others that are asked to probe one that does not answer
   double suspicion = 3;  // periods, times the logarithm of the group's size, until it is dead
-  std::size_t most_members = 320;
-  std::size_t most_updates = 8;  // in one message
+  std::size_t most_members = 2048;  // at most kMaxMembers
+  std::size_t most_updates = 8;     // in one message
   std::size_t most_meta = 256;
   // Everything is compared with another member this often.
   Duration full_exchange{std::chrono::seconds(10)};
--- a/src/proto/seal.cc
+++ b/src/proto/seal.cc
@@ -122,13 +122,27 @@
 }
 
 bool ReplayGuard::accept(const std::string& sender, std::uint64_t life, std::uint64_t sequence) {
-  const auto it = seen_.find(sender);
-  if (it == seen_.end()) {
-    if (seen_.size() >= kMostSenders) return false;
-    seen_[sender] = {life, sequence, {1, 0}};
+  const auto known = by_name_.find(sender);
+  if (known == by_name_.end()) {
+    remember(sender, {life, sequence, {1, 0}});
     return true;
   }
-  Seen& s = it->second;
+  const Senders::iterator entry = known->second;
+  if (!is_new(entry->second, life, sequence)) return false;
+  senders_.splice(senders_.begin(), senders_, entry);
+  return true;
+}
+
+void ReplayGuard::remember(const std::string& sender, const Seen& seen) {
+  if (senders_.size() >= max_senders_) {
+    by_name_.erase(senders_.back().first);
+    senders_.pop_back();
+  }
+  senders_.emplace_front(sender, seen);
+  by_name_.emplace(senders_.front().first, senders_.begin());
+}
+
+bool ReplayGuard::is_new(Seen& s, std::uint64_t life, std::uint64_t sequence) {
   if (life < s.life) return false;
   if (life > s.life) {
     s = {life, sequence, {1, 0}};
--- a/src/proto/seal.h
+++ b/src/proto/seal.h
@@ -1,13 +1,17 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
+#include <list>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "membership/group.h"
 #include "structures/time.h"
 
 // Datagrams between members of a group: sealed under a key that all share, so that nobody else can
@@ -58,18 +62,29 @@
 // behind the newest number lets through what was overtaken on its way, once. A life that is older
 // than one heard of is refused. Of a sender that nothing is known of the first is taken as it
 // comes: who may be harmed by old news after a start of its own must ask with numbers of its own,
-// as holders and voters do.
+// as holders and voters do. Where more senders have been heard of than are kept, the one that has
+// been silent for longest is forgotten: members that were replaced must not keep new ones out.
 class ReplayGuard {
  public:
+  // Every member of the largest group, and as many that have gone.
+  static constexpr std::size_t kMaxSenders = 2 * membership::kMaxMembers;
+
+  explicit ReplayGuard(std::size_t max_senders = kMaxSenders) : max_senders_(max_senders) {}
   bool accept(const std::string& sender, std::uint64_t life, std::uint64_t sequence);
 
  private:
-  static constexpr std::size_t kMostSenders = 1024;
   struct Seen {
     std::uint64_t life = 0, newest = 0;
     std::uint64_t window[2] = {0, 0};  // bit i: newest - i
   };
-  std::map<std::string, Seen> seen_;
+  using Senders = std::list<std::pair<std::string, Seen>>;
+
+  void remember(const std::string& sender, const Seen& seen);
+  static bool is_new(Seen& seen, std::uint64_t life, std::uint64_t sequence);
+
+  const std::size_t max_senders_;
+  Senders senders_;  // by when something new last came from them, the latest first
+  std::map<std::string_view, Senders::iterator> by_name_;
 };
 
 }  // namespace silverpin::group
--- a/src/roster/roster.cc
+++ b/src/roster/roster.cc
@@ -8,7 +8,6 @@
 
 constexpr double kLeastWeight = 0.1;
 constexpr double kMostWeight = 16;
-constexpr std::size_t kMostWords = 256;
 
 }  // namespace
 
@@ -60,7 +59,7 @@
 // back on one changes nothing.
 std::vector<Roster::News> Roster::restore(std::string_view id, Word word) {
   std::vector<News> news;
-  if (words_.size() >= kMostWords && !words_.contains(id)) return news;
+  if (words_.size() >= kMaxOverrides && !words_.contains(id)) return news;
   words_.insert_or_assign(std::string(id), word);
   if (const auto listed = hosts_.find(id)) heed(*listed, word, news);
   return news;
@@ -71,7 +70,7 @@
                 [&](const auto& w) { return !w.second.out && now - w.second.at > remembered_; });
   if (words_.contains(id)) return true;
   const auto listed = hosts_.find(id);
-  return listed && !hosts_[*listed].origin && words_.size() < kMostWords;
+  return listed && !hosts_[*listed].origin && words_.size() < kMaxOverrides;
 }
 
 bool Roster::differs(std::string_view id, bool out) const {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -31,6 +31,9 @@
 
 class Roster {
  public:
+  // Operators' words that are kept at a time. A successor is told of as many at a hand-over.
+  static constexpr std::size_t kMaxOverrides = 4096;
+
   using Index = NamedSlots<int>::Index;
 
   struct Host {
@@ -79,7 +82,7 @@
   bool may_speak_of(Time now, std::string_view id);
   // Whether `out` differs from the word in force.
   bool differs(std::string_view id, bool out) const;
-  // In force; of hosts called back as long as they may be cold. At most 256.
+  // In force; of hosts called back as long as they may be cold. At most kMaxOverrides.
   const std::map<std::string, Word, std::less<>>& words() const { return words_; }
 
   void hold(Index i) { ++hosts_[i].held; }
--- a/src/settings/group_file.cc
+++ b/src/settings/group_file.cc
@@ -111,7 +111,8 @@
   g.membership.period = keys.time("probe_ms", 1e-3, 200, 20, 60'000);
   g.membership.most_wait = std::max<Duration>(g.membership.least_wait, g.membership.period * 3 / 4);
   g.membership.suspicion = keys.real("suspicion", 3, 1, 100);
-  g.membership.most_members = static_cast<std::size_t>(keys.whole("most_members", 320, 2, 2000));
+  g.membership.most_members = static_cast<std::size_t>(keys.whole(
+      "most_members", static_cast<int>(g.membership.most_members), 2, membership::kMaxMembers));
   read_times(keys, g);
   g.ability.late = keys.time("late_ms", 1e-3, 250, 5, 60'000);
   g.ability.late_times = static_cast<std::size_t>(keys.whole("late_times", 3, 1, 100));
--- a/src/settings/operator.cc
+++ b/src/settings/operator.cc
@@ -101,7 +101,8 @@
   if (all.pool(pool.name)) keys.bad("name", "is that of two pools");
   pool.cluster.seeds = addresses(keys, "seeds");
   if (pool.cluster.seeds.empty()) keys.bad("seeds", "is missing");
-  pool.cluster.most_nodes = static_cast<std::size_t>(keys.whole("most_nodes", 256, 1, 2000));
+  pool.cluster.most_nodes = static_cast<std::size_t>(
+      keys.whole("most_nodes", static_cast<int>(pool.cluster.most_nodes), 1, cluster::kSlots));
   pool.cluster.most_redirections = keys.whole("most_redirections", 5, 1, 16);
   pool.cluster.refresh_interval = keys.time("refresh_interval_ms", 1e-3, 100, 10, 60'000);
   pool.cluster.refresh_every = keys.time("refresh_every_ms", 1e-3, 10'000, 100, 3'600'000);
@@ -119,7 +120,7 @@
   pool.site.slow_after = keys.time("slow_after_ms", 1e-3, 2, 0.05, 60'000);
   pool.site.most_held = keys.whole("most_held", 20'000, 1, 1'000'000);
   Settings& policy = pool.site.policy;
-  policy.balancers = keys.whole("balancers", 1, 1, 1000);
+  policy.balancers = keys.whole("balancers", 1, 1, membership::kMaxMembers);
   policy.max_attempts = keys.whole("most_attempts", 8, 1, 32);
   policy.max_retry_after = keys.time("most_retry_after_ms", 1e-3, 1000, 0, 60'000);
   keys.tables("class", [&](Keys& k) { read_class(k, pool); });
--- a/tests/group_sim_test.cc
+++ b/tests/group_sim_test.cc
@@ -58,6 +58,23 @@
   std::unique_ptr<GroupSim> sim;
 };
 
+// With the default settings: no member of a group of the size that is designed for goes unheard.
+TEST(GroupSettings, AThousandMembersAreKnown) {
+  membership::Update self;
+  self.name = "self";
+  membership::Group group({}, self, 1, Time{0});
+  constexpr std::size_t kOthers = 1024;
+  for (std::size_t i = 0; i < kOthers; ++i) {
+    membership::Message message;
+    membership::Update update;
+    update.name = "n" + std::to_string(i);
+    update.endpoint = "127.0.0.1:" + std::to_string(i + 1);
+    message.updates.push_back(update);
+    group.on_message(Time{0}, update.name, update.endpoint, message);
+  }
+  EXPECT_EQ(group.members().size(), 1 + kOthers);
+}
+
 TEST_F(GroupSimTest, OneIsElectedAndStays) {
   begin();
   ASSERT_TRUE(owned(seconds(3)));
--- a/tests/operator_test.cc
+++ b/tests/operator_test.cc
@@ -164,5 +164,18 @@
   }
 }
 
+// Lists of balancers and servers: no default and no bound below what the fleets need.
+TEST(OperatorFile, ListsOfBalancersAndServersHoldThousands) {
+  const Operator defaults = parse_operator(kGroup + kAddress + kBgp + kPool, "o.toml");
+  EXPECT_GE(defaults.group->membership.most_members, 1024u);
+  EXPECT_GE(defaults.pools[0].cluster.most_nodes, 1024u);
+  const Operator largest = parse_operator(kGroup + "most_members = 16384\n" + kAddress + kBgp +
+                                              kPool + "most_nodes = 16384\nbalancers = 16384\n",
+                                          "o.toml");
+  EXPECT_EQ(largest.group->membership.most_members, 16384u);
+  EXPECT_EQ(largest.pools[0].cluster.most_nodes, 16384u);
+  EXPECT_EQ(largest.pools[0].site.policy.balancers, 16384);
+}
+
 }  // namespace
 }  // namespace silverpin
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -81,6 +81,20 @@
   EXPECT_TRUE(roster.words().empty());
 }
 
+TEST(Roster, OperatorsMaySpeakOfAThousandHostsAtATime) {
+  Roster roster(false, seconds(10));
+  std::vector<std::string> ids;
+  for (int i = 0; i < 2048; ++i) ids.push_back("h" + std::to_string(i));
+  std::vector<HostEntry> entries;
+  for (const auto& id : ids) entries.push_back(entry(id));
+  roster.on_list(ListKind::kWhole, entries);
+  for (const auto& id : ids) {
+    ASSERT_TRUE(roster.may_speak_of(seconds(1), id)) << id;
+    ASSERT_EQ(kinds(roster.restore(id, {true, seconds(1)})), std::vector{Kind::kTakenOut}) << id;
+  }
+  EXPECT_EQ(roster.words().size(), ids.size());
+}
+
 // Whatever lists say, replaying the news gives the same set of places as the roster itself has.
 TEST(Roster, TheNewsAddUpToTheRoster) {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
--- a/tests/seal_test.cc
+++ b/tests/seal_test.cc
@@ -130,6 +130,31 @@
   }
 }
 
+// A group's members are replaced all the time. Those that have gone must not keep new ones out, and
+// those that still speak must not be forgotten for them.
+TEST(ReplayTest, SendersThatAreSilentMakeRoomForNewOnes) {
+  ReplayGuard guard(3);
+  EXPECT_TRUE(guard.accept("a", 1, 1));
+  EXPECT_TRUE(guard.accept("b", 1, 1));
+  EXPECT_TRUE(guard.accept("c", 1, 1));
+  EXPECT_TRUE(guard.accept("a", 1, 2)) << "b has been silent for longest now";
+  EXPECT_FALSE(guard.accept("b", 1, 1)) << "a replay is no sign of life";
+  EXPECT_TRUE(guard.accept("d", 1, 1));
+  EXPECT_FALSE(guard.accept("a", 1, 2));
+  EXPECT_FALSE(guard.accept("c", 1, 1));
+  EXPECT_FALSE(guard.accept("d", 1, 1));
+  EXPECT_TRUE(guard.accept("b", 1, 1)) << "forgotten, and taken as it comes";
+}
+
+TEST(ReplayTest, HearsEveryMemberOfTheLargestGroup) {
+  ReplayGuard guard;
+  for (const std::uint64_t sequence : {1, 2})
+    for (int member = 0; member < membership::kMaxMembers; ++member)
+      ASSERT_TRUE(guard.accept("n" + std::to_string(member), 1, sequence)) << member;
+  for (int member = 0; member < membership::kMaxMembers; ++member)
+    ASSERT_FALSE(guard.accept("n" + std::to_string(member), 1, 2)) << member;
+}
+
 // ---- datagrams
 
 std::vector<Datagram> samples() {
