Relay trees by stripe, a send queue within a byte budget, and watermarks

Need: a site's only relay would send everything to each of 12 neighbours, several times a balancer's budget for control; urgent messages must not wait for bulk, nor bulk for ever; what is in force everywhere must not count one that never said so.

Change: RelayTree chooses a relay and a standby by rendezvous hashing for each of many stripes, with a bound on the stripes of one member. SendQueue counts sent and received bytes against one bucket, urgent first, with a share for bulk, bounded. Watermark merges reports upward within one term and names who holds it back.

--- /dev/null
+++ b/tests/dissemination_parts_test.cc
@@ -0,0 +1,210 @@
+// The parts of dissemination that stand alone: relay trees, the send queue with its byte budget,
+// and watermarks.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "dissemination/relay_tree.h"
+#include "dissemination/send_queue.h"
+#include "dissemination/watermark.h"
+
+namespace silverpin::dissemination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Urgency = SendQueue::Urgency;
+
+constexpr std::uint32_t kStripes = 64;
+
+std::vector<MemberPlace> places(int regions, int sites, int members) {
+  std::vector<MemberPlace> all;
+  for (int r = 0; r < regions; ++r)
+    for (int s = 0; s < sites; ++s)
+      for (int m = 0; m < members; ++m) {
+        const std::string region = "r" + std::to_string(r);
+        const std::string site = region + "s" + std::to_string(s);
+        all.push_back({site + "m" + std::to_string(m), region, site, true});
+      }
+  return all;
+}
+
+TEST(RelayTreeTest, IsTheSameWhateverTheOrderOfMembers) {
+  auto members = places(2, 3, 5);
+  const RelayTree one(members, kStripes);
+  std::reverse(members.begin(), members.end());
+  const RelayTree other(members, kStripes);
+  for (std::uint32_t stripe = 0; stripe < kStripes; ++stripe) {
+    EXPECT_EQ(one.region_relays("r1", stripe).relay, other.region_relays("r1", stripe).relay);
+    EXPECT_EQ(one.site_relays("r0s2", stripe).standby, other.site_relays("r0s2", stripe).standby);
+  }
+}
+
+TEST(RelayTreeTest, RelaysAreOfTheirGroupAndTheirStandbyIsAnother) {
+  const RelayTree tree(places(2, 3, 5), kStripes);
+  for (const auto& region : tree.regions())
+    for (std::uint32_t stripe = 0; stripe < kStripes; ++stripe) {
+      const Relays& relays = tree.region_relays(region, stripe);
+      EXPECT_EQ(tree.find(relays.relay)->region, region);
+      EXPECT_EQ(tree.find(relays.standby)->region, region);
+      EXPECT_NE(relays.relay, relays.standby);
+      for (const auto& site : tree.sites(region)) {
+        EXPECT_EQ(tree.find(tree.site_relays(site, stripe).relay)->site, site);
+        EXPECT_NE(tree.site_relays(site, stripe).relay, tree.site_relays(site, stripe).standby);
+      }
+    }
+}
+
+TEST(RelayTreeTest, NobodyCarriesMoreThanItsShareOfStripes) {
+  const RelayTree tree(places(1, 2, 13), kStripes);
+  std::map<MemberId, int> carried;
+  for (std::uint32_t stripe = 0; stripe < kStripes; ++stripe)
+    ++carried[tree.site_relays("r0s1", stripe).relay];
+  EXPECT_EQ(carried.size(), 13u);
+  for (const auto& [id, stripes] : carried) EXPECT_LE(stripes, 5) << id;
+}
+
+TEST(RelayTreeTest, OneThatIsAwayBelongsButRelaysNothingAndFewStripesMove) {
+  auto members = places(1, 1, 13);
+  const RelayTree before(members, kStripes);
+  members[4].reachable = false;
+  const RelayTree after(members, kStripes);
+  EXPECT_EQ(after.members("r0s0").size(), 13u);
+  int moved = 0;
+  for (std::uint32_t stripe = 0; stripe < kStripes; ++stripe) {
+    EXPECT_FALSE(after.site_relays("r0s0", stripe).includes(members[4].id));
+    EXPECT_FALSE(after.region_relays("r0", stripe).includes(members[4].id));
+    moved += before.site_relays("r0s0", stripe).relay != after.site_relays("r0s0", stripe).relay;
+  }
+  EXPECT_LT(moved, 24) << "its own 5 and those that the bound pushes on";
+}
+
+TEST(RelayTreeTest, SitesOfOneAndOfNobody) {
+  auto members = places(1, 1, 1);
+  EXPECT_EQ(RelayTree(members, kStripes).site_relays("r0s0", 7).relay, members[0].id);
+  EXPECT_EQ(RelayTree(members, kStripes).site_relays("r0s0", 7).standby, "");
+  members[0].reachable = false;
+  EXPECT_EQ(RelayTree(members, kStripes).site_relays("r0s0", 7).relay, "");
+  EXPECT_EQ(RelayTree({}, kStripes).site_relays("r0s0", 7).relay, "");
+}
+
+// ---- the send queue
+
+Message message_of(std::size_t bytes) {
+  Batch batch;
+  const std::size_t empty = wire_size(Message(batch));
+  auto entry = std::make_shared<Entry>();
+  const std::size_t framing = wire_size(*entry);
+  entry->key.resize(bytes - empty - framing, 'k');
+  batch.entries.push_back(entry);
+  return batch;
+}
+
+std::size_t drain(SendQueue& queue, Time now) {
+  std::size_t bytes = 0;
+  while (const auto item = queue.pop(now)) bytes += item->bytes;
+  return bytes;
+}
+
+TEST(SendQueueTest, KeepsToItsBytesASecond) {
+  SendQueue queue({5000, 10000, 4096, 1'000'000}, Time{0});
+  for (int i = 0; i < 200; ++i) queue.push(Urgency::kUrgent, "a", message_of(500));
+  std::size_t sent = 0;
+  for (Time now{0}; now <= seconds(10); now += milliseconds(10)) sent += drain(queue, now);
+  EXPECT_GE(sent, 59'500u);
+  EXPECT_LE(sent, 60'500u) << "the burst and 10 s, at most one message more";
+}
+
+TEST(SendQueueTest, ReceivedBytesCountAgainstTheSameBudget) {
+  SendQueue queue({5000, 10000, 4096, 1'000'000}, Time{0});
+  for (int i = 0; i < 200; ++i) queue.push(Urgency::kUrgent, "a", message_of(500));
+  std::size_t sent = 0;
+  for (Time now{0}; now <= seconds(10); now += milliseconds(100)) {
+    queue.on_received(now, 300);
+    sent += drain(queue, now);
+  }
+  EXPECT_NEAR(static_cast<double>(sent), 60'000 - 101 * 300, 600);
+}
+
+TEST(SendQueueTest, AFloodDelaysWhatIsSentByABoundedTime) {
+  SendQueue queue({5000, 10000, 4096, 1'000'000}, Time{0});
+  queue.on_received(Time{0}, 10'000'000);
+  queue.push(Urgency::kUrgent, "a", message_of(500));
+  EXPECT_FALSE(queue.pop(Time{0}));
+  EXPECT_LE(queue.next(Time{0}), milliseconds(2001));
+  EXPECT_TRUE(queue.pop(queue.next(Time{0})));
+}
+
+TEST(SendQueueTest, UrgentGoesFirstAndBulkIsNotStarved) {
+  SendQueue queue({5000, 100'000, 4000, 1'000'000}, Time{0});
+  for (int i = 0; i < 5; ++i) queue.push(Urgency::kBulk, "bulk", message_of(1000));
+  for (int i = 0; i < 30; ++i) queue.push(Urgency::kUrgent, "urgent", message_of(1000));
+  std::string order;
+  while (const auto item = queue.pop(Time{0})) order += item->to[0];
+  EXPECT_EQ(order, "uuuubuuuubuuuubuuuubuuuubuuuuuuuuuu");
+}
+
+TEST(SendQueueTest, IsBoundedAndCountsWhatItDrops) {
+  SendQueue queue({5000, 10000, 4096, 2000}, Time{0});
+  for (int i = 0; i < 6; ++i) queue.push(Urgency::kBulk, "a", message_of(500));
+  EXPECT_EQ(queue.dropped(), 2u);
+  EXPECT_EQ(drain(queue, Time{0}), 2000u);
+}
+
+// ---- watermarks
+
+Report report(std::string from, Term term, Sequence purge, Sequence configuration) {
+  return {std::move(from), term, {purge, configuration}, {}};
+}
+
+TEST(WatermarkTest, IsTheLeastOfAllThatAreExpected) {
+  Watermark watermark;
+  watermark.on_report(report("a", 1, 10, 5));
+  watermark.on_report(report("b", 1, 8, 7));
+  const Report merged = watermark.merge("site", 1, {"a", "b"});
+  EXPECT_EQ(merged.in_force, (PerChannel<Sequence>{8, 5}));
+  EXPECT_EQ(merged.laggards[0][0].id, "b");
+  EXPECT_EQ(merged.laggards[1][0].id, "a");
+}
+
+TEST(WatermarkTest, OneThatNeverReportedHoldsItBack) {
+  Watermark watermark;
+  watermark.on_report(report("a", 1, 10, 5));
+  const Report merged = watermark.merge("site", 1, {"a", "silent"});
+  EXPECT_EQ(merged.in_force, (PerChannel<Sequence>{0, 0}));
+  EXPECT_EQ(merged.laggards[0][0].id, "silent");
+}
+
+TEST(WatermarkTest, AReportOfAnotherTermCountsForNothing) {
+  Watermark watermark;
+  watermark.on_report(report("a", 2, 10, 5));
+  watermark.on_report(report("b", 1, 900, 900));
+  EXPECT_EQ(watermark.merge("site", 2, {"a", "b"}).in_force, (PerChannel<Sequence>{0, 0}));
+  watermark.on_report(report("a", 1, 900, 900));
+  EXPECT_EQ(watermark.reports().at("a").term, 2u) << "late, of an earlier term";
+}
+
+TEST(WatermarkTest, OneThatLeftIsForgotten) {
+  Watermark watermark;
+  watermark.on_report(report("a", 1, 10, 5));
+  watermark.on_report(report("b", 1, 3, 3));
+  EXPECT_EQ(watermark.merge("site", 1, {"a"}).in_force[0], 10u);
+  EXPECT_EQ(watermark.reports().count("b"), 0u);
+}
+
+TEST(WatermarkTest, NamesMembersThroughAllLevels) {
+  Watermark site, region;
+  for (int m = 0; m < 13; ++m) site.on_report(report("m" + std::to_string(m), 1, 100 - m, 50));
+  std::vector<std::string> members;
+  for (int m = 0; m < 13; ++m) members.push_back("m" + std::to_string(m));
+  region.on_report(site.merge("s0", 1, members));
+  const Report merged = region.merge("r0", 1, {"s0", "s1"});
+  EXPECT_EQ(merged.in_force[0], 0u) << "nothing has come from s1";
+  EXPECT_EQ(merged.laggards[0][0].id, "s1");
+  EXPECT_EQ(merged.laggards[0][1].id, "m12");
+  EXPECT_EQ(merged.laggards[0].size(), Watermark::kMaxLaggards);
+}
+
+}  // namespace
+}  // namespace silverpin::dissemination
