--- /dev/null
+++ b/src/dissemination/range_repair.cc
@@ -0,0 +1,30 @@
+#include "dissemination/range_repair.h"
+
+#include <algorithm>
+
+#include "structures/stable_hash.h"
+
+namespace silverpin::dissemination {
+
+std::uint32_t repair_stripe(Channel channel, Sequence cursor, std::uint32_t stripes) {
+  return static_cast<std::uint32_t>(mix(cursor, index(channel)) % stripes);
+}
+
+std::optional<Batch> answer_range(const ChangeLog& log, const SourceState& source,
+                                  std::uint32_t stripes, const RangeRequest& request) {
+  if (request.term > source.term || request.first == 0) return std::nullopt;
+  Batch answer;
+  answer.source = source;
+  answer.channel = request.channel;
+  answer.oldest = log.oldest();
+  if (request.term < source.term) return answer;
+  // The source's log may hold entries that it hasn't sent yet.
+  const Sequence last = std::min(request.last, source.heads[index(request.channel)]);
+  answer.entries =
+      log.range(request.first, last, kMaxMessageBytes - wire_size(answer) + kDatagramOverhead);
+  answer.forward = request.forward;
+  answer.stripe = repair_stripe(request.channel, request.first - 1, stripes);
+  return answer;
+}
+
+}  // namespace silverpin::dissemination
--- /dev/null
+++ b/src/dissemination/replica.cc
@@ -0,0 +1,371 @@
+#include "dissemination/replica.h"
+
+#include <algorithm>
+
+#include "dissemination/range_repair.h"
+#include "structures/stable_hash.h"
+
+namespace silverpin::dissemination {
+namespace {
+
+using Urgency = SendQueue::Urgency;
+
+constexpr std::size_t kMaxForwardedKept = 64;
+// Reports are collected where the relays of this stripe are.
+constexpr std::uint32_t kReportStripe = 0;
+
+Urgency urgency_of(const Batch& batch) {
+  const bool is_repair = batch.oldest > 0;
+  return batch.channel == Channel::kPurge && !is_repair ? Urgency::kUrgent : Urgency::kBulk;
+}
+
+}  // namespace
+
+Replica::Replica(const ReplicaSettings& settings, std::shared_ptr<const RelayTree> tree,
+                 const std::optional<Checkpoint>& checkpoint, ChangeSink& sink, Time now)
+    : settings_(settings),
+      tree_(std::move(tree)),
+      sink_(sink),
+      is_fresh_(!checkpoint || checkpoint->term == 0),
+      heard_at_(now),
+      streams_{Stream{ChangeLog(settings.max_log_entries[0]), {}, Time::max(), 0},
+               Stream{ChangeLog(settings.max_log_entries[1]), {}, Time::max(), 0}},
+      queue_(settings.limits, now) {
+  // Members report at different moments of the period.
+  const auto phase = stable_hash(settings_.id) % settings_.report_period.count();
+  report_at_ = now + Duration(static_cast<Duration::rep>(phase));
+  if (is_fresh_) return;
+  source_.term = checkpoint->term;
+  source_.starts = source_.heads = checkpoint->sequences;
+  for (const Channel channel : kChannels)
+    stream(channel).log.reset(checkpoint->sequences[index(channel)]);
+  if (checkpoint->needs_whole_configuration) begin_snapshot(now, true);
+}
+
+// ---- what comes in
+
+void Replica::on_message(Time now, const MemberId& from, const Message& message,
+                         std::size_t bytes) {
+  queue_.on_received(now, bytes);
+  if (const auto* batch = std::get_if<Batch>(&message)) on_batch(now, from, *batch);
+  if (const auto* request = std::get_if<RangeRequest>(&message)) answer(from, *request);
+  if (const auto* piece = std::get_if<SnapshotPiece>(&message)) on_piece(now, *piece);
+  if (const auto* report = std::get_if<Report>(&message)) on_report(*report);
+}
+
+bool Replica::take_source(Time now, const SourceState& source) {
+  if (source.term < source_.term || source.term == 0) return false;
+  if (source.term > source_.term) adopt_term(now, source);
+  for (const Channel channel : kChannels) {
+    auto& head = source_.heads[index(channel)];
+    head = std::max(head, source.heads[index(channel)]);
+  }
+  return true;
+}
+
+// What was applied under the last term is a beginning of the new source's history if it ends at or
+// before the number where that source began, and if no term lies between them unheard.
+void Replica::adopt_term(Time now, const SourceState& source) {
+  const bool follows = !is_fresh_ && source.term == source_.term + 1;
+  source_ = source;
+  is_fresh_ = false;
+  snapshot_.reset();
+  for (auto& stream : streams_) {
+    stream.pending.clear();  // may be of numbers that were given anew
+    stream.ask_at = Time::max();
+    stream.attempts = 0;
+  }
+  Stream& purges = stream(Channel::kPurge);
+  if (follows)
+    purges.log.truncate(source.starts[index(Channel::kPurge)]);  // one purge too many does no harm
+  else
+    jump_purges();
+  Stream& configuration = stream(Channel::kConfiguration);
+  if (!follows || configuration.log.last() > source.starts[index(Channel::kConfiguration)]) {
+    configuration.log.reset(0);
+    begin_snapshot(now, true);
+  }
+}
+
+void Replica::on_batch(Time now, const MemberId& from, const Batch& batch) {
+  if (!take_source(now, batch.source)) return;
+  const bool is_answer = batch.oldest > 0;
+  if (!is_answer) heard_at_ = now, has_heard_ = true;
+  forward(from, batch);
+  Stream& to = stream(batch.channel);
+  const Sequence before = to.log.last();
+  for (const auto& entry : batch.entries) {
+    if (entry->sequence <= to.log.last()) continue;
+    if (to.pending.empty() && to.log.last() + 1 == entry->sequence && !snapshot_) {
+      to.log.append(entry);
+      sink_.apply(batch.channel, *entry);
+    } else if (to.pending.size() < settings_.max_pending_entries) {
+      to.pending.emplace(entry->sequence, entry);
+    }
+  }
+  apply_ready(batch.channel);
+  const bool has_advanced = to.log.last() > before;
+  if (has_advanced) to.attempts = 0;
+  // The asked one's log has wrapped past what is missing here.
+  if (is_answer && from == settings_.source && batch.oldest > to.log.last() + 1) {
+    if (batch.channel == Channel::kPurge)
+      jump_purges();
+    else if (!snapshot_)
+      begin_snapshot(now, false);
+  }
+  for (const Channel channel : kChannels)
+    watch_gap(now, channel, channel == batch.channel && is_answer && has_advanced);
+}
+
+void Replica::apply_ready(Channel channel) {
+  if (channel == Channel::kConfiguration && snapshot_) return;
+  Stream& from = stream(channel);
+  auto it = from.pending.begin();
+  for (; it != from.pending.end() && it->first <= from.log.last() + 1; ++it) {
+    if (!from.log.append(it->second)) continue;  // it was applied meanwhile
+    sink_.apply(channel, *it->second);
+  }
+  from.pending.erase(from.pending.begin(), it);
+}
+
+// ---- gaps
+
+void Replica::watch_gap(Time now, Channel channel, bool asks_on) {
+  Stream& of = stream(channel);
+  if (!is_behind(channel) || (channel == Channel::kConfiguration && snapshot_)) {
+    of.ask_at = Time::max();
+    of.attempts = 0;
+    return;
+  }
+  if (asks_on)
+    of.ask_at = now;
+  else if (of.ask_at == Time::max())
+    of.ask_at = now + (asks_first(channel) ? settings_.first_wait[index(channel)]
+                                           : settings_.wait[index(channel)]);
+}
+
+bool Replica::asks_first(Channel channel) const {
+  const MemberPlace* place = tree_->find(settings_.id);
+  if (!place) return false;
+  const auto stripe = repair_stripe(channel, stream(channel).log.last(), tree_->stripes());
+  return tree_->site_relays(place->site, stripe).includes(settings_.id) ||
+         tree_->region_relays(place->region, stripe).includes(settings_.id);
+}
+
+std::vector<Replica::Asked> Replica::ladder(Channel channel) const {
+  const Asked source{settings_.source, Forward::kNobody};
+  const MemberPlace* place = tree_->find(settings_.id);
+  if (!place) return {source};
+  const Sequence cursor = stream(channel).log.last();
+  const auto stripe = repair_stripe(channel, cursor, tree_->stripes());
+  const Relays& site = tree_->site_relays(place->site, stripe);
+  const Relays& region = tree_->region_relays(place->region, stripe);
+  if (region.includes(settings_.id)) return {{settings_.source, Forward::kRegion}, source};
+  if (site.includes(settings_.id))
+    return {{region.relay, Forward::kSite}, {region.standby, Forward::kSite}, source};
+  const auto& neighbours = tree_->members(place->site);
+  const auto& neighbour = neighbours[mix(stable_hash(settings_.id), cursor) % neighbours.size()];
+  return {{site.relay, Forward::kNobody},     {site.standby, Forward::kNobody},
+          {neighbour, Forward::kNobody},      {region.relay, Forward::kNobody},
+          {region.standby, Forward::kNobody}, source};
+}
+
+void Replica::ask(Time now, Channel channel) {
+  Stream& of = stream(channel);
+  const Sequence cursor = of.log.last();
+  if (head(channel) - cursor > settings_.max_replay[index(channel)]) {
+    if (channel == Channel::kPurge)
+      jump_purges();
+    else
+      begin_snapshot(now, false);
+    return;
+  }
+  auto steps = ladder(channel);
+  std::erase_if(steps, [&](const Asked& a) { return a.whom.empty() || a.whom == settings_.id; });
+  if (steps.empty()) steps = {{settings_.source, Forward::kNobody}};
+  const Asked& asked = steps[static_cast<std::size_t>(of.attempts) % steps.size()];
+  const Sequence last = of.pending.empty() ? head(channel) : of.pending.begin()->first - 1;
+  queue_.push(Urgency::kUrgent, asked.whom,
+              RangeRequest{source_.term, channel, cursor + 1, last, asked.forward});
+  const int round = std::min(of.attempts / static_cast<int>(steps.size()), 4);
+  of.ask_at = now + std::min(settings_.retry * (1 << round), settings_.max_retry);
+  ++of.attempts;
+}
+
+void Replica::jump_purges() {
+  Stream& purges = stream(Channel::kPurge);
+  sink_.distrust_held(purges.log.last(), head(Channel::kPurge));
+  purges.log.reset(head(Channel::kPurge));
+  purges.ask_at = Time::max();
+  purges.attempts = 0;
+  apply_ready(Channel::kPurge);
+}
+
+void Replica::answer(const MemberId& from, const RangeRequest& request) {
+  auto batch = answer_range(stream(request.channel).log, source_, tree_->stripes(), request);
+  const bool teaches = batch && request.term < source_.term;
+  if (batch && (teaches || !batch->entries.empty()))
+    queue_.push(Urgency::kBulk, from, std::move(*batch));
+}
+
+// ---- snapshots
+
+void Replica::begin_snapshot(Time now, bool whole) {
+  snapshot_ = Snapshot{whole, whole ? 0 : stream(Channel::kConfiguration).log.last(), {}, 0, now};
+  stream(Channel::kConfiguration).ask_at = Time::max();
+}
+
+void Replica::ask_for_piece(Time now) {
+  queue_.push(Urgency::kBulk, settings_.source, SnapshotRequest{source_.term, snapshot_->through});
+  snapshot_->ask_at = now + settings_.max_retry;
+}
+
+void Replica::on_piece(Time now, const SnapshotPiece& piece) {
+  const Term term = source_.term;
+  if (!take_source(now, piece.source)) return;
+  // A piece that taught a new term is no part of what was asked for.
+  if (term != source_.term || !snapshot_ || piece.after != snapshot_->through) return;
+  for (const auto& entry : piece.entries) {
+    snapshot_->bytes += wire_size(*entry);
+    snapshot_->entries.push_back(entry);
+  }
+  snapshot_->through = piece.through;
+  if (snapshot_->bytes > settings_.max_snapshot_bytes)
+    return begin_snapshot(now + settings_.max_configuration_age, snapshot_->whole);
+  if (!piece.complete) {
+    // The next piece once the budget has room for it beside the request.
+    snapshot_->ask_at = queue_.when_available(now, kMaxMessageBytes + 2 * kDatagramOverhead);
+    return;
+  }
+  const Snapshot done = std::move(*snapshot_);
+  snapshot_.reset();
+  sink_.install(done.entries, done.whole);
+  stream(Channel::kConfiguration).log.reset(done.through);
+  apply_ready(Channel::kConfiguration);
+  watch_gap(now, Channel::kConfiguration, false);
+}
+
+// ---- down the tree
+
+void Replica::forward(const MemberId& from, const Batch& batch) {
+  if (batch.forward == Forward::kNobody || !is_first_time(batch)) return;
+  if (batch.forward == Forward::kRegion)
+    forward_to_region(batch);
+  else
+    forward_to_site(from, batch);
+}
+
+bool Replica::is_first_time(const Batch& batch) {
+  const Sequence last =
+      batch.entries.empty() ? head(batch.channel) : batch.entries.back()->sequence;
+  const auto kind = static_cast<std::uint64_t>(batch.forward) * 2 + index(batch.channel);
+  const std::uint64_t hash = mix(mix(last, batch.entries.size()), mix(kind, batch.stripe));
+  if (std::find(forwarded_.begin(), forwarded_.end(), hash) != forwarded_.end()) return false;
+  forwarded_.push_back(hash);
+  if (forwarded_.size() > kMaxForwardedKept) forwarded_.pop_front();
+  return true;
+}
+
+void Replica::forward_to_region(const Batch& batch) {
+  const MemberPlace* place = tree_->find(settings_.id);
+  if (!place) return;
+  Batch copy = batch;
+  copy.forward = Forward::kSite;
+  for (const auto& site : tree_->sites(place->region)) {
+    const MemberId& relay = tree_->site_relays(site, batch.stripe).relay;
+    if (relay == settings_.id)
+      forward_to_site({}, copy);
+    else if (!relay.empty())
+      queue_.push(urgency_of(copy), relay, copy);
+  }
+}
+
+void Replica::forward_to_site(const MemberId& from, const Batch& batch) {
+  const MemberPlace* place = tree_->find(settings_.id);
+  if (!place) return;
+  Batch copy = batch;
+  copy.forward = Forward::kNobody;
+  for (const auto& member : tree_->members(place->site))
+    if (member != settings_.id && member != from) queue_.push(urgency_of(copy), member, copy);
+}
+
+// ---- up the tree
+
+void Replica::on_report(const Report& report) {
+  const MemberPlace* place = tree_->find(settings_.id);
+  if (!place) return;
+  const auto& sites = tree_->sites(place->region);
+  const MemberPlace* member = tree_->find(report.from);
+  if (member && member->site == place->site)
+    site_watermark_.on_report(report);
+  else if (std::binary_search(sites.begin(), sites.end(), report.from))
+    region_watermark_.on_report(report);
+}
+
+void Replica::report(Time now) {
+  report_at_ = now + settings_.report_period;
+  const MemberPlace* place = tree_->find(settings_.id);
+  if (!place || source_.term == 0) return;
+  Report own{settings_.id, source_.term, {}, {}};
+  for (const Channel channel : kChannels) own.in_force[index(channel)] = stream(channel).log.last();
+  const MemberId& site_collector = tree_->site_relays(place->site, kReportStripe).relay;
+  if (site_collector != settings_.id) {
+    if (!site_collector.empty()) queue_.push(Urgency::kUrgent, site_collector, std::move(own));
+    return;
+  }
+  site_watermark_.on_report(std::move(own));
+  Report of_site = site_watermark_.merge(place->site, source_.term, tree_->members(place->site));
+  const MemberId& region_collector = tree_->region_relays(place->region, kReportStripe).relay;
+  if (region_collector != settings_.id) {
+    if (!region_collector.empty())
+      queue_.push(Urgency::kUrgent, region_collector, std::move(of_site));
+    return;
+  }
+  region_watermark_.on_report(std::move(of_site));
+}
+
+// ---- time
+
+void Replica::on_timer(Time now) {
+  for (const Channel channel : kChannels)
+    if (now >= stream(channel).ask_at) ask(now, channel);
+  if (snapshot_ && now >= snapshot_->ask_at) ask_for_piece(now);
+  if (now < report_at_) return;
+  report(now);
+  const MemberPlace* place = tree_->find(settings_.id);
+  if (place && tree_->region_relays(place->region, kReportStripe).relay == settings_.id)
+    queue_.push(Urgency::kUrgent, settings_.source,
+                region_watermark_.merge(place->region, source_.term, tree_->sites(place->region)));
+}
+
+Time Replica::next(Time now) const {
+  Time when = std::min(report_at_, queue_.next(now));
+  for (const auto& stream : streams_) when = std::min(when, stream.ask_at);
+  return snapshot_ ? std::min(when, snapshot_->ask_at) : when;
+}
+
+std::vector<SendQueue::Item> Replica::take_sends(Time now) {
+  std::vector<SendQueue::Item> items;
+  while (auto item = queue_.pop(now)) items.push_back(std::move(*item));
+  return items;
+}
+
+Checkpoint Replica::checkpoint() const {
+  Checkpoint kept{source_.term, {}, snapshot_ && snapshot_->whole};
+  for (const Channel channel : kChannels)
+    kept.sequences[index(channel)] = stream(channel).log.last();
+  return kept;
+}
+
+Reliance Replica::reliance(Time now) const {
+  Reliance now_known;
+  now_known.silence = now - heard_at_;
+  now_known.purges_complete =
+      has_heard_ && now_known.silence <= settings_.max_silence && !is_behind(Channel::kPurge);
+  const bool is_whole = snapshot_ && snapshot_->whole;
+  now_known.configuration_valid =
+      source_.term > 0 && !is_whole && now_known.silence <= settings_.max_configuration_age;
+  return now_known;
+}
+
+}  // namespace silverpin::dissemination
--- /dev/null
+++ b/src/dissemination/source.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "dissemination/change_log.h"
+#include "dissemination/messages.h"
+#include "dissemination/relay_tree.h"
+#include "dissemination/send_queue.h"
+#include "dissemination/watermark.h"
+#include "structures/time.h"
+
+namespace silverpin::dissemination {
+
+struct SourceSettings {
+  MemberId id;
+  // Larger than any before it; whoever starts a source sees to that (an election, a durable
+  // counter).
+  Term term = 1;
+  // How long a change may wait for others to share its batch.
+  PerChannel<Duration> max_delay{std::chrono::milliseconds(250), std::chrono::seconds(1)};
+  // Bytes of entries a second, and as many saved up: what every member can carry, twice (in and
+  // out).
+  PerChannel<double> bytes_per_second{2000, 600};
+  PerChannel<double> burst_bytes{8000, 6000};
+  // A batch without entries goes out if nothing else has for so long.
+  Duration heartbeat{std::chrono::milliseconds(500)};
+  PerChannel<std::size_t> max_log_entries{65536, 8192};
+  // Changes that wait for their turn; more are refused.
+  std::size_t max_unsent = 16384;
+  // The source runs on a machine of its own, not on a balancer's budget.
+  SendLimits limits{2e6, 4e6, 65536, 64u << 20};
+};
+
+// What is recovered of an earlier source: consecutive entries from storage, or from the member that
+// knows most. A new source knows nothing else.
+struct History {
+  PerChannel<std::vector<EntryPtr>> entries;
+};
+
+// Whether a change is in force at every member, and who lacks it: members, or the sites and regions
+// that have not reported in this term. At most Watermark::kMaxLaggards.
+struct InForce {
+  bool everywhere = false;
+  Sequence least = 0;  // the last change that is
+  std::vector<Laggard> lacking;
+};
+
+// Numbers changes and sends them to one relay of each region, answers requests for ranges and
+// snapshots, and collects watermarks. No I/O: whoever owns it makes a change durable with the
+// number that it got before the next on_timer() sends it.
+class Source {
+ public:
+  Source(const SourceSettings& settings, std::shared_ptr<const RelayTree> tree,
+         const History& history, Time now);
+
+  // The change's number; 0 if too many wait, or if another source has taken over.
+  Sequence append(Time now, Channel channel, std::string key, std::string value);
+  void on_message(Time now, const MemberId& from, const Message& message, std::size_t bytes);
+  void on_timer(Time now);
+  Time next(Time now) const;
+  void set_tree(std::shared_ptr<const RelayTree> tree) { tree_ = std::move(tree); }
+  std::vector<SendQueue::Item> take_sends(Time now);
+
+  const SourceState& state() const { return state_; }
+  const ChangeLog& log(Channel channel) const { return logs_[index(channel)]; }
+  const CompactedLog& configuration() const { return configuration_; }
+  InForce in_force(Channel channel, Sequence sequence);
+  // A source of a later term exists: this one must stop.
+  bool superseded() const { return superseded_; }
+
+ private:
+  struct Pacing {
+    double tokens = 0;
+    Time at{0};
+    Time due = Time::max();  // when the oldest unsent change has waited long enough
+  };
+  void send_due(Time now, Channel channel);
+  void send_batch(Time now, Channel channel, std::vector<EntryPtr> entries);
+  void answer(const MemberId& from, const RangeRequest& request);
+  void answer(const MemberId& from, const SnapshotRequest& request);
+  void hear_of(Term term) { superseded_ = superseded_ || term > state_.term; }
+
+  const SourceSettings settings_;
+  std::shared_ptr<const RelayTree> tree_;
+  SourceState state_;
+  PerChannel<ChangeLog> logs_;
+  CompactedLog configuration_;
+  PerChannel<Pacing> pacing_;
+  SendQueue queue_;
+  Watermark watermark_;
+  Time last_batch_;
+  std::uint32_t next_stripe_ = 0;
+  bool superseded_ = false;
+};
+
+}  // namespace silverpin::dissemination
