Answer requests for a range once the asked one has it, instead of forwarding the answer to all

Change: whoever looks after a stripe's repair remembers a bounded number of requests for what it lacks itself and answers each once; it asks a neighbour before it asks above. Nobody asks while it is out of budget. Sites report to the source directly, which then knows of each. Bench with the full size.

--- /dev/null
+++ b/bench/dissemination.cc
@@ -0,0 +1,121 @@
+// Changes to every balancer under one simulated clock, with the real module: times, bytes and
+// messages by role, beside what polling would cost for the same changes.
+//
+//   cmake --build build --target silverpin_bench_dissemination
+//   build/silverpin_bench_dissemination [MEMBERS [SITES [REGIONS [SECONDS [SEED [LOSS]]]]]]
+//
+// Without arguments: 11,000 members, 870 sites, 49 regions, 60 s, seed 1, no loss.
+#include <sys/resource.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+
+#include "../tests/dissemination_sim.h"
+
+namespace {
+
+using namespace silverpin;
+using namespace silverpin::dissemination;
+
+struct Spread {
+  double median = 0, p99 = 0, max = 0;
+};
+Spread spread(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  const auto at = [&](double q) {
+    return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))];
+  };
+  return {at(0.5), at(0.99), at(1)};
+}
+void print(const char* what, const Spread& s, const char* unit) {
+  std::printf("  %-44s p50 %9.1f  p99 %9.1f  max %9.1f %s\n", what, s.median, s.p99, s.max, unit);
+}
+void print(const char* what, const LatencyCounts& counts) {
+  std::printf("  %-44s p50 %9zu  p99 %9zu  max %9zu ms (%llu)\n", what, counts.quantile(0.5),
+              counts.quantile(0.99), counts.quantile(1),
+              static_cast<unsigned long long>(counts.total()));
+}
+
+// A member that polls: one call a period, answered with what is new. Bytes of a call are those of
+// an HTTP request and answer with their TCP segments.
+void print_polling(double period, double members, double entry_bytes_per_second) {
+  constexpr double kCallBytes = 700;
+  const double bytes = kCallBytes / period + entry_bytes_per_second;
+  std::printf("  polls every %.3f s: %.0f bytes/s a member, %.0f calls/s in all, %.2f s at most\n",
+              period, bytes, members / period, period + 0.24);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto argument = [&](int i, double otherwise) {
+    return argc > i ? std::atof(argv[i]) : otherwise;
+  };
+  DisseminationSim::Shape shape;
+  shape.members = static_cast<int>(argument(1, 11000));
+  shape.sites = static_cast<int>(argument(2, 870));
+  shape.regions = static_cast<int>(argument(3, 49));
+  const double length = argument(4, 60);
+  const auto seed = static_cast<std::uint64_t>(argument(5, 1));
+  DisseminationSim sim(seed, shape);
+  sim.run(std::chrono::seconds(5));
+  sim.faults.loss = argument(6, 0);
+  const int source = shape.members;
+  std::vector<DisseminationSim::Traffic> before;
+  for (int m = 0; m <= source; ++m) before.push_back(sim.traffic(m));
+  sim.load(from_seconds(length));
+  const auto wall = std::chrono::steady_clock::now();
+  sim.run(from_seconds(length));
+  std::vector<double> all, in, out, messages, region_relays;
+  for (int m = 0; m < source; ++m) {
+    const auto& t = sim.traffic(m);
+    const auto& b = before[static_cast<std::size_t>(m)];
+    all.push_back(static_cast<double>(t.bytes() - b.bytes()) / length);
+    in.push_back(static_cast<double>(t.received_bytes - b.received_bytes) / length);
+    out.push_back(static_cast<double>(t.sent_bytes - b.sent_bytes) / length);
+    messages.push_back(static_cast<double>(t.sent + t.received - b.sent - b.received) / length);
+  }
+  for (const auto& region : sim.tree().regions())
+    for (std::uint32_t stripe = 0; stripe < shape.stripes; ++stripe)
+      region_relays.push_back(all[static_cast<std::size_t>(
+          sim.index_of(sim.tree().region_relays(region, stripe).relay))]);
+  const auto& t = sim.traffic(source);
+  const auto& b = before.back();
+  const auto applied_purges = sim.applied[0], applied_configuration = sim.applied[1];
+  const bool settled = sim.run_until([&] { return sim.all_current(); }, std::chrono::seconds(15));
+  sim.audit_watermarks();
+  sim.audit_configuration();
+  const double took =
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - wall).count();
+
+  std::printf("%d members, %d sites, %d regions, %.0f s, seed %llu, loss %.3f\n", shape.members,
+              shape.sites, shape.regions, length, static_cast<unsigned long long>(seed),
+              sim.faults.loss);
+  print("purge in force at a member", applied_purges);
+  print("purge in force everywhere", sim.everywhere(Channel::kPurge));
+  print("configuration in force at a member", applied_configuration);
+  print("configuration in force everywhere", sim.everywhere(Channel::kConfiguration));
+  print("member, sent and received", spread(all), "bytes/s");
+  print("  received", spread(in), "bytes/s");
+  print("  sent", spread(out), "bytes/s");
+  print("  messages, sent and received", spread(messages), "a second");
+  print("of these, relays of regions", spread(region_relays), "bytes/s");
+  std::printf("  source: %.0f bytes/s out, %.0f in, %.0f messages/s\n",
+              static_cast<double>(t.sent_bytes - b.sent_bytes) / length,
+              static_cast<double>(t.received_bytes - b.received_bytes) / length,
+              static_cast<double>(t.sent + t.received - b.sent - b.received) / length);
+  std::printf("  all current at the end: %s; distrusts %llu; snapshots %llu; auditor: %zu errors\n",
+              settled ? "yes" : "NO", static_cast<unsigned long long>(sim.distrusts),
+              static_cast<unsigned long long>(sim.installs), sim.errors.size());
+  for (const auto& error : sim.errors) std::printf("    %s\n", error.c_str());
+  const double entry_bytes = 59 * 20.0 + 0.5 * (20.0 + static_cast<double>(sim.value_bytes));
+  std::printf("baseline, from the same changes:\n");
+  print_polling(1 / 59.0, shape.members, entry_bytes);
+  print_polling(1, shape.members, entry_bytes);
+  print_polling(2.2, shape.members, entry_bytes);
+  rusage used{};
+  getrusage(RUSAGE_SELF, &used);
+  std::printf("%.1f s of one core, %.0f MB\n", took, static_cast<double>(used.ru_maxrss) / 1024);
+  return settled && sim.errors.empty() ? 0 : 1;
+}
--- a/src/dissemination/messages.h
+++ b/src/dissemination/messages.h
@@ -69,7 +69,6 @@
   Term term = 0;
   Channel channel = Channel::kPurge;
   Sequence first = 0, last = 0;
-  Forward forward = Forward::kNobody;  // what the asker will do with the answer
 };
 
 // Asks the source for the newest entry of each configuration key that changed behind `after`.
@@ -89,13 +88,13 @@
 
 // One that holds a channel back.
 struct Laggard {
-  std::string id;  // of a member; of a site or region from which no report has come
+  std::string id;  // of a member; of a site from which no report has come
   Sequence sequence = 0;
 };
 
-// Upwards: what is in force at all members of a member, site or region.
+// Upwards: what is in force at a member, or at all members of a site.
 struct Report {
-  std::string from;  // id of the member, site or region
+  std::string from;  // id of the member or site
   Term term = 0;
   PerChannel<Sequence> in_force{};  // the least of its members
   PerChannel<std::vector<Laggard>> laggards;
--- a/src/dissemination/range_repair.cc
+++ b/src/dissemination/range_repair.cc
@@ -11,7 +11,7 @@
 }
 
 std::optional<Batch> answer_range(const ChangeLog& log, const SourceState& source,
-                                  std::uint32_t stripes, const RangeRequest& request) {
+                                  const RangeRequest& request) {
   if (request.term > source.term || request.first == 0) return std::nullopt;
   Batch answer;
   answer.source = source;
@@ -22,8 +22,6 @@
   const Sequence last = std::min(request.last, source.heads[index(request.channel)]);
   answer.entries =
       log.range(request.first, last, kMaxMessageBytes - wire_size(answer) + kDatagramOverhead);
-  answer.forward = request.forward;
-  answer.stripe = repair_stripe(request.channel, request.first - 1, stripes);
   return answer;
 }
 
--- a/src/dissemination/range_repair.h
+++ b/src/dissemination/range_repair.h
@@ -12,7 +12,7 @@
 // history. Nothing for an asker of a later term, who knows better. Where the log has wrapped past
 // the range, `oldest` says so.
 std::optional<Batch> answer_range(const ChangeLog& log, const SourceState& source,
-                                  std::uint32_t stripes, const RangeRequest& request);
+                                  const RangeRequest& request);
 
 // The stripe whose relays look after the repair of what follows `cursor`.
 std::uint32_t repair_stripe(Channel channel, Sequence cursor, std::uint32_t stripes);
--- a/src/dissemination/relay_tree.cc
+++ b/src/dissemination/relay_tree.cc
@@ -77,6 +77,12 @@
   return names;
 }
 
+std::vector<std::string> RelayTree::sites() const {
+  std::vector<std::string> names;
+  for (const auto& [name, group] : sites_) names.push_back(name);
+  return names;
+}
+
 const std::vector<std::string>& RelayTree::sites(const std::string& region) const {
   const auto it = regions_.find(region);
   return it == regions_.end() ? kNoNames : it->second.children;
--- a/src/dissemination/relay_tree.h
+++ b/src/dissemination/relay_tree.h
@@ -41,6 +41,7 @@
   const MemberPlace* find(const MemberId& id) const;
   // In order of their names; empty for one that isn't known.
   std::vector<std::string> regions() const;
+  std::vector<std::string> sites() const;
   const std::vector<std::string>& sites(const std::string& region) const;
   const std::vector<MemberId>& members(const std::string& site) const;
   const Relays& region_relays(const std::string& region, std::uint32_t stripe) const;
--- a/src/dissemination/replica.cc
+++ b/src/dissemination/replica.cc
@@ -42,13 +42,19 @@
   if (checkpoint->needs_whole_configuration) begin_snapshot(now, true);
 }
 
+void Replica::set_tree(std::shared_ptr<const RelayTree> tree) {
+  tree_ = std::move(tree);
+  const MemberPlace* place = tree_->find(settings_.id);
+  watermark_.keep_only(place ? tree_->members(place->site) : std::vector<MemberId>{});
+}
+
 // ---- what comes in
 
 void Replica::on_message(Time now, const MemberId& from, const Message& message,
                          std::size_t bytes) {
   queue_.on_received(now, bytes);
   if (const auto* batch = std::get_if<Batch>(&message)) on_batch(now, from, *batch);
-  if (const auto* request = std::get_if<RangeRequest>(&message)) answer(from, *request);
+  if (const auto* request = std::get_if<RangeRequest>(&message)) answer(now, from, *request);
   if (const auto* piece = std::get_if<SnapshotPiece>(&message)) on_piece(now, *piece);
   if (const auto* report = std::get_if<Report>(&message)) on_report(*report);
 }
@@ -75,6 +81,7 @@
     stream.ask_at = Time::max();
     stream.attempts = 0;
   }
+  waiting_.clear();
   Stream& purges = stream(Channel::kPurge);
   if (follows)
     purges.log.truncate(source.starts[index(Channel::kPurge)]);  // one purge too many does no harm
@@ -105,7 +112,10 @@
   }
   apply_ready(batch.channel);
   const bool has_advanced = to.log.last() > before;
-  if (has_advanced) to.attempts = 0;
+  if (has_advanced) {
+    to.attempts = 0;
+    if (!waiting_.empty()) answer_waiting(now, batch.channel);
+  }
   // The asked one's log has wrapped past what is missing here.
   if (is_answer && from == settings_.source && batch.oldest > to.log.last() + 1) {
     if (batch.channel == Channel::kPurge)
@@ -140,34 +150,37 @@
   if (asks_on)
     of.ask_at = now;
   else if (of.ask_at == Time::max())
-    of.ask_at = now + (asks_first(channel) ? settings_.first_wait[index(channel)]
-                                           : settings_.wait[index(channel)]);
+    of.ask_at = now + (looks_after(channel, of.log.last()) ? settings_.first_wait[index(channel)]
+                                                           : settings_.wait[index(channel)]);
 }
 
-bool Replica::asks_first(Channel channel) const {
+bool Replica::looks_after(Channel channel, Sequence cursor) const {
   const MemberPlace* place = tree_->find(settings_.id);
   if (!place) return false;
-  const auto stripe = repair_stripe(channel, stream(channel).log.last(), tree_->stripes());
+  const auto stripe = repair_stripe(channel, cursor, tree_->stripes());
   return tree_->site_relays(place->site, stripe).includes(settings_.id) ||
          tree_->region_relays(place->region, stripe).includes(settings_.id);
 }
 
-std::vector<Replica::Asked> Replica::ladder(Channel channel) const {
-  const Asked source{settings_.source, Forward::kNobody};
+std::vector<MemberId> Replica::ladder(Channel channel) const {
+  const MemberId& source = settings_.source;
   const MemberPlace* place = tree_->find(settings_.id);
   if (!place) return {source};
   const Sequence cursor = stream(channel).log.last();
   const auto stripe = repair_stripe(channel, cursor, tree_->stripes());
   const Relays& site = tree_->site_relays(place->site, stripe);
   const Relays& region = tree_->region_relays(place->region, stripe);
-  if (region.includes(settings_.id)) return {{settings_.source, Forward::kRegion}, source};
-  if (site.includes(settings_.id))
-    return {{region.relay, Forward::kSite}, {region.standby, Forward::kSite}, source};
   const auto& neighbours = tree_->members(place->site);
   const auto& neighbour = neighbours[mix(stable_hash(settings_.id), cursor) % neighbours.size()];
-  return {{site.relay, Forward::kNobody},     {site.standby, Forward::kNobody},
-          {neighbour, Forward::kNobody},      {region.relay, Forward::kNobody},
-          {region.standby, Forward::kNobody}, source};
+  std::vector<MemberId> steps;
+  if (region.includes(settings_.id))
+    steps = {neighbour, source};  // it may be that only this one lacks it
+  else if (site.includes(settings_.id))
+    steps = {neighbour, region.relay, region.standby, source};
+  else
+    steps = {site.relay, site.standby, neighbour, region.relay, region.standby, source};
+  std::erase_if(steps, [&](const MemberId& id) { return id.empty() || id == settings_.id; });
+  return steps;
 }
 
 void Replica::ask(Time now, Channel channel) {
@@ -180,15 +193,17 @@
       begin_snapshot(now, false);
     return;
   }
-  auto steps = ladder(channel);
-  std::erase_if(steps, [&](const Asked& a) { return a.whom.empty() || a.whom == settings_.id; });
-  if (steps.empty()) steps = {{settings_.source, Forward::kNobody}};
-  const Asked& asked = steps[static_cast<std::size_t>(of.attempts) % steps.size()];
+  if (queue_.available(now) <= 0) {  // more requests would only wait in the queue
+    of.ask_at = queue_.when_available(now, 1);
+    return;
+  }
+  const auto steps = ladder(channel);
+  const MemberId& asked = steps[static_cast<std::size_t>(of.attempts) % steps.size()];
   const Sequence last = of.pending.empty() ? head(channel) : of.pending.begin()->first - 1;
-  queue_.push(Urgency::kUrgent, asked.whom,
-              RangeRequest{source_.term, channel, cursor + 1, last, asked.forward});
+  queue_.push(Urgency::kUrgent, asked, RangeRequest{source_.term, channel, cursor + 1, last});
   const int round = std::min(of.attempts / static_cast<int>(steps.size()), 4);
-  of.ask_at = now + std::min(settings_.retry * (1 << round), settings_.max_retry);
+  const Duration retry = asked == settings_.source ? settings_.source_retry : settings_.retry;
+  of.ask_at = now + std::min(retry * (1 << round), settings_.max_retry);
   ++of.attempts;
 }
 
@@ -201,11 +216,29 @@
   apply_ready(Channel::kPurge);
 }
 
-void Replica::answer(const MemberId& from, const RangeRequest& request) {
-  auto batch = answer_range(stream(request.channel).log, source_, tree_->stripes(), request);
-  const bool teaches = batch && request.term < source_.term;
-  if (batch && (teaches || !batch->entries.empty()))
+void Replica::answer(Time now, const MemberId& from, const RangeRequest& request) {
+  auto batch = answer_range(stream(request.channel).log, source_, request);
+  if (!batch) return;
+  const bool teaches = request.term < source_.term;
+  if (teaches || !batch->entries.empty()) {
     queue_.push(Urgency::kBulk, from, std::move(*batch));
+  } else if (request.first > stream(request.channel).log.last() &&
+             looks_after(request.channel, request.first - 1)) {
+    waiting_.push_back({from, request, now});
+    if (waiting_.size() > settings_.max_waiting_requests) waiting_.pop_front();
+  }
+}
+
+void Replica::answer_waiting(Time now, Channel channel) {
+  while (!waiting_.empty() && now - waiting_.front().since > settings_.max_request_wait)
+    waiting_.pop_front();
+  const Sequence last = stream(channel).log.last();
+  const auto is_ready = [&](const Waiting& waiting) {
+    return waiting.request.channel == channel && waiting.request.first <= last;
+  };
+  for (const auto& waiting : waiting_)
+    if (is_ready(waiting)) answer(now, waiting.from, waiting.request);
+  std::erase_if(waiting_, is_ready);
 }
 
 // ---- snapshots
@@ -216,6 +249,10 @@
 }
 
 void Replica::ask_for_piece(Time now) {
+  if (queue_.available(now) <= 0) {
+    snapshot_->ask_at = queue_.when_available(now, 1);
+    return;
+  }
   queue_.push(Urgency::kBulk, settings_.source, SnapshotRequest{source_.term, snapshot_->through});
   snapshot_->ask_at = now + settings_.max_retry;
 }
@@ -293,13 +330,8 @@
 
 void Replica::on_report(const Report& report) {
   const MemberPlace* place = tree_->find(settings_.id);
-  if (!place) return;
-  const auto& sites = tree_->sites(place->region);
   const MemberPlace* member = tree_->find(report.from);
-  if (member && member->site == place->site)
-    site_watermark_.on_report(report);
-  else if (std::binary_search(sites.begin(), sites.end(), report.from))
-    region_watermark_.on_report(report);
+  if (place && member && member->site == place->site) watermark_.on_report(report);
 }
 
 void Replica::report(Time now) {
@@ -308,20 +340,14 @@
   if (!place || source_.term == 0) return;
   Report own{settings_.id, source_.term, {}, {}};
   for (const Channel channel : kChannels) own.in_force[index(channel)] = stream(channel).log.last();
-  const MemberId& site_collector = tree_->site_relays(place->site, kReportStripe).relay;
-  if (site_collector != settings_.id) {
-    if (!site_collector.empty()) queue_.push(Urgency::kUrgent, site_collector, std::move(own));
-    return;
-  }
-  site_watermark_.on_report(std::move(own));
-  Report of_site = site_watermark_.merge(place->site, source_.term, tree_->members(place->site));
-  const MemberId& region_collector = tree_->region_relays(place->region, kReportStripe).relay;
-  if (region_collector != settings_.id) {
-    if (!region_collector.empty())
-      queue_.push(Urgency::kUrgent, region_collector, std::move(of_site));
-    return;
+  const MemberId& collector = tree_->site_relays(place->site, kReportStripe).relay;
+  if (collector == settings_.id) {
+    watermark_.on_report(std::move(own));
+    queue_.push(Urgency::kUrgent, settings_.source,
+                watermark_.merge(place->site, source_.term, tree_->members(place->site)));
+  } else if (!collector.empty()) {
+    queue_.push(Urgency::kUrgent, collector, std::move(own));
   }
-  region_watermark_.on_report(std::move(of_site));
 }
 
 // ---- time
@@ -330,12 +356,7 @@
   for (const Channel channel : kChannels)
     if (now >= stream(channel).ask_at) ask(now, channel);
   if (snapshot_ && now >= snapshot_->ask_at) ask_for_piece(now);
-  if (now < report_at_) return;
-  report(now);
-  const MemberPlace* place = tree_->find(settings_.id);
-  if (place && tree_->region_relays(place->region, kReportStripe).relay == settings_.id)
-    queue_.push(Urgency::kUrgent, settings_.source,
-                region_watermark_.merge(place->region, source_.term, tree_->sites(place->region)));
+  if (now >= report_at_) report(now);
 }
 
 Time Replica::next(Time now) const {
--- a/src/dissemination/replica.h
+++ b/src/dissemination/replica.h
@@ -25,15 +25,20 @@
   PerChannel<std::size_t> max_log_entries{1024, 256};
   // Entries that came before their turn; more are dropped and asked for again.
   std::size_t max_pending_entries = 1024;
+  // Requests of others for what it lacks itself, kept until it has it.
+  std::size_t max_waiting_requests = 256;
+  Duration max_request_wait{std::chrono::seconds(2)};
   // Further behind than this it doesn't ask for each change: it distrusts what is held instead of
   // purging key by key, and reads the newest values of the configuration.
   PerChannel<Sequence> max_replay{600, 64};
   // How long a gap may close by itself: for those who ask first in a site, and for the others.
   PerChannel<Duration> first_wait{std::chrono::milliseconds(100), std::chrono::milliseconds(400)};
   PerChannel<Duration> wait{std::chrono::milliseconds(300), std::chrono::seconds(1)};
-  // Between two requests for the same gap; doubled up to the longest.
-  Duration retry{std::chrono::milliseconds(250)}, max_retry{std::chrono::seconds(1)};
-  Duration report_period{std::chrono::seconds(2)};
+  // Between two requests for the same gap, to one in its region and to the source; doubled each
+  // time that nobody has answered, up to the longest.
+  Duration retry{std::chrono::milliseconds(200)}, source_retry{std::chrono::milliseconds(300)};
+  Duration max_retry{std::chrono::seconds(1)};
+  Duration report_period{std::chrono::seconds(3)};
   // Without word from the source for so long, purges may have been missed.
   Duration max_silence{std::chrono::milliseconds(2500)};
   // How long it acts on old configuration.
@@ -81,7 +86,7 @@
   void on_message(Time now, const MemberId& from, const Message& message, std::size_t bytes);
   void on_timer(Time now);
   Time next(Time now) const;
-  void set_tree(std::shared_ptr<const RelayTree> tree) { tree_ = std::move(tree); }
+  void set_tree(std::shared_ptr<const RelayTree> tree);
   std::vector<SendQueue::Item> take_sends(Time now);
 
   Cursor cursor(Channel channel) const { return {source_.term, stream(channel).log.last()}; }
@@ -117,7 +122,10 @@
   void on_batch(Time now, const MemberId& from, const Batch& batch);
   void on_piece(Time now, const SnapshotPiece& piece);
   void on_report(const Report& report);
-  void answer(const MemberId& from, const RangeRequest& request);
+  void answer(Time now, const MemberId& from, const RangeRequest& request);
+  void answer_waiting(Time now, Channel channel);
+  // Whether this one looks after the repair of what follows `cursor`, for its site or region.
+  bool looks_after(Channel channel, Sequence cursor) const;
 
   void apply_ready(Channel channel);
   void watch_gap(Time now, Channel channel, bool asks_on);
@@ -132,13 +140,8 @@
   bool is_first_time(const Batch& batch);
   void report(Time now);
 
-  struct Asked {
-    MemberId whom;
-    Forward forward = Forward::kNobody;
-  };
   // Whom to ask for what follows the cursor, first to last.
-  std::vector<Asked> ladder(Channel channel) const;
-  bool asks_first(Channel channel) const;
+  std::vector<MemberId> ladder(Channel channel) const;
 
   const ReplicaSettings settings_;
   std::shared_ptr<const RelayTree> tree_;
@@ -150,8 +153,14 @@
   PerChannel<Stream> streams_;
   std::optional<Snapshot> snapshot_;
   std::deque<std::uint64_t> forwarded_;  // hashes of the last batches
+  struct Waiting {
+    MemberId from;
+    RangeRequest request;
+    Time since{0};
+  };
+  std::deque<Waiting> waiting_;  // asked for what this one lacks itself; oldest first
   SendQueue queue_;
-  Watermark site_watermark_, region_watermark_;
+  Watermark watermark_;  // of its site, where it collects reports
   Time report_at_;
 };
 
--- a/src/dissemination/send_queue.h
+++ b/src/dissemination/send_queue.h
@@ -12,7 +12,7 @@
 
 struct SendLimits {
   double bytes_per_second = 5000;  // sent and received together
-  double burst_bytes = 20000;      // saved up while little is said
+  double burst_bytes = 40000;      // saved up while little is said
   // While bulk waits, it gets one message for so many bytes of urgent ones at the latest.
   std::size_t max_urgent_run_bytes = 4096;
   std::size_t max_queued_bytes = 262144;  // of each kind
--- a/src/dissemination/source.cc
+++ b/src/dissemination/source.cc
@@ -60,15 +60,17 @@
   queue_.on_received(now, bytes);
   if (const auto* request = std::get_if<RangeRequest>(&message)) answer(from, *request);
   if (const auto* request = std::get_if<SnapshotRequest>(&message)) answer(from, *request);
-  if (const auto* report = std::get_if<Report>(&message)) {
-    hear_of(report->term);
-    watermark_.on_report(*report);
-  }
+  if (const auto* report = std::get_if<Report>(&message)) on_report(*report);
+}
+
+void Source::on_report(const Report& report) {
+  hear_of(report.term);
+  if (!tree_->members(report.from).empty()) watermark_.on_report(report);
 }
 
 void Source::answer(const MemberId& from, const RangeRequest& request) {
   hear_of(request.term);
-  if (auto batch = answer_range(logs_[index(request.channel)], state_, tree_->stripes(), request))
+  if (auto batch = answer_range(logs_[index(request.channel)], state_, request))
     queue_.push(Urgency::kBulk, from, std::move(*batch));
 }
 
@@ -89,6 +91,11 @@
   queue_.push(Urgency::kBulk, from, std::move(piece));
 }
 
+void Source::set_tree(std::shared_ptr<const RelayTree> tree) {
+  tree_ = std::move(tree);
+  watermark_.keep_only(tree_->sites());
+}
+
 void Source::on_timer(Time now) {
   if (superseded_) return;
   for (const Channel channel : kChannels) send_due(now, channel);
@@ -144,9 +151,24 @@
   return items;
 }
 
-InForce Source::in_force(Channel channel, Sequence sequence) {
+InForce Source::in_force(Channel channel, Sequence sequence) const {
+  return in_force_at(tree_->sites(), channel, sequence);
+}
+
+InForce Source::in_force_in_region(const std::string& region, Channel channel,
+                                   Sequence sequence) const {
+  return in_force_at(tree_->sites(region), channel, sequence);
+}
+
+InForce Source::in_force_at_site(const std::string& site, Channel channel,
+                                 Sequence sequence) const {
+  return in_force_at({site}, channel, sequence);
+}
+
+InForce Source::in_force_at(const std::vector<std::string>& sites, Channel channel,
+                            Sequence sequence) const {
   const std::size_t c = index(channel);
-  const Report merged = watermark_.merge(settings_.id, state_.term, tree_->regions());
+  const Report merged = watermark_.merge(settings_.id, state_.term, sites);
   InForce answer;
   answer.least = merged.in_force[c];
   answer.everywhere = sequence <= answer.least;
--- a/src/dissemination/source.h
+++ b/src/dissemination/source.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -20,13 +19,13 @@
   // counter).
   Term term = 1;
   // How long a change may wait for others to share its batch.
-  PerChannel<Duration> max_delay{std::chrono::milliseconds(250), std::chrono::seconds(1)};
+  PerChannel<Duration> max_delay{std::chrono::milliseconds(500), std::chrono::seconds(1)};
   // Bytes of entries a second, and as many saved up: what every member can carry, twice (in and
   // out).
   PerChannel<double> bytes_per_second{2000, 600};
   PerChannel<double> burst_bytes{8000, 6000};
   // A batch without entries goes out if nothing else has for so long.
-  Duration heartbeat{std::chrono::milliseconds(500)};
+  Duration heartbeat{std::chrono::seconds(1)};
   PerChannel<std::size_t> max_log_entries{65536, 8192};
   // Changes that wait for their turn; more are refused.
   std::size_t max_unsent = 16384;
@@ -40,8 +39,8 @@
   PerChannel<std::vector<EntryPtr>> entries;
 };
 
-// Whether a change is in force at every member, and who lacks it: members, or the sites and regions
-// that have not reported in this term. At most Watermark::kMaxLaggards.
+// Whether a change is in force at every member, and who lacks it: members, or sites that have not
+// reported in this term. At most Watermark::kMaxLaggards.
 struct InForce {
   bool everywhere = false;
   Sequence least = 0;  // the last change that is
@@ -61,13 +60,16 @@
   void on_message(Time now, const MemberId& from, const Message& message, std::size_t bytes);
   void on_timer(Time now);
   Time next(Time now) const;
-  void set_tree(std::shared_ptr<const RelayTree> tree) { tree_ = std::move(tree); }
+  void set_tree(std::shared_ptr<const RelayTree> tree);
   std::vector<SendQueue::Item> take_sends(Time now);
 
   const SourceState& state() const { return state_; }
   const ChangeLog& log(Channel channel) const { return logs_[index(channel)]; }
   const CompactedLog& configuration() const { return configuration_; }
-  InForce in_force(Channel channel, Sequence sequence);
+  InForce in_force(Channel channel, Sequence sequence) const;
+  // The same within one region, or one site.
+  InForce in_force_in_region(const std::string& region, Channel channel, Sequence sequence) const;
+  InForce in_force_at_site(const std::string& site, Channel channel, Sequence sequence) const;
   // A source of a later term exists: this one must stop.
   bool superseded() const { return superseded_; }
 
@@ -81,6 +83,9 @@
   void send_batch(Time now, Channel channel, std::vector<EntryPtr> entries);
   void answer(const MemberId& from, const RangeRequest& request);
   void answer(const MemberId& from, const SnapshotRequest& request);
+  void on_report(const Report& report);
+  InForce in_force_at(const std::vector<std::string>& sites, Channel channel,
+                      Sequence sequence) const;
   void hear_of(Term term) { superseded_ = superseded_ || term > state_.term; }
 
   const SourceSettings settings_;
@@ -90,7 +95,7 @@
   CompactedLog configuration_;
   PerChannel<Pacing> pacing_;
   SendQueue queue_;
-  Watermark watermark_;
+  Watermark watermark_;  // of all sites
   Time last_batch_;
   std::uint32_t next_stripe_ = 0;
   bool superseded_ = false;
--- a/src/dissemination/watermark.cc
+++ b/src/dissemination/watermark.cc
@@ -1,6 +1,7 @@
 #include "dissemination/watermark.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace silverpin::dissemination {
@@ -25,29 +26,30 @@
 }
 
 Report Watermark::merge(const std::string& id, Term term,
-                        const std::vector<std::string>& expected) {
-  std::map<std::string, Report> kept;
+                        const std::vector<std::string>& expected) const {
   Report merged{id, term, {}, {}};
   bool is_first = true;
   for (const auto& child : expected) {
-    Report report{child, term, {}, {}};
-    if (const auto it = reports_.find(child); it != reports_.end()) {
-      if (it->second.term == term) report = it->second;
-      kept.insert(reports_.extract(it));
-    }
+    const auto it = reports_.find(child);
+    const bool counts = it != reports_.end() && it->second.term == term;
+    const Report report = counts ? it->second : Report{child, term, {}, {}};
     for (const Channel channel : kChannels) {
       const std::size_t c = index(channel);
-      merged.in_force[c] =
-          is_first ? report.in_force[c] : std::min(merged.in_force[c], report.in_force[c]);
+      const Sequence in_force = report.in_force[c];
+      merged.in_force[c] = is_first ? in_force : std::min(merged.in_force[c], in_force);
       auto& laggards = merged.laggards[c];
-      if (report.laggards[c].empty()) laggards.push_back({child, report.in_force[c]});
+      if (report.laggards[c].empty()) laggards.push_back({child, in_force});
       laggards.insert(laggards.end(), report.laggards[c].begin(), report.laggards[c].end());
     }
     is_first = false;
   }
   for (auto& laggards : merged.laggards) keep_worst(laggards);
-  reports_ = std::move(kept);
   return merged;
 }
 
+void Watermark::keep_only(const std::vector<std::string>& expected) {
+  const std::set<std::string> names(expected.begin(), expected.end());
+  std::erase_if(reports_, [&](const auto& report) { return names.count(report.first) == 0; });
+}
+
 }  // namespace silverpin::dissemination
--- a/src/dissemination/watermark.h
+++ b/src/dissemination/watermark.h
@@ -19,8 +19,10 @@
   static constexpr std::size_t kMaxLaggards = 3;
 
   void on_report(Report report);
-  // The least over `expected`, and who holds it back. Reports of others are forgotten.
-  Report merge(const std::string& id, Term term, const std::vector<std::string>& expected);
+  // The least over `expected`, and who holds it back.
+  Report merge(const std::string& id, Term term, const std::vector<std::string>& expected) const;
+  // Forgets the reports of others than these.
+  void keep_only(const std::vector<std::string>& expected);
   const std::map<std::string, Report>& reports() const { return reports_; }
 
  private:
--- a/tests/dissemination_parts_test.cc
+++ b/tests/dissemination_parts_test.cc
@@ -190,16 +190,17 @@
   watermark.on_report(report("a", 1, 10, 5));
   watermark.on_report(report("b", 1, 3, 3));
   EXPECT_EQ(watermark.merge("site", 1, {"a"}).in_force[0], 10u);
+  watermark.keep_only({"a"});
   EXPECT_EQ(watermark.reports().count("b"), 0u);
 }
 
-TEST(WatermarkTest, NamesMembersThroughAllLevels) {
-  Watermark site, region;
+TEST(WatermarkTest, NamesMembersThroughBothLevels) {
+  Watermark site, all;
   for (int m = 0; m < 13; ++m) site.on_report(report("m" + std::to_string(m), 1, 100 - m, 50));
   std::vector<std::string> members;
   for (int m = 0; m < 13; ++m) members.push_back("m" + std::to_string(m));
-  region.on_report(site.merge("s0", 1, members));
-  const Report merged = region.merge("r0", 1, {"s0", "s1"});
+  all.on_report(site.merge("s0", 1, members));
+  const Report merged = all.merge("source", 1, {"s0", "s1"});
   EXPECT_EQ(merged.in_force[0], 0u) << "nothing has come from s1";
   EXPECT_EQ(merged.laggards[0][0].id, "s1");
   EXPECT_EQ(merged.laggards[0][1].id, "m12");
