--- a/src/rig/main.cc
+++ b/src/rig/main.cc
@@ -16,6 +16,7 @@
 #include "rig/moves.h"
 #include "rig/rehearsal.h"
 #include "rig/report/report.h"
+#include "rig/scale/sweep.h"
 #include "rig/servers/resp_cluster.h"
 
 namespace {
@@ -139,6 +140,19 @@
   move->add_option("--out", moves.folder, "folder for state and logs (rehearsals/moves)");
   move->add_option("--program", moves.program, "the balancer (silverpin beside this program)");
   move->add_flag("--quiet", quiet, "no progress line");
+  scale::SweepOptions sweep;
+  std::string sweep_name, sweep_names;
+  for (const auto& entry : scale::sweeps())
+    sweep_names += std::string(sweep_names.empty() ? "" : "; ") + entry.name + ": " + entry.about;
+  CLI::App* measure = app.add_subcommand(
+      "scale", "measure what a quantity costs at several sizes, with a fit; CSV and charts");
+  measure->add_option("SWEEP", sweep_name, sweep_names)->required();
+  measure->add_flag("--short", sweep.quick, "few sizes, for the counts alone");
+  measure->add_option("--seeds", sweep.seeds, "one run of each size for each seed");
+  measure->add_option("--out", sweep.folder,
+                      "folder for tables, charts and logs (rehearsals/scale)");
+  measure->add_option("--program", sweep.program, "the balancer (silverpin beside this program)");
+  measure->add_flag("--quiet", quiet, "no progress lines");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -158,6 +172,14 @@
       raise_descriptor_limit();
       return run_moves(moves);
     }
+    if (*measure) {
+      if (sweep.folder.empty()) sweep.folder = "rehearsals/scale";
+      if (sweep.program.empty()) sweep.program = beside_this_program("silverpin");
+      sweep.progress = !quiet;
+      raise_descriptor_limit();
+      scale::run_and_write(sweep_name, sweep);
+      return 0;
+    }
     Scenario scenario = load_scenario(file);
     if (count > 0) scenario.balancers = count;
     if (seed > 0) scenario.seed = seed;
--- /dev/null
+++ b/src/rig/scale/sweep_changes.cc
@@ -0,0 +1,251 @@
+// What changes of the host list cost a balancer and discovery, one watch call a change as today:
+// bytes, calls and processor time by changes a second, by listed hosts and by balancers, and how
+// long a change takes until the last balancer has it in force.
+#include <algorithm>
+
+#include "rig/scale/control_plane.h"
+#include "rig/scale/sweep.h"
+
+namespace silverpin::rig::scale {
+namespace {
+
+constexpr Duration kGetsReady = std::chrono::seconds(60);
+// Above the longest backoff of a balancer whose watch broke.
+constexpr Duration kAsksAgain = std::chrono::seconds(3);
+// From a balancer's call for a list until it has read it and its next watch is out.
+constexpr Duration kReadsTheList = std::chrono::milliseconds(50);
+
+struct ChangeRun {
+  bool asked = false;
+  int hosts = 0, balancers = 1;
+  double changes_per_second = 0;
+  int burst = 0;   // changes at once, in place of a rate
+  int breaks = 0;  // of all watches, one after the other
+  Duration length{0};
+};
+
+const std::vector<std::string> kColumns{"asked",
+                                        "hosts",
+                                        "balancers",
+                                        "rate_per_s",
+                                        "burst",
+                                        "breaks",
+                                        "seed",
+                                        "seconds",
+                                        "changes",
+                                        "calls",
+                                        "whole_lists",
+                                        "bytes_in",
+                                        "bytes_out",
+                                        "balancer_cpu_ms",
+                                        "discovery_cpu_ms",
+                                        "in_force",
+                                        "in_force_p50_ms",
+                                        "in_force_p99_ms",
+                                        "in_force_max_ms",
+                                        "outstanding"};
+
+// One list at all balancers, then what `run` says, until the last balancer has all of it in force.
+class ChangeMeasurement {
+ public:
+  ChangeMeasurement(const ChangeRun& run, std::uint64_t seed)
+      : run_(run),
+        seed_(seed),
+        discovery_(run.hosts, run.balancers, seed),
+        balancers_(discovery_, run.balancers, run.asked, seed) {}
+
+  std::vector<double> row() {
+    if (!balancers_.run_until([this] { return discovery_.listed() == run_.balancers; }, kGetsReady))
+      throw std::runtime_error(std::to_string(run_.balancers - discovery_.listed()) +
+                               " balancers got no list of " + std::to_string(run_.hosts) +
+                               " hosts");
+    const auto before = discovery_.usage();
+    const Duration cpu_before = thread_cpu_time();
+    const auto began = std::chrono::steady_clock::now();
+    trouble();
+    const Duration cpu = thread_cpu_time() - cpu_before;
+    const Duration length = std::chrono::steady_clock::now() - began;
+    const auto used = discovery_.usage().since(before);
+    const Histogram in_force = discovery_.take_in_force();
+    return {static_cast<double>(run_.asked),
+            static_cast<double>(run_.hosts),
+            static_cast<double>(run_.balancers),
+            run_.changes_per_second,
+            static_cast<double>(run_.burst),
+            static_cast<double>(run_.breaks),
+            static_cast<double>(seed_),
+            seconds(length),
+            static_cast<double>(used.changes),
+            static_cast<double>(used.calls),
+            static_cast<double>(used.whole_lists),
+            static_cast<double>(used.bytes_in),
+            static_cast<double>(used.bytes_out),
+            millis(cpu),
+            millis(used.cpu),
+            static_cast<double>(in_force.count()),
+            millis(in_force.percentile(0.5)),
+            millis(in_force.percentile(0.99)),
+            millis(in_force.max()),
+            static_cast<double>(discovery_.outstanding())};
+  }
+
+ private:
+  void trouble() {
+    for (int i = 0; i < run_.breaks; ++i) break_once();
+    if (run_.burst > 0) discovery_.publish(run_.burst);
+    discovery_.begin_changes(run_.changes_per_second);
+    balancers_.run_for(run_.length);
+    discovery_.stop_changes();
+    balancers_.run_until([this] { return discovery_.outstanding() == 0; }, kGetsReady);
+  }
+  // A balancer that is between two calls at that moment has no watch to lose: it is tried again.
+  void break_once() {
+    const auto wanted = discovery_.usage().whole_lists + static_cast<std::uint64_t>(run_.balancers);
+    const auto done = [&] { return discovery_.usage().whole_lists >= wanted; };
+    constexpr int kTries = 10;
+    for (int i = 0; i < kTries && !done(); ++i) {
+      discovery_.break_watches();
+      balancers_.run_until(done, kAsksAgain);
+    }
+    if (!done()) throw std::runtime_error("a balancer did not ask for the whole list");
+    balancers_.run_for(kReadsTheList);
+  }
+
+  const ChangeRun run_;
+  const std::uint64_t seed_;
+  DiscoveryService discovery_;
+  HollowBalancers balancers_;
+};
+
+std::vector<ChangeRun> full_runs() {
+  using std::chrono::milliseconds;
+  std::vector<ChangeRun> runs;
+  // By changes a second and by listed hosts, at one balancer.
+  for (const bool asked : {false, true})
+    for (const int hosts : {50, 400, 1400, 3200})
+      for (const double rate : {0.0, 10.0, 20.0, 40.0, 80.0}) {
+        if (asked && hosts != 1400) continue;
+        runs.push_back({asked, hosts, 1, rate, 0, 0, milliseconds(2000)});
+      }
+  for (const int hosts : {50, 400, 1400, 3200})
+    runs.push_back({false, hosts, 1, 0, 0, 6, milliseconds(0)});
+  // By balancers: calls and processor time at discovery, and time to the last of them.
+  for (const int balancers : {25, 50, 100, 200, 400})
+    runs.push_back({false, 200, balancers, 5, 0, 0, milliseconds(2000)});
+  // A burst.
+  for (const int burst : {10, 100, 1000})
+    runs.push_back({false, 1400, 1, 0, burst, 0, milliseconds(0)});
+  return runs;
+}
+
+std::vector<ChangeRun> quick_runs() {
+  using std::chrono::milliseconds;
+  return {
+      {false, 50, 1, 0, 0, 0, milliseconds(300)},   {false, 50, 1, 40, 0, 0, milliseconds(300)},
+      {true, 50, 1, 40, 0, 0, milliseconds(300)},   {false, 400, 1, 40, 0, 0, milliseconds(300)},
+      {false, 50, 10, 20, 0, 0, milliseconds(300)}, {false, 50, 1, 0, 0, 1, milliseconds(0)},
+      {false, 400, 1, 0, 0, 1, milliseconds(0)},    {false, 400, 1, 0, 100, 0, milliseconds(0)},
+  };
+}
+
+void fit_one_balancer(SweepResult& result, bool asked, int hosts) {
+  const Table& t = result.table;
+  const auto chosen = [&t, asked, hosts](std::size_t row) {
+    return t.at(row, "asked") == asked && t.at(row, "hosts") == hosts &&
+           t.at(row, "balancers") == 1 && t.at(row, "breaks") == 0 && t.at(row, "burst") == 0;
+  };
+  const std::string where =
+      std::string(asked ? "asked" : "pushed") + ", " + std::to_string(hosts) + " hosts";
+  const auto by_rate = [&](const std::string& what, const std::string& unit,
+                           const std::string& column) {
+    result.fit(
+        what + ", " + where, "changes a second", unit,
+        [&t, column](std::size_t row) {
+          return Point{t.at(row, "changes") / t.at(row, "seconds"),
+                       t.at(row, column) / t.at(row, "seconds")};
+        },
+        chosen);
+  };
+  by_rate("balancer CPU per change", "CPU ms a second", "balancer_cpu_ms");
+  by_rate("calls per change", "calls a second", "calls");
+  by_rate("bytes in per change", "bytes a second to the balancer", "bytes_out");
+  by_rate("bytes out per change", "bytes a second from the balancer", "bytes_in");
+}
+
+void fit_whole_lists(SweepResult& result) {
+  const Table& t = result.table;
+  const auto chosen = [&t](std::size_t row) { return t.at(row, "breaks") > 0; };
+  const auto by_hosts = [&](const std::string& what, const std::string& unit,
+                            const std::string& column) {
+    result.fit(
+        what, "listed hosts", unit,
+        [&t, column](std::size_t row) {
+          return Point{t.at(row, "hosts"), t.at(row, column) / t.at(row, "whole_lists")};
+        },
+        chosen);
+  };
+  by_hosts("bytes of a whole list per host", "bytes a whole list", "bytes_out");
+  by_hosts("balancer CPU of a whole list per host", "CPU ms a whole list", "balancer_cpu_ms");
+}
+
+void fit_by_hosts(SweepResult& result) {
+  const Table& t = result.table;
+  result.fit(
+      "balancer CPU of a change by listed hosts", "listed hosts", "CPU ms a change",
+      [&t](std::size_t row) {
+        return Point{t.at(row, "hosts"), t.at(row, "balancer_cpu_ms") / t.at(row, "changes")};
+      },
+      [&t](std::size_t row) {
+        return t.at(row, "asked") == 0 && t.at(row, "balancers") == 1 &&
+               t.at(row, "rate_per_s") >= 40 && t.at(row, "changes") > 0;
+      });
+}
+
+void fit_by_balancers(SweepResult& result) {
+  const Table& t = result.table;
+  const auto chosen = [&t](std::size_t row) { return t.at(row, "balancers") > 1; };
+  const auto by_balancers = [&](const std::string& what, const std::string& unit,
+                                const std::function<double(std::size_t)>& value) {
+    result.fit(
+        what, "balancers", unit,
+        [&t, value](std::size_t row) {
+          return Point{t.at(row, "balancers"), value(row)};
+        },
+        chosen);
+  };
+  by_balancers("discovery calls per change and balancer", "calls a change",
+               [&t](std::size_t row) { return t.at(row, "calls") / t.at(row, "changes"); });
+  by_balancers("discovery bytes out per change and balancer", "bytes a change",
+               [&t](std::size_t row) { return t.at(row, "bytes_out") / t.at(row, "changes"); });
+  by_balancers(
+      "discovery CPU per change and balancer (stand-in)", "CPU ms a change",
+      [&t](std::size_t row) { return t.at(row, "discovery_cpu_ms") / t.at(row, "changes"); });
+  by_balancers("time to in force at the last balancer, p99, per balancer", "ms",
+               [&t](std::size_t row) { return t.at(row, "in_force_p99_ms"); });
+}
+
+}  // namespace
+
+SweepResult sweep_changes(const SweepOptions& options) {
+  SweepResult result{"changes", Table(kColumns), {}};
+  const std::vector<ChangeRun> runs = options.quick ? quick_runs() : full_runs();
+  for (const ChangeRun& run : runs)
+    for (const std::uint64_t seed : options.seeds) {
+      result.table.add(ChangeMeasurement(run, seed).row());
+      report_progress(options,
+                      "changes: %s, %d hosts, %d balancers, %.0f changes a second, burst %d, "
+                      "%d breaks, seed %llu",
+                      run.asked ? "asked" : "pushed", run.hosts, run.balancers,
+                      run.changes_per_second, run.burst, run.breaks,
+                      static_cast<unsigned long long>(seed));
+    }
+  if (options.quick) return result;
+  for (const int hosts : {50, 400, 1400, 3200}) fit_one_balancer(result, false, hosts);
+  fit_one_balancer(result, true, 1400);
+  fit_by_hosts(result);
+  fit_whole_lists(result);
+  fit_by_balancers(result);
+  return result;
+}
+
+}  // namespace silverpin::rig::scale
--- a/src/rig/servers/discovery_server.cc
+++ b/src/rig/servers/discovery_server.cc
@@ -67,12 +67,22 @@
   });
 }
 
-void DiscoveryServer::publish(const Entry& entry) {
+std::uint64_t DiscoveryServer::publish(const Entry& entry) {
   entries_[entry.host] = {entry, ++seq_};
-  if (down_) return;
+  if (down_) return seq_;
   for (std::size_t b = 0; b < outlets_.size(); ++b)
     for (const auto& watch : std::exchange(outlets_[b].watches, {}))
       answer(static_cast<int>(b), watch->session, false, watch->index);
+  return seq_;
+}
+
+DiscoveryServer::Traffic DiscoveryServer::traffic() const {
+  Traffic all;
+  for (const Outlet& outlet : outlets_) {
+    all.bytes_in += outlet.http->bytes_in();
+    all.bytes_out += outlet.http->bytes_out();
+  }
+  return all;
 }
 
 void DiscoveryServer::set_down(bool down) {
@@ -88,6 +98,7 @@
   context_.stampede.count(Stampede::Kind::kListCall, context_.now());
   if (down_) return session->respond(503, "", "");
   const auto index = query(target, "index=");
+  if (on_call) on_call(balancer, index);
   if (!index) return answer(balancer, session, true, 0);
   const auto wait = std::min(query(target, "wait=").value_or(0), kLongestWait);
   if (*index < seq_ || wait == 0) return answer(balancer, session, false, *index);
--- a/src/rig/servers/discovery_server.h
+++ b/src/rig/servers/discovery_server.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +32,8 @@
   void add(const Entry& entry);
   // In the list after the scenario's delay, and counted as told 6 s later at the latest.
   void change(const Entry& entry);
+  // In the list at once, and told to all open watches. Returns the list's version from then on.
+  std::uint64_t publish(const Entry& entry);
   void set_down(bool down);
   // Gives this balancer another address; the old one takes no connection any more and ends those it
   // has 1.5 s later.
@@ -40,6 +45,14 @@
   // Where a balancer is told that a host listens; none: where it does.
   std::function<std::string(int balancer, const Entry& entry)> dial_told;
   void forget(int balancer);  // it has started anew
+  // Hears of each call for the list: `index` is the version that a watch names, which the balancer
+  // has in force by then; none for a call for the whole list.
+  std::function<void(int balancer, std::optional<std::uint64_t> index)> on_call;
+  struct Traffic {
+    std::uint64_t bytes_in = 0, bytes_out = 0;
+  };
+  // Of all balancers at their present addresses.
+  Traffic traffic() const;
 
  private:
   struct Listed {
@@ -59,7 +72,6 @@
 
   void open(int balancer);
   void serve(int balancer, const HttpServer::SessionPtr& session);
-  void publish(const Entry& entry);
   void answer(int balancer, const HttpServer::SessionPtr& session, bool whole, std::uint64_t since);
   void told(int balancer, const Entry& entry);
   std::string json(int balancer, const Entry& entry) const;
--- a/src/rig/servers/http_server.cc
+++ b/src/rig/servers/http_server.cc
@@ -19,9 +19,10 @@
   parser_->body_limit(kMaxBody);
   parser_->header_limit(kMaxHeader);
   http::async_read(socket_, buffer_, *parser_,
-                   [self = shared_from_this()](const error_code& e, std::size_t) {
+                   [self = shared_from_this()](const error_code& e, std::size_t bytes) {
                      if (self->closed_) return;
                      if (e) return self->close();
+                     self->server_->bytes_in_ += bytes;
                      self->server_->handler_(self);
                    });
 }
@@ -32,14 +33,15 @@
   out_ = "HTTP/1.1 " + std::to_string(status) + " " +
          std::string(http::obsolete_reason(static_cast<http::status>(status))) +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + extra + "\r\n" + body;
-  asio::async_write(
-      socket_, asio::buffer(out_),
-      [self = shared_from_this(), written = std::move(written)](const error_code& e, std::size_t) {
-        if (self->closed_) return;
-        if (e) return self->close();
-        if (written) written();
-        if (!self->closed_) self->read();
-      });
+  asio::async_write(socket_, asio::buffer(out_),
+                    [self = shared_from_this(), written = std::move(written)](const error_code& e,
+                                                                              std::size_t bytes) {
+                      if (self->closed_) return;
+                      if (e) return self->close();
+                      self->server_->bytes_out_ += bytes;
+                      if (written) written();
+                      if (!self->closed_) self->read();
+                    });
 }
 
 void HttpServer::Session::close() {
--- a/src/rig/servers/http_server.h
+++ b/src/rig/servers/http_server.h
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -55,6 +56,9 @@
   void stop_accepting();
   void close_all();
   void reopen();  // after stop_accepting(), at the same address
+  // Bytes of whole requests and answers on all connections so far, headers included.
+  std::uint64_t bytes_in() const { return bytes_in_; }
+  std::uint64_t bytes_out() const { return bytes_out_; }
 
  private:
   void accept();
@@ -65,6 +69,7 @@
   Handler handler_;
   asio::ip::tcp::acceptor acceptor_;
   std::set<SessionPtr> sessions_;
+  std::uint64_t bytes_in_ = 0, bytes_out_ = 0;
 };
 
 }  // namespace silverpin::rig
--- /dev/null
+++ b/tests/rig/scale_test.cc
@@ -0,0 +1,119 @@
+// The short forms of the scale sweeps: what they count holds on any machine, and how long it took
+// is not looked at.
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "rig/scale/control_plane.h"
+#include "rig/scale/sweep.h"
+
+namespace silverpin::rig::scale {
+namespace {
+
+TEST(LinearFit, FindsTheLineThroughItsPoints) {
+  const LinearFit fit = fit_line({{1, 5}, {2, 7}, {4, 11}});
+  EXPECT_NEAR(fit.slope, 2, 1e-12);
+  EXPECT_NEAR(fit.intercept, 3, 1e-12);
+  EXPECT_NEAR(fit.residual, 0, 1e-12);
+  EXPECT_NEAR(fit.r_squared, 1, 1e-12);
+  EXPECT_NEAR(fit.at(10), 23, 1e-12);
+}
+
+TEST(LinearFit, TellsHowFarPointsLieFromTheLine) {
+  const LinearFit fit = fit_line({{0, 1}, {1, -1}, {2, -1}, {3, 1}});
+  EXPECT_NEAR(fit.slope, 0, 1e-12);
+  EXPECT_NEAR(fit.residual, 1, 1e-12);
+  EXPECT_NEAR(fit.r_squared, 0, 1e-12);
+}
+
+TEST(LinearFit, GivesThePowerLawWhereALineDoesNotFit) {
+  std::vector<Point> squares;
+  for (double x = 1; x <= 8; x *= 2) squares.push_back({x, 3 * x * x});
+  EXPECT_NEAR(fit_line(squares).exponent, 2, 1e-12);
+}
+
+TEST(LinearFit, HasNoSlopeWithoutTwoSizes) {
+  EXPECT_EQ(fit_line({}).points, 0u);
+  EXPECT_EQ(fit_line({{2, 5}}).slope, 0);
+  EXPECT_EQ(fit_line({{2, 5}, {2, 7}}).slope, 0);
+  EXPECT_NEAR(fit_line({{2, 5}, {2, 7}}).intercept, 6, 1e-12);
+}
+
+TEST(ScaleTable, WritesItsRowsAndRefusesUnknownColumns) {
+  Table table({"hosts", "bytes"});
+  table.add({50, 0.5});
+  EXPECT_EQ(table.csv(), "hosts,bytes\n50,0.5\n");
+  EXPECT_EQ(table.at(0, "bytes"), 0.5);
+  EXPECT_THROW(table.at(0, "calls"), std::out_of_range);
+}
+
+TEST(ScaleSweep, AnUnknownNameIsRefused) {
+  EXPECT_THROW(run_and_write("moons", {}), std::invalid_argument);
+}
+
+class ChangesSweep : public ::testing::Test {
+ protected:
+  static const Table& table() {
+    static const SweepResult result = [] {
+      SweepOptions options;
+      options.quick = true;
+      options.seeds = {1};
+      return sweep_changes(options);
+    }();
+    return result.table;
+  }
+};
+
+// Each change is in force at each balancer in the end, and no watch broke under them.
+TEST_F(ChangesSweep, EveryChangeComesIntoForceEverywhere) {
+  for (std::size_t row = 0; row < table().rows(); ++row) {
+    SCOPED_TRACE(row);
+    EXPECT_EQ(table().at(row, "outstanding"), 0);
+    EXPECT_EQ(table().at(row, "in_force"), table().at(row, "changes"));
+    if (table().at(row, "rate_per_s") > 0) {
+      EXPECT_GT(table().at(row, "changes"), 0);
+    }
+  }
+}
+
+// Calls of a balancer that are no answer to a change: watches whose wait was over, the one that is
+// out at the end, and, on a machine that stalls, whole lists with the watch behind each.
+double idle_calls(const Table& table, std::size_t row) {
+  constexpr double kPushedWaitSeconds = 1;
+  return 2 + table.at(row, "seconds") / kPushedWaitSeconds + 2 * table.at(row, "whole_lists");
+}
+
+// Changes that come together are told together: never more than a call a change and balancer.
+TEST_F(ChangesSweep, AWatchTakesACallAChangeAtMost) {
+  for (std::size_t row = 0; row < table().rows(); ++row) {
+    if (table().at(row, "breaks") > 0) continue;
+    SCOPED_TRACE(row);
+    EXPECT_LE(table().at(row, "calls"), table().at(row, "balancers") * (table().at(row, "changes") +
+                                                                        idle_calls(table(), row)));
+  }
+}
+
+TEST_F(ChangesSweep, AWholeListGrowsWithItsHosts) {
+  double bytes_of_50 = 0, bytes_of_400 = 0;
+  for (std::size_t row = 0; row < table().rows(); ++row) {
+    if (table().at(row, "breaks") == 0) continue;
+    const double whole_lists = table().at(row, "whole_lists");
+    ASSERT_GE(whole_lists, 1);
+    const double bytes = table().at(row, "bytes_out") / whole_lists;
+    (table().at(row, "hosts") == 50 ? bytes_of_50 : bytes_of_400) = bytes;
+  }
+  const double per_host = (bytes_of_400 - bytes_of_50) / 350;
+  EXPECT_GT(per_host, 100);
+  EXPECT_LT(per_host, 200);
+}
+
+TEST_F(ChangesSweep, ABurstIsToldInOneCall) {
+  for (std::size_t row = 0; row < table().rows(); ++row) {
+    if (table().at(row, "burst") == 0) continue;
+    EXPECT_EQ(table().at(row, "changes"), 100);
+    EXPECT_LE(table().at(row, "calls"), 1 + idle_calls(table(), row));
+  }
+}
+
+}  // namespace
+}  // namespace silverpin::rig::scale
