--- a/src/rig/scale/sweep.cc
+++ b/src/rig/scale/sweep.cc
@@ -62,6 +62,8 @@
 const std::vector<SweepEntry>& sweeps() {
   static const std::vector<SweepEntry> all{
       {"changes", "cost of list changes to balancers and discovery", sweep_changes},
+      {"group", "membership's datagrams, bytes and CPU by size of the group", sweep_group},
+      {"origin", "repeated fetches of the origin by number of balancers", sweep_origin},
   };
   return all;
 }
--- a/src/rig/scale/sweep.h
+++ b/src/rig/scale/sweep.h
@@ -79,5 +79,7 @@
     __attribute__((format(printf, 2, 3)));
 
 SweepResult sweep_changes(const SweepOptions& options);
+SweepResult sweep_group(const SweepOptions& options);
+SweepResult sweep_origin(const SweepOptions& options);
 
 }  // namespace silverpin::rig::scale
--- a/tests/group_sim_test.cc
+++ b/tests/group_sim_test.cc
@@ -1,5 +1,5 @@
 // Groups under the simulated clock: elections, moves, splits, pauses, crashes, keys of memory.
-#include "group_sim.h"
+#include "model/group_sim.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/rig/scale_test.cc
+++ b/tests/rig/scale_test.cc
@@ -10,6 +10,13 @@
 namespace silverpin::rig::scale {
 namespace {
 
+SweepOptions quick(std::uint64_t seed) {
+  SweepOptions options;
+  options.quick = true;
+  options.seeds = {seed};
+  return options;
+}
+
 TEST(LinearFit, FindsTheLineThroughItsPoints) {
   const LinearFit fit = fit_line({{1, 5}, {2, 7}, {4, 11}});
   EXPECT_NEAR(fit.slope, 2, 1e-12);
@@ -54,12 +61,7 @@
 class ChangesSweep : public ::testing::Test {
  protected:
   static const Table& table() {
-    static const SweepResult result = [] {
-      SweepOptions options;
-      options.quick = true;
-      options.seeds = {1};
-      return sweep_changes(options);
-    }();
+    static const SweepResult result = sweep_changes(quick(1));
     return result.table;
   }
 };
@@ -115,5 +117,40 @@
   }
 }
 
+// Each member probes another one every 200 ms, whatever the size of the group, and has two
+// datagrams of each probe: a ping, and an acknowledgement of another's.
+TEST(GroupSweep, DatagramsOfAMemberDoNotGrowWithTheGroup) {
+  const SweepResult result = sweep_group(quick(1));
+  constexpr double kProbesPerSecond = 5, kDatagramsOfAProbe = 2;
+  double smallest = 0, largest = 0;
+  for (std::size_t row = 0; row < result.table.rows(); ++row) {
+    SCOPED_TRACE(row);
+    EXPECT_EQ(result.table.at(row, "least_alive"), result.table.at(row, "members"));
+    EXPECT_LE(result.table.at(row, "max_datagram"), 1400);
+    if (result.table.at(row, "restarts") > 0) continue;
+    if (smallest == 0) smallest = result.table.at(row, "datagrams_per_s");
+    largest = result.table.at(row, "datagrams_per_s");
+    EXPECT_GE(largest, 0.95 * kProbesPerSecond * kDatagramsOfAProbe);
+  }
+  EXPECT_LT(largest, 1.5 * smallest);
+}
+
+TEST(GroupSweep, OneSeedGivesOneResult) {
+  const SweepResult first = sweep_group(quick(7)), second = sweep_group(quick(7));
+  ASSERT_EQ(first.table.rows(), second.table.rows());
+  for (std::size_t row = 0; row < first.table.rows(); ++row) {
+    EXPECT_EQ(first.table.at(row, "datagrams_per_s"), second.table.at(row, "datagrams_per_s"));
+    EXPECT_EQ(first.table.at(row, "bytes_per_s"), second.table.at(row, "bytes_per_s"));
+  }
+}
+
+TEST(OriginSweep, MoreBalancersFetchAKeyMoreOften) {
+  const SweepResult result = sweep_origin(quick(1));
+  ASSERT_EQ(result.table.rows(), 3u);
+  EXPECT_EQ(result.table.at(0, "repeated_share"), 0);
+  EXPECT_GT(result.table.at(2, "fetches"), result.table.at(0, "fetches"));
+  EXPECT_EQ(result.table.at(2, "tries"), result.table.at(0, "tries")) << "the same clients";
+}
+
 }  // namespace
 }  // namespace silverpin::rig::scale
