Rig: hold the time that attempts tell against what the client has left

Further attempts told the server more time than the client had left, and nothing of ours saw it: the emulated servers took `d` for whatever it was.

Cache hosts and origin hand the told time (`d`, in `P` and in X-Props) to the judge, which holds that of each further attempt (a fetch behind a miss is one) against what is left of the try's time at its arrival. Over-told by more than 0.15 s in over a fifth of them: the check fails, the exit code is 1, and the report has the count, the bound and the first case with its story. Checks that hold for most cases only are a part of report.json of their own; an earlier report without them still reads.

A paused host took connections that had waited in its queue as if their first request came when it went on. Arrivals while links stall or delay say little of when they were sent, and are not held against the client's time.

A planted balancer that fetches 0.2 s behind a miss and tells the whole time fails this check and nothing else; the honest one has no over-told attempt.

--- a/src/rig/judge/auditor.cc
+++ b/src/rig/judge/auditor.cc
@@ -110,11 +110,22 @@
   return static_cast<int>(hosts_.size()) - 1;
 }
 
-int Auditor::on_arrived(Time now, RequestNumber r, int host) {
+// Holds the last attempt of the request, which arrives now, against the client's time.
+void Auditor::check_time(Time now, RequestNumber r) {
+  if (now < links_delay_until_) return;
+  const Record& record = records_[r];
+  if (record.attempts.size() < 2) return;
+  const Duration left = record.deadline - std::max(now, record.sent);
+  if (told_time_.on_further_attempt(left, record.attempts.back().told) && !told_time_.has_example())
+    told_time_.set_example(story(r));
+}
+
+int Auditor::on_arrived(Time now, RequestNumber r, int host, std::optional<Duration> told) {
   Record& record = records_[r];
   const ClassSpec& klass = scenario_.classes[static_cast<std::size_t>(record.klass)];
   const int number = static_cast<int>(record.attempts.size());
-  record.attempts.push_back({host, now, kNever, kNever, false, 0, {}});
+  record.attempts.push_back({host, now, kNever, kNever, false, told, 0, {}});
+  check_time(now, r);
   ++totals_.attempts;
   if (klass.effect == Effect::kUnsafe) {
     const auto earlier = std::find_if(record.attempts.begin(), record.attempts.end() - 1,
@@ -129,10 +140,10 @@
                  " behind an attempt that may have run; repeats are discarded for " +
                  at(klass.window));
   }
-  const auto told = drained_.find({record.balancer, host});
-  if (told != drained_.end() && now > told->second + scenario_.rules.drain_grace)
+  const auto drained = drained_.find({record.balancer, host});
+  if (drained != drained_.end() && now > drained->second + scenario_.rules.drain_grace)
     breach(3, r,
-           "sent to " + hosts_[static_cast<std::size_t>(host)] + " " + at(now - told->second) +
+           "sent to " + hosts_[static_cast<std::size_t>(host)] + " " + at(now - drained->second) +
                " after balancer " + std::to_string(record.balancer) + " was told of its drain");
   return number;
 }
@@ -227,6 +238,7 @@
                      at(record.deadline) + "\n";
   for (const Attempt& a : record.attempts) {
     text += "  reached " + hosts_[static_cast<std::size_t>(a.host)] + " at " + at(a.arrived);
+    if (a.told) text += ", told " + at(*a.told);
     if (a.begun != kNever) text += ", begun " + at(a.begun);
     if (a.never_ran) text += ", never ran";
     text += a.ended == kNever ? ", still out" : ", " + a.end + " at " + at(a.ended);
--- a/src/rig/judge/auditor.h
+++ b/src/rig/judge/auditor.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "rig/judge/check.h"
+#include "rig/judge/told_time.h"
 #include "rig/model/base.h"
 #include "rig/model/scenario.h"
 
@@ -46,7 +50,12 @@
 
   // ---- hosts. Each returns or takes the number of the attempt within its request.
   int add_host(const std::string& name);  // also of the origin
-  int on_arrived(Time now, RequestNumber r, int host);
+  // `now`: when the attempt's last byte came, or could have come at the earliest. `told`: the time
+  // that the attempt tells the host; none: it tells none.
+  int on_arrived(Time now, RequestNumber r, int host, std::optional<Duration> told = std::nullopt);
+  // Links hold up what is sent until then: an arrival tells little of when its attempt began, and
+  // is not held against the client's time.
+  void on_links_delay(Time until) { links_delay_until_ = std::max(links_delay_until_, until); }
   // A command that no client sent in this form.
   void on_forged(Time now, int host, std::string_view line);
   void on_begun(Time now, RequestNumber r, int attempt, bool discarded_repeat);
@@ -74,6 +83,8 @@
   const std::vector<Breach>& breaches() const { return breaches_; }
   std::uint64_t breach_count(int rule) const { return counts_[rule]; }
   std::string story(RequestNumber r) const;
+  // What has to hold for most cases only.
+  std::vector<Check> checks() const { return {told_time_.check()}; }
 
   struct Totals {
     std::uint64_t tries = 0, attempts = 0, runs = 0, repeats_discarded = 0, never_ran = 0,
@@ -88,7 +99,8 @@
     Time begun = kNever;
     Time ended = kNever;
     bool never_ran = false;
-    std::uint64_t made = 0;  // hash of what was given for it; 0: nothing
+    std::optional<Duration> told;  // the time that it told the host
+    std::uint64_t made = 0;        // hash of what was given for it; 0: nothing
     std::string end;
   };
   struct Record {
@@ -104,6 +116,7 @@
   };
   void breach(int rule, std::string what, std::string story);
   void breach(int rule, RequestNumber r, std::string what);
+  void check_time(Time now, RequestNumber r);
 
   static constexpr std::size_t kMostKept = 50;  // breaches with their stories; all are counted
 
@@ -117,6 +130,8 @@
   std::vector<Breach> breaches_;
   std::uint64_t counts_[5] = {};
   Totals totals_;
+  Time links_delay_until_{0};
+  ToldTime told_time_;
   bool clients_only_ = false;
 };
 
--- a/src/rig/report/report.cc
+++ b/src/rig/report/report.cc
@@ -109,6 +109,16 @@
   j.close(']');
 }
 
+void write_check(Json& j, const Check& c) {
+  j.open('{')
+      .text("name", c.name)
+      .count("cases", c.cases)
+      .count("broken", c.broken)
+      .count("allowed", c.allowed)
+      .text("example", c.example)
+      .close('}');
+}
+
 std::string whom(const IncidentSpec& i) {
   std::string text;
   for (const std::string* name : {&i.host, &i.kind, &i.zone, &i.tenant})
@@ -247,6 +257,8 @@
         .text("what", b.what)
         .text("story", b.story)
         .close('}');
+  j.close(']').key("checks").open('[');
+  for (const Check& c : run.checks()) write_check(j, c);
   j.close(']').close('}');
   return j.take();
 }
@@ -271,6 +283,30 @@
     " "
     "      %\n";
 
+// The checks of a report; none in one of old.
+simdjson::dom::array checks(element root) {
+  simdjson::dom::array all;
+  if (root["checks"].get(all)) return {};
+  return all;
+}
+
+bool check_failed(element check) { return num(check, "broken") > num(check, "allowed"); }
+
+std::string indented(std::string text) {
+  text.insert(0, "    ");
+  if (text.ends_with('\n')) text.pop_back();
+  for (std::size_t at = 0; (at = text.find('\n', at)) != std::string::npos; at += 5)
+    text.replace(at, 1, "\n    ");
+  return text + "\n";
+}
+
+void print_check(std::string& out, element check) {
+  const bool failed = check_failed(check);
+  print(out, "  %-46s %6.0f of %6.0f, %5.0f allowed%s\n", str(check, "name").c_str(),
+        num(check, "broken"), num(check, "cases"), num(check, "allowed"), failed ? ": FAILED" : "");
+  if (failed && !str(check, "example").empty()) out += indented(str(check, "example"));
+}
+
 }  // namespace
 
 int report_verdict(const std::string& json) {
@@ -280,6 +316,8 @@
     if (num(sub(root, "broken"), rule) > 0) return 1;
   for (const element b : list(root, "balancers"))
     if (list(b, "crashes").size() > 0) return 1;
+  for (const element c : checks(root))
+    if (check_failed(c)) return 1;
   return 0;
 }
 
@@ -373,12 +411,10 @@
       break;
     }
     print(out, "  rule %.0f: %s\n", num(b, "rule"), str(b, "what").c_str());
-    std::string story = "    " + str(b, "story");
-    if (story.ends_with('\n')) story.pop_back();
-    for (std::size_t at = 0; (at = story.find('\n', at)) != std::string::npos; at += 5)
-      story.replace(at, 1, "\n    ");
-    out += story + "\n";
+    out += indented(str(b, "story"));
   }
+  out += "\nwhat has to hold for most:\n";
+  for (const element c : checks(root)) print_check(out, c);
   return out;
 }
 
--- a/src/rig/report/report.h
+++ b/src/rig/report/report.h
@@ -36,6 +36,8 @@
   std::vector<BalancerFigures> balancers;
   std::vector<ProcessSample> rig;
   Histogram loop_lag;  // of the emulator's own event loop
+
+  std::vector<Check> checks() const { return auditor.checks(); }
 };
 
 // Beyond this lag at p99 the emulator was late itself, and its figures say nothing of balancers.
@@ -47,7 +49,7 @@
 // Throw std::runtime_error if `json` is no report.
 std::string report_text(const std::string& json);
 std::string report_html(const std::string& json);  // whole page, no network, opens from disk
-// 0, or 1 where a rule was broken, or a balancer crashed.
+// 0, or 1 where a rule was broken, a balancer crashed, or a check failed.
 int report_verdict(const std::string& json);
 
 }  // namespace silverpin::rig
--- a/src/rig/servers/cache_server.cc
+++ b/src/rig/servers/cache_server.cc
@@ -36,10 +36,12 @@
         idle_(context_.io),
         over_cap_(over_cap) {}
 
-  void start() {
+  // `late_since`: the host stood still since then, with the connection in its queue.
+  void start(std::optional<Time> late_since) {
     error_code ignored;
     socket_.non_blocking(true, ignored);
     socket_.set_option(tcp::no_delay(true), ignored);
+    late_since_ = late_since;
     read();
   }
 
@@ -133,7 +135,8 @@
     }
     slot.request = *r;
     const Time arrived = late_since_.value_or(context_.now());
-    slot.attempt = context_.auditor.on_arrived(arrived, *r, server_.audit_id_);
+    slot.attempt =
+        context_.auditor.on_arrived(arrived, *r, server_.audit_id_, told_time(command.prop("d")));
     if (over_cap_) return turn_away(slot);
     if (server_.engine_.model() && server_.engine_.model()->warmth(arrived) < 1)
       context_.stampede.count(Stampede::Kind::kColdAttempt, arrived);
@@ -300,9 +303,8 @@
   engine_.start(spec, cold);
   if (cold) objects_ = ObjectStore(static_cast<std::size_t>(kind_.memory_mb * (1 << 20)));
   running_ = true;
-  if (paused_ || refusing_) {
-    paused_ = refusing_ = false;
-  }
+  paused_ = refusing_ = false;
+  accepts_late_since_.reset();
   if (!acceptor_.is_open()) listen();
   ++accepts_;
   accept();
@@ -338,12 +340,15 @@
       tcp::socket socket(context_.io);
       error_code error;
       acceptor_.accept(socket, error);
-      if (error) break;
+      if (error) {
+        accepts_late_since_.reset();
+        break;
+      }
       const bool over = sessions_.size() >= static_cast<std::size_t>(kind_.connections);
       const auto session = std::make_shared<Session>(*this, std::move(socket), over);
       sessions_.insert(session);
       context_.stampede.count(Stampede::Kind::kConnection, context_.now());
-      session->start();
+      session->start(accepts_late_since_);
     }
     accept();
   });
@@ -361,6 +366,7 @@
     return;
   }
   engine_.thaw();
+  accepts_late_since_ = paused_at_;
   const auto all = sessions_;
   for (const auto& session : all) session->read_late(paused_at_);
   accept();
--- a/src/rig/servers/cache_server.h
+++ b/src/rig/servers/cache_server.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_set>
@@ -80,6 +81,7 @@
   bool running_ = false, paused_ = false, silent_ = false, refusing_ = false;
   std::uint64_t accepts_ = 0;
   Time paused_at_{0};
+  std::optional<Time> accepts_late_since_;  // while what came during a pause is taken
   double errors_ = 0, resets_ = 0, spoils_ = 0;
   std::uint64_t served_ = 0, turned_away_ = 0;
 };
--- a/src/rig/servers/fleet.cc
+++ b/src/rig/servers/fleet.cc
@@ -14,6 +14,8 @@
 // Requests whose misses are remembered: far more than can be open at once.
 constexpr std::size_t kMostMissed = 50'000;
 constexpr Duration kRestartTime = std::chrono::seconds(1);
+// For which links may still bring what they held up, once they hold nothing up any more.
+constexpr Duration kLinksSettle = std::chrono::milliseconds(100);
 
 asio::ip::tcp::endpoint address_of(int host) {
   const std::string text =
@@ -189,6 +191,8 @@
     trouble.stalled = i.what == What::kLinkStall;
     if (i.what == What::kLinkDelay) trouble.delay = from_seconds(1e-3 * i.factor);
     if (i.what == What::kLinkReset) trouble.reset = i.factor;
+    if (trouble.stalled || trouble.delay > Duration{0})
+      context_.auditor.on_links_delay(context_.now() + i.length + trouble.delay + kLinksSettle);
   }
   const Links::Way way = i.to_host && i.to_balancer ? Links::Way::kBoth
                          : i.to_host                ? Links::Way::kToHost
--- a/src/rig/servers/origin_server.cc
+++ b/src/rig/servers/origin_server.cc
@@ -60,7 +60,8 @@
     context_.auditor.on_forged(context_.now(), audit_id_, target);
     return session->respond(400, "", "bad request");
   }
-  const int attempt = context_.auditor.on_arrived(context_.now(), *r, audit_id_);
+  const int attempt =
+      context_.auditor.on_arrived(context_.now(), *r, audit_id_, told_time(command.prop("d")));
   if (!write) context_.stampede.count(Stampede::Kind::kFetch, context_.now());
   const OriginSpec& spec = context_.scenario.origin;
   // Drawn from what is asked for, not from the order in which it comes: the same in every run.
--- a/tests/rig/auditor_test.cc
+++ b/tests/rig/auditor_test.cc
@@ -20,6 +20,7 @@
     return attempt;
   }
   std::uint64_t broken(int rule) { return audit.breach_count(rule); }
+  Check told() { return audit.checks().at(0); }
   void expect(std::uint64_t one, std::uint64_t two, std::uint64_t three, std::uint64_t four) {
     EXPECT_EQ(broken(1), one);
     EXPECT_EQ(broken(2), two);
@@ -134,6 +135,47 @@
   expect(1, 0, 0, 0);
 }
 
+// A fifth of the further attempts may tell 0.15 s more than the client has left.
+TEST_F(AuditorTest, ToldTimeIsHeldAgainstWhatIsLeftOfFurtherAttempts) {
+  for (int i = 0; i < 10; ++i) {
+    const auto r = send(kRead);
+    audit.on_arrived(milliseconds(1), r, host, milliseconds(5000));  // a first one
+    audit.on_arrived(milliseconds(400), r, other, milliseconds(i < 2 ? 751 : 750));
+  }
+  EXPECT_EQ(told().cases, 10u);
+  EXPECT_EQ(told().broken, 2u);
+  EXPECT_FALSE(told().failed());
+  EXPECT_NE(told().example.find("reached h1 at 0.400 s, told 0.751 s"), std::string::npos)
+      << told().example;
+  const auto r = send(kRead);
+  audit.on_arrived(milliseconds(1), r, host);
+  audit.on_arrived(milliseconds(400), r, other);  // it tells none
+  EXPECT_FALSE(told().failed());
+  audit.on_arrived(milliseconds(900), r, other, milliseconds(600));
+  EXPECT_EQ(told().cases, 12u);
+  EXPECT_EQ(told().broken, 3u);
+  EXPECT_TRUE(told().failed());
+  expect(0, 0, 0, 0);
+}
+
+// A link that held an attempt up does not tell when it began.
+TEST_F(AuditorTest, ArrivalsOverLinksThatDelayAreNotHeldAgainstTheClientsTime) {
+  const auto r = send(kRead);
+  audit.on_arrived(milliseconds(1), r, host, milliseconds(999));
+  audit.on_links_delay(milliseconds(800));
+  audit.on_links_delay(milliseconds(700));
+  audit.on_arrived(milliseconds(799), r, other, milliseconds(999));
+  EXPECT_EQ(told().cases, 0u);
+  audit.on_arrived(milliseconds(800), r, other, milliseconds(999));
+  EXPECT_EQ(told().broken, 1u);
+}
+
+TEST(ToldTimeTest, ReadsWholeMillisecondsOnly) {
+  EXPECT_EQ(told_time("480"), milliseconds(480));
+  for (const char* bad : {"", "x", "48x", "4.8", "99999999999999999999"})
+    EXPECT_FALSE(told_time(bad)) << bad;
+}
+
 TEST_F(AuditorTest, ManyBreachesAreCountedAndFewKept) {
   for (int i = 0; i < 1000; ++i) audit.on_lost(milliseconds(1), send(kRead), "test");
   expect(1000, 0, 0, 0);
--- a/tests/rig/planted_test.cc
+++ b/tests/rig/planted_test.cc
@@ -40,6 +40,18 @@
     EXPECT_FALSE(context->auditor.breaches().front().story.empty());
   }
 
+  // The four rules hold, and only this one of the checks fails.
+  void expect_only(const std::string& check) {
+    for (int rule = 1; rule <= 4; ++rule) EXPECT_EQ(broken(rule), 0u) << "rule " << rule;
+    bool known = false;
+    for (const Check& c : context->auditor.checks()) {
+      known |= c.name == check;
+      EXPECT_EQ(c.failed(), c.name == check) << c.name << ": " << c.broken << " of " << c.cases;
+      EXPECT_EQ(c.name == check, c.failed() && !c.example.empty());
+    }
+    EXPECT_TRUE(known);
+  }
+
   Scenario scenario;
   asio::io_context io{1};
   std::unique_ptr<Context> context;
@@ -56,6 +68,18 @@
     ADD_FAILURE() << "rule " << b.rule << ": " << b.what << "\n" << b.story;
   EXPECT_GT(context->auditor.totals().served, 200u);
   EXPECT_EQ(context->auditor.totals().served, context->auditor.totals().tries);
+  for (const Check& c : context->auditor.checks())
+    EXPECT_EQ(c.broken, 0u) << c.name << " of " << c.cases << "\n" << c.example;
+  EXPECT_GT(context->auditor.checks().front().cases, 0u) << "some were fetched behind a miss";
+}
+
+// What 5ed96c3 mended in the balancer.
+TEST_F(PlantedTest, AFetchBehindAMissThatTellsTheWholeTime) {
+  begin();
+  balancer->faults.tells_whole_time = true;
+  for (KindSpec& k : scenario.kinds) k.memory_mb = 0;  // every read misses
+  play();
+  expect_only("further attempts told more time than is left");
 }
 
 TEST_F(PlantedTest, AnAnswerThatIsDropped) {
--- a/tests/rig/rig_harness.h
+++ b/tests/rig/rig_harness.h
@@ -58,6 +58,8 @@
     bool repeats_unsafe = false;   // sends a booking twice
     bool refuses_sent = false;     // says busy of a booking that is out
     bool serves_nonsense = false;  // with a value that nobody made
+    // Fetches late behind a miss, and tells the origin the whole time that the client wrote.
+    bool tells_whole_time = false;
   };
 
   PlantedBalancer(Context& context, Fleet& fleet, std::string host, std::string origin)
@@ -153,19 +155,33 @@
     ++taken_;
     const bool set = command.kind == memcache::Command::Kind::kSet;
     if (faults.drops && taken_ % 10 == 0) return ask(host_, command.line + "\r\n", [](auto&) {});
-    if (set) return to_origin(client, command);
-    ask(host_, command.line + "\r\n", [this, client, command](const std::string& in) {
-      if (in.starts_with("EN")) return to_origin(client, command);
+    const Time taken = context_.now();
+    if (set) return to_origin(client, command, taken);
+    ask(host_, command.line + "\r\n", [this, client, command, taken](const std::string& in) {
+      if (in.starts_with("EN")) return fetch(client, command, taken);
       if (in.empty()) return client->answer("SERVER_ERROR failed\r\n");
       answer(client, in);
     });
   }
-  void to_origin(const ClientPtr& client, const memcache::Command& command) {
+  void fetch(const ClientPtr& client, const memcache::Command& command, Time taken) {
+    if (!faults.tells_whole_time) return to_origin(client, command, taken);
+    context_.after(std::chrono::milliseconds(200),
+                   [this, client, command, taken] { to_origin(client, command, taken); });
+  }
+  // The list of names and values for an attempt that begins now.
+  std::string props(const memcache::Command& command, Time taken) const {
+    const auto written = told_time(command.prop("d"));
+    if (faults.tells_whole_time || !written) return command.props;
+    return command.props_with_deadline(std::chrono::floor<std::chrono::milliseconds>(
+        std::max<Duration>(*written - (context_.now() - taken), std::chrono::milliseconds(1))));
+  }
+  void to_origin(const ClientPtr& client, const memcache::Command& command, Time taken) {
     const bool set = command.kind == memcache::Command::Kind::kSet;
-    const std::string out =
-        std::string(set ? "PUT /" : "GET /") + command.key +
-        " HTTP/1.1\r\nHost: o\r\nX-Trace-Id: " + command.id + "\r\nX-Props: " + command.props +
-        "\r\nContent-Length: " + std::to_string(command.body.size()) + "\r\n\r\n" + command.body;
+    const std::string out = std::string(set ? "PUT /" : "GET /") + command.key +
+                            " HTTP/1.1\r\nHost: o\r\nX-Trace-Id: " + command.id +
+                            "\r\nX-Props: " + props(command, taken) +
+                            "\r\nContent-Length: " + std::to_string(command.body.size()) +
+                            "\r\n\r\n" + command.body;
     const bool unsafe = command.prop("c") == "book";
     if (unsafe && faults.repeats_unsafe) ask(origin_, out, [](auto&) {});
     if (unsafe && faults.refuses_sent) {
--- a/tests/rig/servers_test.cc
+++ b/tests/rig/servers_test.cc
@@ -162,6 +162,25 @@
   EXPECT_GE(context->now(), std::chrono::seconds(1));
 }
 
+// A host that stood still cannot tell when a request came; it may have been at any time since. Here
+// the connection itself waited, and behind it the request is the client's second attempt.
+TEST_F(ServersTest, APausedHostHoldsNoTimeAgainstWhatCameMeanwhile) {
+  begin("[[incident]]\nwhat = \"pause\"\nhost = \"h0\"\nat_s = 0\nfor_s = 0.5\n");
+  fleet->strike(scenario.incidents[0]);
+  ASSERT_TRUE(wait(
+      [&, end = context->now() + std::chrono::milliseconds(50)] { return context->now() > end; }));
+  RequestNumber number = 0;
+  const std::string id = request(0, "k", &number);
+  context->auditor.on_arrived(context->now(), number, 1);
+  auto p = peer(h0);
+  p->send("mg k v O" + id + " Pc=read,d=5000\r\n");
+  ASSERT_TRUE(wait([&] { return !p->in.empty(); }));
+  EXPECT_GE(context->now(), std::chrono::milliseconds(500));
+  const Check told = context->auditor.checks().front();
+  EXPECT_EQ(told.cases, 1u);
+  EXPECT_EQ(told.broken, 0u) << told.example;
+}
+
 TEST_F(ServersTest, RefusedAndSilentConnects) {
   begin(
       "[[incident]]\nwhat = \"refuse\"\nhost = \"h0\"\nat_s = 0\nfor_s = 0.3\n"
