Rig: hold restarted balancers to 10 s for nine in ten, and none over 30 s

The operators' terms: nine in ten restarted processes are ready within 10 s, none takes longer than 30 s. A rehearsal only waited 10 s for them at its end and judged nothing.

A rehearsal tells Readiness when the process of a balancer that the scenario killed or restarted begins and when it has answered. Both bounds are checks in the report and the exit code. One that never comes up counts with its age when the run ends, for which a run now waits up to 31 s; one that is struck again while it starts is left out.

--- /dev/null
+++ b/src/rig/judge/readiness.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "rig/judge/check.h"
+#include "rig/model/base.h"
+
+namespace silverpin::rig {
+
+/// How long restarted balancers take from the start of their process until they are ready: until
+/// they have answered on their address.
+class Readiness {
+ public:
+  /// Nine in ten are ready within this.
+  static constexpr Duration kSoon = std::chrono::seconds(10);
+  static constexpr std::uint64_t kOneOf = 10;
+  /// None takes longer than this.
+  static constexpr Duration kLatest = std::chrono::seconds(30);
+
+  void on_start(Time now, int balancer) { starting_[balancer] = now; }
+  void on_ready(Time now, int balancer) {
+    const auto found = starting_.find(balancer);
+    if (found == starting_.end()) return;
+    count(balancer, found->second, now - found->second);
+    starting_.erase(found);
+  }
+  /// The scenario ends or stops it again before it was ready, which says nothing of its start.
+  void on_struck(int balancer) { starting_.erase(balancer); }
+  /// The run ends: those that are not ready have taken this long at least.
+  void on_end(Time now) {
+    for (const auto& [balancer, started] : std::exchange(starting_, {}))
+      if (now - started > kSoon) count(balancer, started, now - started);
+  }
+
+  std::vector<Check> checks() const {
+    Check soon = soon_;
+    soon.allowed = soon_.cases / kOneOf;
+    return {soon, latest_};
+  }
+
+ private:
+  void count(int balancer, Time started, Duration took) {
+    const std::string text = "balancer " + std::to_string(balancer) + ", started at " +
+                             std::to_string(seconds(started)) + " s, took " +
+                             std::to_string(seconds(took)) + " s";
+    count(soon_, took > kSoon, text);
+    count(latest_, took > kLatest, text);
+  }
+  static void count(Check& check, bool broken, const std::string& text) {
+    ++check.cases;
+    check.broken += broken;
+    if (broken && check.example.empty()) check.example = text;
+  }
+
+  std::map<int, Time> starting_;  // by balancer: when its process was started
+  Check soon_{"restarted balancers not ready within 10 s", 0, 0, 0, {}};
+  Check latest_{"restarted balancers not ready within 30 s", 0, 0, 0, {}};
+};
+
+}  // namespace silverpin::rig
--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -13,6 +13,7 @@
 
 #include "rig/balancer_process.h"
 #include "rig/group_net.h"
+#include "rig/judge/readiness.h"
 #include "rig/load/load.h"
 #include "rig/report/report.h"
 #include "rig/servers/fleet.h"
@@ -273,7 +274,8 @@
     const Duration rest = s_.length + longest_deadline(s_) + std::chrono::seconds(2);
     run_.until([&] { return run_.load->done(); }, rest - run_.context.now());
     // Restarts that the scenario began end before the run does.
-    run_.until([&] { return restarting_ == 0; }, kComesUp);
+    run_.until([&] { return restarting_ == 0; }, Readiness::kLatest + std::chrono::seconds(1));
+    readiness_.on_end(run_.context.now());
     run_.each_second = nullptr;
     for (auto& b : balancers_) {
       b->running();  // a crash until now is one
@@ -295,6 +297,7 @@
                        run_.lag};
     for (const auto& c : clusters_) figures.clusters.push_back(c.get());
     for (const auto& b : balancers_) figures.balancers.push_back(b->figures());
+    figures.restarts = readiness_.checks();
     const int verdict = write_report(figures, options_.folder);
     return run_.interrupted() ? 2 : verdict;
   }
@@ -390,6 +393,7 @@
     // What another incident has ended, and not started again yet, is not struck once more.
     if (phases_[static_cast<std::size_t>(b)] == Phase::kDown) return;
     if (phases_[static_cast<std::size_t>(b)] == Phase::kStarting) --restarting_;  // that start ends
+    readiness_.on_struck(b);
     phases_[static_cast<std::size_t>(b)] = Phase::kDown;
     ++restarting_;
     if (i.what == What::kBalancerKill) {
@@ -415,6 +419,7 @@
     BalancerProcess& process = *balancers_[static_cast<std::size_t>(b)];
     if (!process.running() || process.stopped()) return;
     ++restarting_;
+    readiness_.on_struck(b);
     process.signal(SIGSTOP);
     run_.load->set_killed(b, true);
     run_.context.after(from_seconds(s_.load.front_notice_s), [this, b, &process] {
@@ -443,9 +448,11 @@
   void start_again(int b) {
     fleet_.discovery().forget(b);
     phases_[static_cast<std::size_t>(b)] = Phase::kStarting;
+    readiness_.on_start(run_.context.now(), b);
     balancers_[static_cast<std::size_t>(b)]->start([this, b] {
       if (phases_[static_cast<std::size_t>(b)] != Phase::kStarting) return;  // told to end already
       phases_[static_cast<std::size_t>(b)] = Phase::kUp;
+      readiness_.on_ready(run_.context.now(), b);
       if (group_) {
         --restarting_;
         return;
@@ -479,6 +486,7 @@
   enum class Phase { kUp, kDown, kStarting };
   std::vector<Phase> phases_ = std::vector<Phase>(static_cast<std::size_t>(s_.balancers));
   int restarting_ = 0;
+  Readiness readiness_;
   int struck_ = -1;  // the holder that has failed, until another has its address
   int moves_ = 0;
 };
--- a/src/rig/report/report.h
+++ b/src/rig/report/report.h
@@ -35,9 +35,14 @@
   std::vector<const RespFleet*> clusters;
   std::vector<BalancerFigures> balancers;
   std::vector<ProcessSample> rig;
-  Histogram loop_lag;  // of the emulator's own event loop
-
-  std::vector<Check> checks() const { return auditor.checks(); }
+  Histogram loop_lag;                // of the emulator's own event loop
+  std::vector<Check> restarts = {};  // of balancers that the scenario restarted
+
+  std::vector<Check> checks() const {
+    std::vector<Check> all = auditor.checks();
+    all.insert(all.end(), restarts.begin(), restarts.end());
+    return all;
+  }
 };
 
 // Beyond this lag at p99 the emulator was late itself, and its figures say nothing of balancers.
