--- a/src/rig/judge/auditor.cc
+++ b/src/rig/judge/auditor.cc
@@ -19,7 +19,8 @@
 
 }  // namespace
 
-Auditor::Auditor(const Scenario& scenario) : scenario_(scenario) {}
+Auditor::Auditor(const Scenario& scenario)
+    : scenario_(scenario), unanswered_(scenario.rules.answer_slack) {}
 
 void Auditor::breach(int rule, std::string what, std::string story) {
   ++counts_[rule];
@@ -35,7 +36,7 @@
 RequestNumber Auditor::on_sent(Time now, int klass, int balancer, std::uint64_t effect,
                                Time deadline, std::string_view key, double work) {
   records_.push_back(
-      {klass, balancer, effect, now, deadline, std::string(key), work, {}, kNever, {}});
+      {klass, balancer, effect, now, deadline, std::string(key), work, {}, kNever, kNever, {}});
   ++totals_.tries;
   return static_cast<RequestNumber>(records_.size() - 1);
 }
@@ -77,6 +78,7 @@
     case Reply::kFailed:
       record.end = "failed";
   }
+  check_answered(r, now - record.deadline);
   if (now > record.deadline + scenario_.rules.answer_slack)
     breach(1, r, "answered " + at(now - record.deadline) + " behind the client's time");
 }
@@ -92,9 +94,19 @@
   if (record.replied != kNever) return;
   record.replied = now;
   record.end = "lost: " + std::string(how);
+  check_answered(r, kNever);
   breach(1, r, "no final answer: " + std::string(how));
 }
 
+void Auditor::check_answered(RequestNumber r, Duration late) {
+  if (unanswered_.on_end(late)) unanswered_.set_example(story(r));
+}
+
+void Auditor::on_client_gone(Time now, RequestNumber r) {
+  records_[r].gone = now;
+  client_gone_.on_gone(records_[r].attempts.empty());
+}
+
 void Auditor::on_excused(Time now, RequestNumber r, std::string_view why) {
   Record& record = records_[r];
   if (record.replied != kNever) return;
@@ -110,11 +122,26 @@
   return static_cast<int>(hosts_.size()) - 1;
 }
 
-int Auditor::on_arrived(Time now, RequestNumber r, int host) {
+// Holds the last attempt of the request, which arrives now, against the client's time.
+void Auditor::check_time(Time now, RequestNumber r) {
+  if (now < links_delay_until_) return;
+  const Record& record = records_[r];
+  const bool first = record.attempts.size() == 1;
+  const Duration left = record.deadline - std::max(now, record.sent);
+  if (!first && told_time_.on_further_attempt(left, record.attempts.back().told))
+    told_time_.set_example(story(r));
+  if (now <= record.gone || !client_gone_.on_attempt(now - record.gone, first)) return;
+  client_gone_.set_example(story(r));
+  if (client_gone_.beyond_chance())
+    breach(1, r, "an attempt began " + at(now - record.gone) + " after its client had gone");
+}
+
+int Auditor::on_arrived(Time now, RequestNumber r, int host, std::optional<Duration> told) {
   Record& record = records_[r];
   const ClassSpec& klass = scenario_.classes[static_cast<std::size_t>(record.klass)];
   const int number = static_cast<int>(record.attempts.size());
-  record.attempts.push_back({host, now, kNever, kNever, false, 0, {}});
+  record.attempts.push_back({host, now, kNever, kNever, false, told, 0, {}});
+  check_time(now, r);
   ++totals_.attempts;
   if (klass.effect == Effect::kUnsafe) {
     const auto earlier = std::find_if(record.attempts.begin(), record.attempts.end() - 1,
@@ -129,10 +156,10 @@
                  " behind an attempt that may have run; repeats are discarded for " +
                  at(klass.window));
   }
-  const auto told = drained_.find({record.balancer, host});
-  if (told != drained_.end() && now > told->second + scenario_.rules.drain_grace)
+  const auto drained = drained_.find({record.balancer, host});
+  if (drained != drained_.end() && now > drained->second + scenario_.rules.drain_grace)
     breach(3, r,
-           "sent to " + hosts_[static_cast<std::size_t>(host)] + " " + at(now - told->second) +
+           "sent to " + hosts_[static_cast<std::size_t>(host)] + " " + at(now - drained->second) +
                " after balancer " + std::to_string(record.balancer) + " was told of its drain");
   return number;
 }
@@ -227,6 +254,7 @@
                      at(record.deadline) + "\n";
   for (const Attempt& a : record.attempts) {
     text += "  reached " + hosts_[static_cast<std::size_t>(a.host)] + " at " + at(a.arrived);
+    if (a.told) text += ", told " + at(*a.told);
     if (a.begun != kNever) text += ", begun " + at(a.begun);
     if (a.never_ran) text += ", never ran";
     text += a.ended == kNever ? ", still out" : ", " + a.end + " at " + at(a.ended);
--- a/src/rig/judge/auditor.h
+++ b/src/rig/judge/auditor.h
@@ -1,12 +1,18 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "rig/judge/check.h"
+#include "rig/judge/client_gone.h"
+#include "rig/judge/told_time.h"
+#include "rig/judge/unanswered.h"
 #include "rig/model/base.h"
 #include "rig/model/scenario.h"
 
@@ -40,13 +46,20 @@
   void on_stray(Time now, RequestNumber last, std::string_view bytes);
   // The connection ended with no whole answer, or the client's time passed without one.
   void on_lost(Time now, RequestNumber r, std::string_view how);
+  // The client closes its connection with the request unanswered: it left early, or its time is up.
+  void on_client_gone(Time now, RequestNumber r);
   // Neither answered nor lost: the client left, or the balancer was killed by the scenario.
   void on_excused(Time now, RequestNumber r, std::string_view why);
   bool reached_a_host(RequestNumber r) const { return !records_[r].attempts.empty(); }
 
   // ---- hosts. Each returns or takes the number of the attempt within its request.
   int add_host(const std::string& name);  // also of the origin
-  int on_arrived(Time now, RequestNumber r, int host);
+  // `now`: when the attempt's last byte came, or could have come at the earliest. `told`: the time
+  // that the attempt tells the host; none: it tells none.
+  int on_arrived(Time now, RequestNumber r, int host, std::optional<Duration> told = std::nullopt);
+  // Links hold up what is sent until then: an arrival tells little of when its attempt began, and
+  // is not held against the client's time.
+  void on_links_delay(Time until) { links_delay_until_ = std::max(links_delay_until_, until); }
   // A command that no client sent in this form.
   void on_forged(Time now, int host, std::string_view line);
   void on_begun(Time now, RequestNumber r, int attempt, bool discarded_repeat);
@@ -74,6 +87,11 @@
   const std::vector<Breach>& breaches() const { return breaches_; }
   std::uint64_t breach_count(int rule) const { return counts_[rule]; }
   std::string story(RequestNumber r) const;
+  // What has to hold for most cases only.
+  std::vector<Check> checks() const {
+    return {told_time_.check(), client_gone_.attempts(), client_gone_.waiting(),
+            unanswered_.check()};
+  }
 
   struct Totals {
     std::uint64_t tries = 0, attempts = 0, runs = 0, repeats_discarded = 0, never_ran = 0,
@@ -88,7 +106,8 @@
     Time begun = kNever;
     Time ended = kNever;
     bool never_ran = false;
-    std::uint64_t made = 0;  // hash of what was given for it; 0: nothing
+    std::optional<Duration> told;  // the time that it told the host
+    std::uint64_t made = 0;        // hash of what was given for it; 0: nothing
     std::string end;
   };
   struct Record {
@@ -100,10 +119,13 @@
     double work;
     std::vector<Attempt> attempts;
     Time replied = kNever;
+    Time gone = kNever;  // when the client closed
     std::string end;
   };
   void breach(int rule, std::string what, std::string story);
   void breach(int rule, RequestNumber r, std::string what);
+  void check_time(Time now, RequestNumber r);
+  void check_answered(RequestNumber r, Duration late);
 
   static constexpr std::size_t kMostKept = 50;  // breaches with their stories; all are counted
 
@@ -117,6 +139,10 @@
   std::vector<Breach> breaches_;
   std::uint64_t counts_[5] = {};
   Totals totals_;
+  Time links_delay_until_{0};
+  ToldTime told_time_;
+  ClientGone client_gone_;
+  Unanswered unanswered_;
   bool clients_only_ = false;
 };
 
--- a/tests/rig/planted_test.cc
+++ b/tests/rig/planted_test.cc
@@ -1,4 +1,6 @@
 // Breaches planted in a balancer of the test's own: the judge has to catch each, and nothing else.
+#include <set>
+
 #include "rig_harness.h"
 
 namespace silverpin::rig {
@@ -40,6 +42,14 @@
     EXPECT_FALSE(context->auditor.breaches().front().story.empty());
   }
 
+  // These of the checks fail, each with an example, and no other.
+  void expect_failed(const std::set<std::string>& names) {
+    std::set<std::string> failed;
+    for (const Check& c : context->auditor.checks())
+      if (c.failed() && !c.example.empty()) failed.insert(c.name);
+    EXPECT_EQ(failed, names);
+  }
+
   Scenario scenario;
   asio::io_context io{1};
   std::unique_ptr<Context> context;
@@ -56,6 +66,37 @@
     ADD_FAILURE() << "rule " << b.rule << ": " << b.what << "\n" << b.story;
   EXPECT_GT(context->auditor.totals().served, 200u);
   EXPECT_EQ(context->auditor.totals().served, context->auditor.totals().tries);
+  for (const Check& c : context->auditor.checks())
+    EXPECT_EQ(c.broken, 0u) << c.name << " of " << c.cases << "\n" << c.example;
+  EXPECT_GT(context->auditor.checks().front().cases, 0u) << "some were fetched behind a miss";
+}
+
+// What 5ed96c3 mended in the balancer.
+TEST_F(PlantedTest, AFetchBehindAMissThatTellsTheWholeTime) {
+  begin();
+  balancer->faults.tells_whole_time = true;
+  for (KindSpec& k : scenario.kinds) k.memory_mb = 0;  // every read misses
+  play();
+  for (int rule = 1; rule <= 4; ++rule) EXPECT_EQ(broken(rule), 0u) << "rule " << rule;
+  expect_failed({"further attempts told more time than is left"});
+}
+
+TEST_F(PlantedTest, AnHonestBalancerIsNotBlamedForClientsThatLeave) {
+  begin();
+  scenario.load.impatient = 0.5;
+  play();
+  for (int rule = 1; rule <= 4; ++rule) EXPECT_EQ(broken(rule), 0u) << "rule " << rule;
+  expect_failed({});
+}
+
+TEST_F(PlantedTest, ARequestThatIsSentOnForAClientThatHasGone) {
+  begin();
+  scenario.load.impatient = 0.5;
+  balancer->faults.heeds_no_close = true;
+  play();
+  expect_only(1);
+  expect_failed({"attempts begun late behind the client's close",
+                 "waiting requests sent on behind the close"});
 }
 
 TEST_F(PlantedTest, AnAnswerThatIsDropped) {
@@ -63,6 +104,7 @@
   balancer->faults.drops = true;
   play();
   expect_only(1);
+  expect_failed({"requests with no answer when their time is up"});
 }
 
 TEST_F(PlantedTest, ASecondAnswer) {
--- a/tests/rig/servers_test.cc
+++ b/tests/rig/servers_test.cc
@@ -162,6 +162,25 @@
   EXPECT_GE(context->now(), std::chrono::seconds(1));
 }
 
+// A host that stood still cannot tell when a request came; it may have been at any time since. Here
+// the connection itself waited, and behind it the request is the client's second attempt.
+TEST_F(ServersTest, APausedHostHoldsNoTimeAgainstWhatCameMeanwhile) {
+  begin("[[incident]]\nwhat = \"pause\"\nhost = \"h0\"\nat_s = 0\nfor_s = 0.5\n");
+  fleet->strike(scenario.incidents[0]);
+  ASSERT_TRUE(wait(
+      [&, end = context->now() + std::chrono::milliseconds(50)] { return context->now() > end; }));
+  RequestNumber number = 0;
+  const std::string id = request(0, "k", &number);
+  context->auditor.on_arrived(context->now(), number, 1);
+  auto p = peer(h0);
+  p->send("mg k v O" + id + " Pc=read,d=5000\r\n");
+  ASSERT_TRUE(wait([&] { return !p->in.empty(); }));
+  EXPECT_GE(context->now(), std::chrono::milliseconds(500));
+  const Check told = context->auditor.checks().front();
+  EXPECT_EQ(told.cases, 1u);
+  EXPECT_EQ(told.broken, 0u) << told.example;
+}
+
 TEST_F(ServersTest, RefusedAndSilentConnects) {
   begin(
       "[[incident]]\nwhat = \"refuse\"\nhost = \"h0\"\nat_s = 0\nfor_s = 0.3\n"
@@ -207,6 +226,24 @@
   EXPECT_EQ(p->in.find("\"born_ms\":0}"), std::string::npos) << "a restarted host tells its start";
 }
 
+// A check that fails is in the verdict with no rule broken, and its first case in the text.
+TEST_F(ServersTest, AFailedCheckIsInTheReportAndTheVerdict) {
+  begin();
+  Tally tally(scenario);
+  Load load(*context, tally, {});
+  RunFigures run{scenario, context->auditor, context->stampede, tally, load, *fleet, {}, {}, {},
+                 {}};
+  run.restarts.push_back({"late starts", 20, 2, 2, "the second"});
+  EXPECT_EQ(report_verdict(report_json(run)), 0);
+  EXPECT_EQ(report_text(report_json(run)).find("the second"), std::string::npos);
+  run.restarts.back().broken = 3;
+  const std::string json = report_json(run), text = report_text(json);
+  EXPECT_EQ(report_verdict(json), 1);
+  EXPECT_NE(text.find("late starts"), std::string::npos) << text;
+  EXPECT_NE(text.find("3 of     20,     2 allowed: FAILED\n    the second\n"), std::string::npos)
+      << text;
+}
+
 // The report is made of its own JSON, and nonsense in its place is an error.
 TEST_F(ServersTest, AReportIsMadeOfItsJson) {
   begin();
@@ -222,7 +259,7 @@
                  {}};
   run.balancers.push_back({"n0", 1, {}, {{std::chrono::seconds(1), 5, 0.1, 9}}});
   const std::string json = report_json(run);
-  EXPECT_EQ(report_verdict(json), 1);
+  EXPECT_EQ(report_verdict(json), 1) << "a request was lost";
   const std::string text = report_text(json), page = report_html(json);
   EXPECT_NE(text.find("requests lost 1"), std::string::npos) << text;
   EXPECT_NE(text.find("a <test>"), std::string::npos) << text;
