Hear a change within 6 s of discovery's return; read lists of megabytes, log what is of no use

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of the calls before (for a watch, 2 s behind its wait if later; after SIGHUP 4 s). The client's timers could not be driven by a test. Lists over 512 KB (6,000 hosts) were never taken, and no line was logged.

Change: recovery::DiscoverySchedule decides when to call, for what, and when a call counts as silent, without I/O or clock; Discovery carries it out with one timer. A list may be as long as a 24th of the memory limit. What is longer, no list, or of an odd status is logged once a cause, with sizes; the hosts that are known stay in force. FakeDiscovery's watch answered a version below that of its own list; it now answers the same one.

--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -120,7 +120,7 @@
 }  // namespace
 
 Balancer::MemcacheSide::MemcacheSide(boost::asio::io_context& io, const Config& config,
-                                     const Clock& clock, Limits& limits)
+                                     const Clock& clock, Limits& limits, const Log& log)
     : site(config.site),
       pool(
           io, clock, site, config.seed, limits,
@@ -129,11 +129,12 @@
             if (origin) return std::make_shared<OriginConnection>(io, limits, events, owner);
             return std::make_shared<CacheConnection>(io, limits, events, owner);
           },
-          [this] { discovery.subscribe(); }),
+          [this] { discovery.start(); }),
       front(site, pool),
       discovery(io, config.discovery, site, config.known ? config.known->seq : 0, config.seed,
+                max_list_bytes(config.memory_mb),
                 {[this](const HostList& list) { take(list); }, [this] { pool.on_list_refused(); },
-                 [this](Duration took) { pool.on_confirmed(took); }}) {
+                 [this](Duration took) { pool.on_confirmed(took); }, log}) {
   if (config.known) take(*config.known);
 }
 
@@ -174,7 +175,7 @@
   Predecessor from;
   if (admin_ && !config->folder.empty()) from = Upgrade::ask(config->folder, config->name, log_);
   if (config) {
-    memcache_ = std::make_unique<MemcacheSide>(io, *config, clock_, limits);
+    memcache_ = std::make_unique<MemcacheSide>(io, *config, clock_, limits, log_);
     const std::string service = added_.group ? added_.group->memcache_service : "";
     memcache_->listener = std::make_unique<ClientListener>(
         io, config->listen, limits, clock_, memcache_->pool,
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -61,7 +61,7 @@
  private:
   struct MemcacheSide {
     MemcacheSide(boost::asio::io_context& io, const Config& config, const Clock& clock,
-                 Limits& limits);
+                 Limits& limits, const Log& log);
 
     const SiteSettings site;
     ServerPool pool;
--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -1,7 +1,7 @@
 #include "node/discovery.h"
 
-#include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <utility>
 
 #include "node/discovery_list.h"
@@ -10,55 +10,43 @@
 namespace silverpin::node {
 namespace {
 
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using std::chrono::milliseconds;
-
-// Some thirty times the list of the largest fleet planned. Its parser takes over ten times as much.
-constexpr std::uint64_t kMaxList = 512u << 10;
-// A watch that has fallen silent looks like one with no news until its wait is over. Where a call
-// costs nothing the wait is short, so that a drain is heard of well within its grace all the same.
-constexpr milliseconds kPushedWait{1000};
-constexpr milliseconds kAskedWait{5000};
-constexpr milliseconds kPushedPatience{500};
-// A service that works through calls in turn may take its time-out of 2 s.
-constexpr milliseconds kAskedPatience{2000};
-// A watch calls once a second where nothing happens. While discovery is away the fleet calls twice
-// as often as that, and no more in any moment: what failed for one has most likely failed for all.
-constexpr milliseconds kLeastRetry{250};
-constexpr milliseconds kMostRetry{750};
-// Answers that come at once and hold nothing new must not become a busy loop. The next call of a
-// watch has 200 ms.
-constexpr milliseconds kPause{50};
+using recovery::DiscoverySchedule;
+
+constexpr std::uint32_t kMaxHead = 64u << 10;
+constexpr std::size_t kMemoryPerListByte = 24;
+// What the parser took for a list that is longer is given back at once.
+constexpr std::size_t kSmallList = 256u << 10;
+// A cause that was not met for so long is logged anew.
+constexpr Duration kForgetCause = std::chrono::seconds(60);
+
+Time now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 
 }  // namespace
 
+std::size_t max_list_bytes(std::size_t memory_mb) { return (memory_mb << 20) / kMemoryPerListByte; }
+
 Discovery::Discovery(boost::asio::io_context& io, const Endpoint& endpoint,
                      const SiteSettings& site, std::uint64_t known_seq, std::uint64_t seed,
-                     Handlers handlers)
+                     std::size_t max_list_bytes, Handlers handlers)
     : endpoint_(endpoint),
       site_(site),
       handlers_(std::move(handlers)),
+      max_list_bytes_(max_list_bytes),
       asked_(site.policy.list_on_request),
       io_(io),
       timer_(io),
-      seq_(known_seq),
-      pace_(kLeastRetry, kMostRetry),
-      random_(seed) {}
+      schedule_(asked_ ? DiscoverySchedule::Mode::kOnRequest : DiscoverySchedule::Mode::kPushed,
+                known_seq, seed) {}
 
+// The module that subscribes must not be called back from here; the timer's handler comes later.
 void Discovery::start() {
-  running_ = true;
-  call();
-}
-
-void Discovery::subscribe() {
-  if (std::exchange(running_, true)) return;
-  call_after(Duration{0});  // called by the module, which must not be called back from here
+  if (schedule_.start(now())) arm();
 }
 
 void Discovery::stop() {
-  running_ = false;
+  schedule_.stop();
   hang_up();
 }
 
@@ -68,7 +56,7 @@
   timer_.cancel();
   if (!link_) return;
   error_code ignored;
-  link_->stream.socket().close(ignored);
+  link_->socket.close(ignored);
   link_.reset();
 }
 
@@ -77,123 +65,159 @@
 void Discovery::move(const Endpoint& endpoint) {
   hang_up();
   endpoint_ = endpoint;
-  whole_next_ = true;
-  pace_.on_success();
-  if (running_) call();
+  schedule_.restart(now());
+  arm();
 }
 
 void Discovery::confirm() {
-  if (!running_ || asked_) return;
+  if (!schedule_.running() || asked_) return;
   hang_up();
-  whole_next_ = true;
-  call_after(Duration{0});
+  schedule_.restart(now());
+  arm();
 }
 
-void Discovery::call_after(Duration delay) {
-  timer_.expires_after(delay);
-  timer_.async_wait([this, after = call_](const error_code& e) {
-    if (!e && running_ && after == call_) call();
+// One timer stands for the next call and for the end of the one that is out.
+void Discovery::arm() {
+  const Time next = schedule_.next();
+  if (next == Time::max()) {
+    timer_.cancel();
+    return;
+  }
+  timer_.expires_at(std::chrono::steady_clock::time_point(next));
+  timer_.async_wait([this, call = call_](const error_code& error) {
+    if (error || call != call_) return;
+    switch (schedule_.due(now())) {
+      case DiscoverySchedule::Step::kNothing:
+        return arm();
+      case DiscoverySchedule::Step::kCall:
+        return this->call();
+      case DiscoverySchedule::Step::kGiveUp:
+        return fail(Failure::kBroken);
+    }
   });
 }
 
 void Discovery::call() {
   const auto call = ++call_;
-  const auto wait = asked_ ? kAskedWait : kPushedWait;
+  const bool connected = link_ != nullptr;
+  const DiscoverySchedule::Call what = schedule_.begin(now(), connected);
+  arm();
   std::string target = "/discovery/hosts";
-  patience_ = asked_ ? kAskedPatience : kPushedPatience;
-  if (!whole_next_) {
-    target += "?index=" + std::to_string(seq_) + "&wait=" + std::to_string(wait.count());
-    patience_ += wait;
+  if (!what.whole) {
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(what.wait);
+    target += "?index=" + std::to_string(what.index) + "&wait=" + std::to_string(wait.count());
   }
-  called_at_ = std::chrono::steady_clock::now();
-  const bool fresh = !link_;
-  if (fresh) link_ = std::make_shared<Link>(io_);
+  if (!connected) link_ = std::make_shared<Link>(io_);
   link_->request = {http::verb::get, target, 11};
   link_->request.set(http::field::host, "discovery");
-  if (!fresh) return write(call);
-  link_->stream.expires_after(patience_);
-  link_->stream.async_connect(
-      endpoint_, [this, call, link = link_](const error_code& e) { on_connected(call, e); });
-}
-
-void Discovery::on_connected(std::uint64_t call, const error_code& error) {
-  if (call != call_) return;
-  if (error) return fail(call);
-  error_code ignored;
-  link_->stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  write(call);
+  if (connected) return write(call);
+  link_->socket.async_connect(endpoint_, [this, call, link = link_](const error_code& error) {
+    if (call != call_) return;
+    if (error) return fail(Failure::kBroken);
+    error_code ignored;
+    link->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    schedule_.on_connected(now());
+    arm();
+    write(call);
+  });
 }
 
 void Discovery::write(std::uint64_t call) {
   link_->parser.emplace();
-  link_->parser->body_limit(kMaxList);
-  link_->parser->header_limit(64u << 10);
-  link_->stream.expires_after(patience_);
-  http::async_write(
-      link_->stream, link_->request, [this, call, link = link_](const error_code& e, std::size_t) {
-        if (call != call_) return;
-        if (e) return fail(call);
-        http::async_read(
-            link->stream, link->buffer, *link->parser,
-            [this, call, link](const error_code& error, std::size_t) { on_answer(call, error); });
-      });
+  link_->parser->body_limit(max_list_bytes_);
+  link_->parser->header_limit(kMaxHead);
+  http::async_write(link_->socket, link_->request,
+                    [this, call, link = link_](const error_code& error, std::size_t) {
+                      if (call != call_) return;
+                      if (error) return fail(Failure::kBroken);
+                      read(call);
+                    });
+}
+
+void Discovery::read(std::uint64_t call) {
+  http::async_read_some(
+      link_->socket, link_->buffer, *link_->parser,
+      [this, call, link = link_](const error_code& error, std::size_t) { on_read(call, error); });
 }
 
-void Discovery::on_answer(std::uint64_t call, const error_code& error) {
+void Discovery::on_read(std::uint64_t call, const error_code& error) {
   if (call != call_) return;
-  if (error) return fail(call);
-  if (link_->parser->get().result() != http::status::ok) return fail(call, false);
-  const bool keep_alive = link_->parser->get().keep_alive();
-  if (!apply(link_->parser->get().body())) return fail(call);
-  if (call != call_ || !running_) return;
-  if (!keep_alive) link_.reset();
-  pace_.on_success();
-  whole_next_ = false;
-  const auto took = std::chrono::steady_clock::now() - called_at_;
+  if (error == http::error::body_limit) {
+    complain_of_size();
+  } else if (error && error.category() == make_error_code(http::error::bad_version).category() &&
+             error != http::error::end_of_stream && error != http::error::partial_message) {
+    complain(Cause::kHeadUnreadable, "cannot be read: " + error.message());
+  }
+  if (error) return fail(Failure::kBroken);
+  if (link_->parser->is_done()) return on_answer(call);
+  schedule_.on_answer_bytes(now());
+  arm();
+  read(call);
+}
+
+void Discovery::on_answer(std::uint64_t call) {
+  const auto message = link_->parser->release();
+  link_->parser.reset();
+  if (message.result() != http::status::ok) {
+    if (message.result() != http::status::service_unavailable)
+      complain(Cause::kStatus, "has status " + std::to_string(message.result_int()));
+    return fail(Failure::kRefused);
+  }
+  const auto fault = apply(message.body());
+  if (fault) {
+    complain(Cause::kNoList,
+             "of " + std::to_string(message.body().size()) + " bytes is no list: " + *fault);
+    return fail(Failure::kBroken);
+  }
+  if (call != call_ || !schedule_.running()) return;
+  if (!message.keep_alive()) link_.reset();
+  const Duration took = schedule_.on_answered(now());
   if (handlers_.on_answered) {
     handlers_.on_answered(took);
-    if (call != call_ || !running_) return;
+    if (call != call_ || !schedule_.running()) return;
   }
-  call_after(news_ || took > kPause ? Duration{0} : Duration{kPause});
+  arm();
 }
 
-// False: what came is no list.
-bool Discovery::apply(const std::string& body) {
+std::optional<std::string> Discovery::apply(const std::string& body) {
   try {
     simdjson::dom::element root;
-    if (json_.parse(body).get(root)) return false;
-    const HostList list = read_host_list(json::as<simdjson::dom::object>(root, "list"), site_);
-    // Versions are applied in their order. A whole list stands for itself.
-    const bool old = !list.whole && list.seq <= seq_;
-    news_ = list.whole || !old;
-    if (!old) seq_ = list.seq;
-    if (news_ || asked_) {
-      HostList applied = list;
-      if (old) applied.hosts.clear();
-      handlers_.on_list(applied);
-    }
-    return true;
-  } catch (const FieldError&) {
-    return false;
+    if (const auto error = json_.parse(body).get(root)) return simdjson::error_message(error);
+    HostList list = read_host_list(json::as<simdjson::dom::object>(root, "list"), site_);
+    if (body.size() > kSmallList) json_ = simdjson::dom::parser();
+    const bool counts = schedule_.on_list(list.seq, list.whole);
+    if (!counts) list.hosts.clear();
+    if (counts || asked_) handlers_.on_list(list);
+    return std::nullopt;
+  } catch (const FieldError& error) {
+    return error.what();
   }
 }
 
-// `broke`: the service did not answer, and may be another behind the break.
-void Discovery::fail(std::uint64_t call, bool broke) {
-  if (call != call_) return;
+void Discovery::fail(Failure failure) {
   hang_up();
-  if (asked_) {
-    // One that counts its versions anew would keep a watch on the old one waiting for ever. The
-    // whole list costs it more than changes do, so not where it only turned the call away.
-    whole_next_ = whole_next_ || broke;
-    running_ = false;
-    return handlers_.on_refused();
-  }
-  // What the broken call would have told may have been told: the whole list leaves no doubt.
-  whole_next_ = true;
-  std::uniform_real_distribution<double> chance(0, 1);
-  const double first = chance(random_), second = chance(random_);
-  call_after(pace_.after_failure(first, second));
+  if (!schedule_.on_failure(now(), failure)) return handlers_.on_refused();
+  arm();
+}
+
+// Where an answer is of no use the hosts that are known go on, and a call follows soon: one line
+// tells of all of them.
+void Discovery::complain(Cause cause, const std::string& why) {
+  const Time at = now();
+  const auto [last, is_first] = last_met_.try_emplace(cause, at);
+  const bool is_new = is_first || at - last->second >= kForgetCause;
+  last->second = at;
+  if (is_new && handlers_.log)
+    handlers_.log("discovery: its answer " + why + "; the hosts that are known stay in force");
+}
+
+void Discovery::complain_of_size() {
+  const auto& head = link_->parser->get();
+  const auto length = head.find(http::field::content_length);
+  const std::string size =
+      length == head.end() ? "of unstated length" : "of " + std::string(length->value()) + " bytes";
+  complain(Cause::kBodyTooLong, size + " is longer than the " + std::to_string(max_list_bytes_) +
+                                    " bytes that the memory limit leaves for it");
 }
 
 }  // namespace silverpin::node
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -2,22 +2,29 @@
 
 #include <simdjson.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <random>
+#include <string>
 
 #include "net/host_list.h"
-#include "recovery/pace.h"
+#include "recovery/discovery_schedule.h"
 #include "settings/settings.h"
 
 namespace silverpin::node {
 
-// Lists and watches. Every call has a time-out, and a call that breaks is followed by another:
-// where lists are pushed at once, where discovery must be asked when the module says so.
+// The longest list that is read, in bytes, of a process that may use so much memory. Parsing takes
+// up to 16 times the body, at most two thirds of the memory; lists of hosts take some 4 times.
+std::size_t max_list_bytes(std::size_t memory_mb);
+
+// The client of the service that lists the hosts: carries out over HTTP what the schedule says.
 class Discovery {
  public:
   struct Handlers {
@@ -25,13 +32,17 @@
     std::function<void()> on_refused;  // only where discovery must be asked
     // A call that took so long was answered, and what it told has been handed over.
     std::function<void(Duration took)> on_answered;
+    // Why an answer could not be used: once for each cause, not for each call.
+    std::function<void(const std::string& line)> log;
   };
 
   Discovery(boost::asio::io_context& io, const Endpoint& endpoint, const SiteSettings& site,
-            std::uint64_t known_seq, std::uint64_t seed, Handlers handlers);
+            std::uint64_t known_seq, std::uint64_t seed, std::size_t max_list_bytes,
+            Handlers handlers);
 
-  void start();      // lists are pushed
-  void subscribe();  // discovery is asked
+  // Lists are pushed: calls for ever. Discovery is asked: calls until a call has failed, and
+  // on_refused tells so.
+  void start();
   void stop();
   // From now on the service at `endpoint` is listened to, and no longer the one before.
   void move(const Endpoint& endpoint);
@@ -42,39 +53,40 @@
   // A connection and all that its operations refer to. Their handlers own it: what the system has
   // already completed when a call is given up must find its buffers in place.
   struct Link {
-    explicit Link(boost::asio::io_context& io) : stream(io) {}
-    boost::beast::tcp_stream stream;
+    explicit Link(boost::asio::io_context& io) : socket(io) {}
+    boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     boost::beast::http::request<boost::beast::http::empty_body> request;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
   };
+  enum class Cause { kBodyTooLong, kHeadUnreadable, kNoList, kStatus };
+  using Failure = recovery::DiscoverySchedule::Failure;
 
   void call();
-  void on_connected(std::uint64_t call, const boost::system::error_code& error);
   void write(std::uint64_t call);
-  void on_answer(std::uint64_t call, const boost::system::error_code& error);
+  void read(std::uint64_t call);
+  void on_read(std::uint64_t call, const boost::system::error_code& error);
+  void on_answer(std::uint64_t call);
   void hang_up();
-  bool apply(const std::string& body);
-  void fail(std::uint64_t call, bool broke = true);
-  void call_after(Duration delay);
+  void arm();
+  // Why the body is no list; nothing if it has been applied.
+  std::optional<std::string> apply(const std::string& body);
+  void fail(Failure failure);
+  void complain(Cause cause, const std::string& why);
+  void complain_of_size();
 
   Endpoint endpoint_;
   const SiteSettings& site_;
   const Handlers handlers_;
+  const std::size_t max_list_bytes_;
   const bool asked_;
   std::shared_ptr<Link> link_;
   boost::asio::io_context& io_;
   boost::asio::steady_timer timer_;
+  recovery::DiscoverySchedule schedule_;
   simdjson::dom::parser json_;
-  std::uint64_t seq_;
   std::uint64_t call_ = 0;  // tells late completions of a call that was given up
-  bool whole_next_ = true;  // ask for the whole list
-  bool running_ = false;
-  bool news_ = false;
-  recovery::Pace pace_;
-  std::mt19937_64 random_;
-  Duration patience_{0};
-  std::chrono::steady_clock::time_point called_at_;
+  std::map<Cause, Time> last_met_;
 };
 
 }  // namespace silverpin::node
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -36,6 +36,7 @@
 constexpr int kMostShed = 3;  // ring points that may hand a key on
 constexpr Duration kDemandPeriod = std::chrono::seconds(15);
 constexpr Duration kFirstCallBackoff = milliseconds(250);
+constexpr Duration kMaxCallBackoff = milliseconds(2000);  // a change is heard of within 6 s
 constexpr Duration kResendBackoff = milliseconds(50);
 // Who is to stay away does so for about this long: longer than most clients' time for one answer.
 constexpr Duration kStayAway = milliseconds(2000);
@@ -88,7 +89,9 @@
   now_ = now;
   if (kind == ListKind::kRefused) {
     // Calling again at once, and in step with others, would keep the list service down.
-    const double most = seconds(settings_.ask_within) / 4;
+    const Duration stated =
+        settings_.ask_within > Duration{0} ? settings_.ask_within / 4 : kMaxCallBackoff;
+    const double most = seconds(std::clamp(stated, kFirstCallBackoff, kMaxCallBackoff));
     const double base = seconds(kFirstCallBackoff) * std::pow(2.0, std::min(refused_calls_++, 10));
     timer(now + from_seconds(std::min(base, most) * (0.5 + uniform() / 2)), TimerKind::kSubscribe);
     return;
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -127,7 +127,7 @@
             ++calls;
             const bool watch = p.in.substr(0, end).find("index=") != std::string::npos;
             p.in.erase(0, end + 4);
-            const std::string body = watch ? "{\"seq\":0,\"whole\":false,\"hosts\":[]}"
+            const std::string body = watch ? "{\"seq\":1,\"whole\":false,\"hosts\":[]}"
                                            : "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
             p.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
                    "\r\n\r\n" + body);
