Begin no attempt behind a client's close that lies unread in a late loop

Cause: a close counted once it was read. Where the loop is late (a busy core, a process that stood still) what lets a request go on may be read before the close that came 0.15 s earlier: a miss, a break, another's fetch. The further attempt then went out at once.

Change: ServerPool::permit, which every byte to a server passes, asks the client's socket again where it was last known to be there over 50 ms ago (kSeenLately). So an attempt begins at most 50 ms behind the close however late the loop is, at most 20 times a second for each request that waits.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -15,6 +15,9 @@
 constexpr std::size_t kDuePerTurn = 64;
 // Well below the gap that counts as a standstill.
 constexpr Duration kLooks = std::chrono::milliseconds(400);
+// How long a client that was there counts as there: no attempt begins later than this behind the
+// close of its connection, however late the close is read.
+constexpr Duration kSeenLately = std::chrono::milliseconds(50);
 
 std::string ms(Duration d) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()) + " ms";
@@ -236,6 +239,7 @@
   call.payload = std::move(ask.payload);
   call.klass = q.klass;
   call.unsafe = site_.policy.classes[static_cast<std::size_t>(q.klass)].repeat == Repeat::kUnsafe;
+  call.seen_at = now();
   call.place = caller->open_.size();
   caller->open_.push_back(q.id);
   ++open_;
@@ -298,12 +302,20 @@
 
 // ---- attempts
 
+// Where this process is late, what lets a request go on may be read before its client's close.
+bool ServerPool::is_there(const Call& call) const {
+  if (now() - call.seen_at <= kSeenLately) return true;
+  if (!call.caller->is_there()) return false;
+  call.seen_at = now();
+  return true;
+}
+
 // Hosts are asked for in the module's own book, which has heard of them first.
 Permit ServerPool::permit(const Attempt& attempt) const {
   const auto it = calls_.find(attempt.request);
   // Behind a standstill its time may have passed before its time-out has come round.
   if (it == calls_.end() || it->second.over || attempt.until - now() < kMinAttemptTime ||
-      now() >= attempt.begin_by || !it->second.caller->may_go_out())
+      now() >= attempt.begin_by || !it->second.caller->may_go_out() || !is_there(it->second))
     return Permit::kOver;
   const auto* host = policy_.host(attempt.host);
   return host && host->takes_new() && host->started_at == attempt.host_started ? Permit::kGo
--- a/src/core/server_pool.h
+++ b/src/core/server_pool.h
@@ -92,6 +92,7 @@
     // Of one whose repeats are discarded for a while: since when one of its attempts may have run.
     std::optional<Time> may_run_since;
     bool may_have_run = false;  // one that has ended
+    mutable Time seen_at{0};    // its client was last known to be there
   };
 
   // ActionSink
@@ -109,6 +110,7 @@
   void on_begin(const AttemptPtr& attempt, const StreamPtr& stream) override;
   void on_end(const AttemptPtr& attempt, Result result, std::string value) override;
 
+  bool is_there(const Call& call) const;
   void look();
   void watch();
   void let_go(const char* why);
--- a/src/net/request.h
+++ b/src/net/request.h
@@ -60,8 +60,9 @@
   // it may not, nothing of it reaches a server from then on, and it is refused unless an earlier
   // attempt may have run.
   virtual bool may_go_out() const { return true; }
-  // Whether it has not left yet, also where that has not been read. Asked once of each request, on
-  // arrival: what lay unread for long may be all that is left of a client, and is refused.
+  // Whether it has not left yet, also where that has not been read. Asked of each request on
+  // arrival: what lay unread for long may be all that is left of a client, and is refused. Asked
+  // again before a byte goes out where the last answer is not recent, at the cost of a system call.
   virtual bool is_there() const { return true; }
 
  private:
