Count what all balancers send each cold host, in simulated time, against N + 2 root N + 2

Need: the ramp has to hold for the sum of twenty to thirty processes. The plant only told of hosts that fell, and misses weigh next to nothing there, so nearly nothing could make one fall.

Change: ColdLoads holds every start of a cold host against the operators' bound, counting each request with its whole work, also where it misses or is turned away. The plant can deal its traffic unevenly, and can be given balancers that ignore warmth, as a planted defect.

--- a/src/model/plant.cc
+++ b/src/model/plant.cc
@@ -98,6 +98,7 @@
   std::optional<Policy> policy;
   int life = 0;
   bool listed = true;  // by the front
+  double part = 1;     // of the traffic, relative to the other balancers'
 };
 
 struct Plant::Host {
@@ -122,7 +123,8 @@
       settings_(settings_of(scenario)),
       random_(scenario.seed, 20),
       arrivals_(scenario),
-      tally_(scenario) {
+      tally_(scenario),
+      cold_loads_(scenario) {
   for (const rig::IncidentSpec& i : scenario.incidents) {
     switch (i.what) {
       case What::kKill:
@@ -139,6 +141,7 @@
                                     "'");
     }
   }
+  if (options.ignores_warmth) settings_.cold = {};
   rig::Random speeds(scenario.seed, 1);
   int number = 0;
   for (const rig::KindSpec& kind : scenario.kinds)
@@ -164,8 +167,10 @@
         host->objects.put(
             key, static_cast<std::size_t>(
                      (scenario.load.value_bytes.low + scenario.load.value_bytes.high) / 2));
+  rig::Random parts(scenario.seed, 21);
   for (int b = 0; b < scenario.balancers; ++b) {
     balancers_.push_back(std::make_unique<Balancer>(*this, b));
+    balancers_.back()->part = parts.lognormal(1, options_.unevenness);
     start_balancer(b);
   }
   for (const rig::IncidentSpec& i : scenario_.incidents) at(i.at, [this, &i] { strike(i); });
@@ -221,7 +226,14 @@
     if (b->number % static_cast<int>(scenario_.zones.size()) == zone) here.push_back(b->number);
   }
   const auto& from = here.empty() ? anywhere : here;
-  return from.empty() ? -1 : from[random_.below(from.size())];
+  if (from.empty()) return -1;
+  if (options_.unevenness <= 0) return from[random_.below(from.size())];
+  double all = 0;
+  for (const int b : from) all += balancers_[index(b)]->part;
+  double at = random_.uniform(0, all);
+  for (const int b : from)
+    if ((at -= balancers_[index(b)]->part) < 0) return b;
+  return from.back();
 }
 
 void Plant::start_try(const CallPtr& call) {
@@ -420,7 +432,9 @@
   host.model.emplace(host.spec, now_, cold);
   if (!host.origin) host.objects = rig::ObjectStore(host.memory);
   host.state = HostState::kServing;
-  if (cold) host.started_at = now_;
+  if (!cold) return;
+  host.started_at = now_;
+  cold_loads_.on_start(now_, static_cast<int>(h), host.id, host.spec);
 }
 
 void Plant::kill_host(std::size_t h) {
@@ -456,6 +470,8 @@
   } else {
     a.hit = host.objects.find(a.key).has_value();
     work = a.hit ? a.work : host.miss_work;
+    cold_loads_.on_request(now_, static_cast<int>(a.host), a.work, host.model->warmth(now_),
+                           a.balancer);
   }
   switch (host.model->submit(now_, number, work, a.balancer)) {
     case rig::HostModel::Answer::kTaken:
--- a/src/model/plant.h
+++ b/src/model/plant.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "policy/policy.h"
+#include "rig/judge/cold_load.h"
 #include "rig/judge/tally.h"
 #include "rig/model/arrivals.h"
 #include "rig/model/host_model.h"
@@ -27,6 +28,10 @@
   std::optional<double> origin_held, caches_held;
   Duration way = std::chrono::microseconds(60);  // one way between any two
   Duration sampled = std::chrono::milliseconds(500);
+  // Coefficient of variation of the balancers' parts of the traffic; 0: all get the same.
+  double unevenness = 0;
+  // A planted defect: balancers take cold hosts for warm.
+  bool ignores_warmth = false;
 };
 
 // What the loops did in one span of `Options::sampled`.
@@ -56,6 +61,7 @@
   const rig::Tally& tally() const { return tally_; }
   const std::vector<Sample>& samples() const { return samples_; }
   int fallen() const { return fallen_; }  // cold hosts that were pushed over
+  const rig::ColdLoads& cold_loads() const { return cold_loads_; }
   // Answers: each try has to get exactly one while its balancer lives.
   std::uint64_t tries() const { return tries_sent_; }
   std::uint64_t answers() const { return answers_; }
@@ -117,6 +123,7 @@
   rig::Random random_;
   rig::Arrivals arrivals_;
   rig::Tally tally_;
+  rig::ColdLoads cold_loads_;
   Time now_{0};
   std::uint64_t next_event_ = 0, next_request_ = 1, next_attempt_ = 1;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
