Rig: the sum of what all balancers send each cold host is judged and printed, process by process

Need: the rig's judge saw a cold host only when it fell, and there a miss, which is most of what a cold host gets, weighs a hundredth of a request: no fleet could break the rule.

Change: each emulated cache host counts every request of all processes with its whole work (ColdLoads, as the plant has it). The report lists each start's fullest window beside N + 2 root N + 2; the first window beyond it is a breach of rule 4 by the same two thirds as a fall, and shows in the exit code. A host falls where it fell before. Scenario cold-throng: 24 processes, hosts that join and return cold under a burst.

Tests: a short play of it by 24 processes keeps the bound; the planted defect, processes told that hosts start with all their capacity, is found (exit code 1, rule 4).

--- a/src/rig/judge/auditor.cc
+++ b/src/rig/judge/auditor.cc
@@ -180,10 +180,11 @@
   a.end = how;
 }
 
-void Auditor::on_pushed_over(Time now, int host, const std::map<int, double>& by_balancer) {
+void Auditor::on_pushed_over(Time now, int host, const std::map<int, double>& by_balancer,
+                             std::string_view how) {
   double all = 0, told = 0;
-  std::string story = "host " + hosts_[static_cast<std::size_t>(host)] + " fell over at " +
-                      at(now) + ", sent in the time before:\n";
+  std::string story = "host " + host_name(host) + " " + std::string(how) + " at " + at(now) +
+                      ", sent in the time before:\n";
   for (const auto& [balancer, work] : by_balancer) {
     all += work;
     const auto start = started_.find({balancer, host});
@@ -194,8 +195,7 @@
              "\n";
   }
   if (told * 3 >= all * 2)
-    breach(4, "the cold host " + hosts_[static_cast<std::size_t>(host)] + " was pushed over",
-           story);
+    breach(4, "the cold host " + host_name(host) + " " + std::string(how), story);
 }
 
 // ---- discovery
--- a/src/rig/judge/auditor.h
+++ b/src/rig/judge/auditor.h
@@ -46,6 +46,7 @@
 
   // ---- hosts. Each returns or takes the number of the attempt within its request.
   int add_host(const std::string& name);  // also of the origin
+  const std::string& host_name(int host) const { return hosts_[static_cast<std::size_t>(host)]; }
   int on_arrived(Time now, RequestNumber r, int host);
   // A command that no client sent in this form.
   void on_forged(Time now, int host, std::string_view line);
@@ -55,7 +56,10 @@
   // The text that a host gave for the request.
   void on_made(Time now, RequestNumber r, int attempt, std::string_view text);
   void on_ended(Time now, RequestNumber r, int attempt, std::string_view how);
-  void on_pushed_over(Time now, int host, const std::map<int, double>& by_balancer);
+  // `how`: it fell over, or was sent more than its bound; `by_balancer`: what it was sent in the
+  // time before, seconds of work.
+  void on_pushed_over(Time now, int host, const std::map<int, double>& by_balancer,
+                      std::string_view how);
 
   // ---- what discovery has told a balancer
   void on_told(Time now, int balancer, int host, bool wants_nothing_new);
--- a/src/rig/judge/context.h
+++ b/src/rig/judge/context.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "rig/judge/auditor.h"
+#include "rig/judge/cold_load.h"
 #include "rig/judge/stampede.h"
 #include "rig/model/base.h"
 #include "rig/model/scenario.h"
@@ -27,6 +28,7 @@
       : io(loop),
         scenario(s),
         auditor(s),
+        cold_loads(s),
         salt_(Random(s.seed, 99).next() & 0xffffffff),
         timer_(loop) {}
 
@@ -90,6 +92,7 @@
   const Scenario& scenario;
   Auditor auditor;
   Stampede stampede;
+  ColdLoads cold_loads;
 
  private:
   void arm() {
--- a/src/rig/report/report.cc
+++ b/src/rig/report/report.cc
@@ -185,6 +185,14 @@
     j.close(']');
   }
 
+  j.key("cold_hosts").open('[');
+  for (const ColdLoads::Peak& peak : run.cold_loads.peaks()) {
+    j.open('{').text("name", peak.host).number("started_s", seconds(peak.started));
+    j.number("at_s", seconds(peak.at)).number("requests", peak.requests);
+    j.number("budget", peak.budget).number("bound", peak.bound()).close('}');
+  }
+  j.close(']');
+
   const Auditor::Totals& t = run.auditor.totals();
   j.key("totals").open('{').count("tries", t.tries).count("attempts", t.attempts);
   j.count("runs", t.runs).count("never_ran", t.never_ran).count("served", t.served);
@@ -255,6 +263,17 @@
 
 namespace {
 
+// What all balancers sent each cold host, in requests of mean work. Earlier reports lack it.
+void cold_hosts(std::string& out, element root) {
+  simdjson::dom::array all;
+  if (root["cold_hosts"].get(all) != simdjson::SUCCESS || all.size() == 0) return;
+  out += "\ncold hosts: the most that all balancers sent in one window, and N + 2 root N + 2\n";
+  for (const element host : all)
+    print(out, "  %-8s started at %5.1f s: %5.1f of %5.1f at %5.1f s (N %.1f)\n",
+          str(host, "name").c_str(), num(host, "started_s"), num(host, "requests"),
+          num(host, "bound"), num(host, "at_s"), num(host, "budget"));
+}
+
 void row(std::string& out, element g) {
   const double asked = num(g, "asked"), worth = num(g, "worth_asked");
   const auto part = [&](const char* key) { return asked > 0 ? 100 * num(g, key) / asked : 0; };
@@ -316,6 +335,7 @@
             num(f, "most_at_s"), num(f, "mean_before"), num(f, "most_before"));
   }
 
+  cold_hosts(out, root);
   const element t = sub(root, "totals");
   print(out,
         "\ntries %.0f, attempts %.0f (%.3f a try), lost attempts %.0f, repeats discarded %.0f, "
--- a/src/rig/report/report.h
+++ b/src/rig/report/report.h
@@ -29,6 +29,7 @@
   const Scenario& scenario;
   const Auditor& auditor;
   const Stampede& stampede;
+  const ColdLoads& cold_loads;
   const Tally& tally;
   const Load& load;
   const Fleet& fleet;
--- a/src/rig/servers/cache_server.cc
+++ b/src/rig/servers/cache_server.cc
@@ -134,6 +134,7 @@
     slot.request = *r;
     const Time arrived = late_since_.value_or(context_.now());
     slot.attempt = context_.auditor.on_arrived(arrived, *r, server_.audit_id_);
+    count_cold(*r, arrived);
     if (over_cap_) return turn_away(slot);
     if (server_.engine_.model() && server_.engine_.model()->warmth(arrived) < 1)
       context_.stampede.count(Stampede::Kind::kColdAttempt, arrived);
@@ -158,6 +159,17 @@
     taken->job = job;
   }
 
+  void count_cold(RequestNumber r, Time arrived) {
+    const HostModel* model = server_.engine_.model();
+    if (!model) return;
+    ColdLoads& loads = context_.cold_loads;
+    if (loads.on_request(arrived, server_.audit_id_, context_.auditor.work_of(r),
+                         model->warmth(arrived), context_.auditor.balancer_of(r)))
+      context_.auditor.on_pushed_over(arrived, server_.audit_id_,
+                                      loads.by_balancer(server_.audit_id_),
+                                      "was sent more than its bound");
+  }
+
   void turn_away(Slot& slot) {
     ++server_.turned_away_;
     context_.auditor.on_never_ran(context_.now(), slot.request, slot.attempt, "busy");
@@ -298,6 +310,9 @@
   HostSpec spec = kind_.host;
   spec.speed = speed_;
   engine_.start(spec, cold);
+  if (cold)
+    context_.cold_loads.on_start(context_.now(), audit_id, context_.auditor.host_name(audit_id),
+                                 spec);
   if (cold) objects_ = ObjectStore(static_cast<std::size_t>(kind_.memory_mb * (1 << 20)));
   running_ = true;
   if (paused_ || refusing_) {
@@ -309,7 +324,8 @@
 }
 
 void CacheServer::fall() {
-  context_.auditor.on_pushed_over(context_.now(), audit_id_, engine_.model()->pushed_by());
+  context_.auditor.on_pushed_over(context_.now(), audit_id_, engine_.model()->pushed_by(),
+                                  "fell over");
   kill();
   if (on_fallen) on_fallen();
 }
--- a/tests/rig/auditor_test.cc
+++ b/tests/rig/auditor_test.cc
@@ -118,9 +118,9 @@
 
 TEST_F(AuditorTest, PushingOverCountsOnlyForThoseWhoKnew) {
   audit.on_told_start(milliseconds(0), 0, host);
-  audit.on_pushed_over(milliseconds(100), host, {{0, 1.0}, {1, 2.0}});
+  audit.on_pushed_over(milliseconds(100), host, {{0, 1.0}, {1, 2.0}}, "fell over");
   expect(0, 0, 0, 0);
-  audit.on_pushed_over(milliseconds(100), host, {{0, 2.0}, {1, 1.0}});
+  audit.on_pushed_over(milliseconds(100), host, {{0, 2.0}, {1, 1.0}}, "fell over");
   expect(0, 0, 0, 1);
 }
 
--- a/tests/rig/program_test.cc
+++ b/tests/rig/program_test.cc
@@ -5,6 +5,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -83,6 +84,48 @@
   EXPECT_NE(out_.find("  list calls"), std::string::npos) << out_;
 }
 
+// The scenario, with its troubles from the first seconds on.
+std::string short_cold_throng() {
+  std::ifstream in(SILVERPIN_SCENARIOS "/cold-throng.toml");
+  std::ostringstream whole;
+  whole << in.rdbuf();
+  std::string text = whole.str();
+  for (const auto& [from, to] :
+       {std::pair("length_s = 20\n", "length_s = 7\n"), std::pair("at_s = 11\n", "at_s = 1\n"),
+        std::pair("at_s = 12\n", "at_s = 2\n"), std::pair("at_s = 13\n", "at_s = 3\n")}) {
+    const auto at = text.find(from);
+    if (at == std::string::npos) {
+      ADD_FAILURE() << from;
+      continue;
+    }
+    text.replace(at, std::strlen(from), to);
+  }
+  return text;
+}
+
+// Twenty-four processes, hosts that join cold and others that return cold, under a burst. What all
+// together send each cold host stays within its bound.
+TEST_F(RigProgramTest, TheRampOfColdHostsHoldsForTheWholeFleet) {
+  write(short_cold_throng());
+  EXPECT_EQ(run(rehearse()), 0) << out_;
+  EXPECT_NE(out_.find("cold hosts: the most that all balancers sent in one window"),
+            std::string::npos)
+      << out_;
+  EXPECT_NE(out_.find(", cold hosts 0\n"), std::string::npos) << out_;
+}
+
+// The same with a planted defect: balancers that are told that hosts start with all their capacity.
+TEST_F(RigProgramTest, AFleetThatIgnoresTheRampIsFound) {
+  write(short_cold_throng());
+  std::ofstream(dir_ + "/rampless")
+      << "#!/bin/sh\nsed -i 's/\"startCapacity\":[0-9.]*/\"startCapacity\":1.0/' "
+         "\"$ROUTER_CONFIG\" || exit 1\nexec '" SILVERPIN_PROGRAM "'\n";
+  std::filesystem::permissions(dir_ + "/rampless", std::filesystem::perms::owner_all);
+  EXPECT_EQ(run(rehearse() + " --program " + dir_ + "/rampless"), 1) << out_;
+  EXPECT_EQ(out_.find(", cold hosts 0\n"), std::string::npos) << out_;
+  EXPECT_NE(out_.find("was sent more than its bound"), std::string::npos) << out_;
+}
+
 TEST_F(RigProgramTest, DrawsAScenarioThatCanBePlayed) {
   EXPECT_EQ(run("draw 7"), 0);
   const std::string first = out_;
--- a/tests/rig/servers_test.cc
+++ b/tests/rig/servers_test.cc
@@ -218,7 +218,16 @@
                                                     std::chrono::seconds(1), "k<&\"\x01\xff", 1),
                            "a <test> & \"more\"");
   Load load(*context, tally, {});
-  RunFigures run{scenario, context->auditor, context->stampede, tally, load, *fleet, {}, {}, {},
+  RunFigures run{scenario,
+                 context->auditor,
+                 context->stampede,
+                 context->cold_loads,
+                 tally,
+                 load,
+                 *fleet,
+                 {},
+                 {},
+                 {},
                  {}};
   run.balancers.push_back({"n0", 1, {}, {{std::chrono::seconds(1), 5, 0.1, 9}}});
   const std::string json = report_json(run);
