--- a/src/rig/judge/auditor.h
+++ b/src/rig/judge/auditor.h
@@ -54,6 +54,7 @@
 
   // ---- hosts. Each returns or takes the number of the attempt within its request.
   int add_host(const std::string& name);  // also of the origin
+  const std::string& host_name(int host) const { return hosts_[static_cast<std::size_t>(host)]; }
   // `now`: when the attempt's last byte came, or could have come at the earliest. `told`: the time
   // that the attempt tells the host; none: it tells none.
   int on_arrived(Time now, RequestNumber r, int host, std::optional<Duration> told = std::nullopt);
@@ -68,7 +69,10 @@
   // The text that a host gave for the request.
   void on_made(Time now, RequestNumber r, int attempt, std::string_view text);
   void on_ended(Time now, RequestNumber r, int attempt, std::string_view how);
-  void on_pushed_over(Time now, int host, const std::map<int, double>& by_balancer);
+  // `how`: it fell over, or was sent more than its bound; `by_balancer`: what it was sent in the
+  // time before, seconds of work.
+  void on_pushed_over(Time now, int host, const std::map<int, double>& by_balancer,
+                      std::string_view how);
 
   // ---- what discovery has told a balancer
   void on_told(Time now, int balancer, int host, bool wants_nothing_new);
