Rig: servers, balancers and groups keep addresses of their own for the whole run

Need: hosts, origin and discovery let go of their port while they were away and bound it again at their return; members of a group got a datagram port that had been given back; two runs at once used the same addresses (127.0.0.11 on for groups, 127.0.1.1 on for hosts).

Change: a run's Context has a LoopbackBlock; hosts, origin, discovery, balancers' listeners and group members take their endpoints from it. next_endpoint() gives each address of the block in turn the same port before it takes the next one. What held ports by hand goes (hold_port, GroupNet's loop of 50 tries, the port read from a balancer's log). check_machine's limit of 50,000 hosts goes with the scheme of addresses that it counted: a block has millions of endpoints, and the check of descriptors, one a host at least, stands. One text_of() for endpoints in place of four.

--- a/src/rig/balancer_process.cc
+++ b/src/rig/balancer_process.cc
@@ -23,8 +23,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr Duration kLook = std::chrono::milliseconds(20);
-const std::string kListening = "listening on 127.0.0.1:", kResp = "RESP on 127.0.0.1:",
-                  kAnyResp = "RESP on ";
+const std::string kListening = "listening on ", kResp = "RESP on ";
 
 std::string read_file(const std::string& file) {
   std::ifstream in(file);
@@ -62,8 +61,7 @@
     : context_(context),
       program_(std::move(program)),
       folder_(std::move(folder)),
-      files_(std::move(files)),
-      address_(asio::ip::make_address("127.0.0.1"), files_.port) {
+      files_(std::move(files)) {
   figures_.name = "n" + std::to_string(number);
 }
 
@@ -80,8 +78,7 @@
     std::filesystem::rename(file + ".new", file);
   };
   if (files_.platform)
-    write(folder_ + "/" + name() + ".json",
-          files_.platform(address_.address().to_string() + ":" + std::to_string(address_.port())));
+    write(folder_ + "/" + name() + ".json", files_.platform(text_of(files_.listen)));
   if (files_.added) write(folder_ + "/" + name() + ".toml", files_.added());
 }
 
@@ -128,13 +125,12 @@
   context_.after(kLook, [this, life, ready = std::move(ready)]() mutable {
     if (life != life_ || !running()) return;
     const std::string log = read_file(folder_ + "/" + name() + ".log");
-    const std::string& line = files_.platform ? kListening : files_.standby ? kAnyResp : kResp;
+    const std::string line =
+        files_.standby ? kResp : (files_.platform ? kListening : kResp) + text_of(files_.listen);
     const auto at = log.find(line, log_from_);
     if (at == std::string::npos || log.find('\n', at) == std::string::npos)
       return await_listening(life, std::move(ready));
     if (files_.standby) return ready();
-    const auto port = std::strtoul(log.c_str() + at + line.size(), nullptr, 10);
-    address_.port(static_cast<std::uint16_t>(port));
     await_answer(life, std::move(ready));
   });
 }
@@ -148,7 +144,7 @@
   };
   const auto ask = std::make_shared<Ask>(context_.io);
   ask->socket.async_connect(
-      address_, [this, life, ask, ready = std::move(ready)](const error_code& e) mutable {
+      files_.listen, [this, life, ask, ready = std::move(ready)](const error_code& e) mutable {
         if (life != life_) return;
         if (e) return await_listening(life, std::move(ready));
         asio::async_write(ask->socket,
--- a/src/rig/balancer_process.h
+++ b/src/rig/balancer_process.h
@@ -22,9 +22,9 @@
     std::function<std::string()> added;                              // the operator's; none: none
     // One of a group, which listens only while it holds an address: up once it runs.
     bool standby = false;
-    // Where it listens for the platform's clients, at each start; 0: where the system likes at the
-    // first one.
-    std::uint16_t port = 0;
+    // Where it listens for clients, at each start. Of the run's own, so that others' connections
+    // are not given its port while it is away. Unused by one of a group.
+    asio::ip::tcp::endpoint listen{};
   };
   BalancerProcess(Context& context, std::string program, std::string folder, int number,
                   Files files);
@@ -42,7 +42,7 @@
   void expect_exit() { exit_expected_ = true; }
   bool running();  // reaps it
   void sample();
-  const asio::ip::tcp::endpoint& address() const { return address_; }
+  const asio::ip::tcp::endpoint& address() const { return files_.listen; }
   std::string last_log_lines() const;
   const BalancerFigures& figures() const { return figures_; }
   const std::string& name() const { return figures_.name; }
@@ -60,7 +60,6 @@
   int life_ = 0;
   bool exit_expected_ = false, stopped_ = false;
   std::size_t log_from_ = 0;
-  asio::ip::tcp::endpoint address_;
   double cpu_before_ = 0;
   Time sampled_at_{0};
 };
--- a/src/rig/group_net.cc
+++ b/src/rig/group_net.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/write.hpp>
 #include <filesystem>
 #include <fstream>
-#include <stdexcept>
 
 namespace silverpin::rig {
 namespace {
@@ -17,38 +16,21 @@
 
 }  // namespace
 
-GroupNet::GroupNet(asio::io_context& io, const std::string& folder, int instances, int voters,
-                   std::uint64_t seed, std::function<Time()> clock)
-    : io_(io),
+GroupNet::GroupNet(Context& context, const std::string& folder, int instances, int voters,
+                   std::uint64_t seed)
+    : context_(context),
       folder_(std::filesystem::absolute(folder).string()),
       instances_(instances),
       voters_(voters),
-      router_(io, kAs, std::move(clock)) {
-  // A port that is free at all their addresses.
-  for (int attempt = 0; port_ == 0; ++attempt) {
-    if (attempt == 50) throw std::runtime_error("no port is free for the group's listeners");
-    held_.clear();
-    std::uint16_t port = 0;
-    for (int i = 0; i < instances; ++i) {
-      auto& holder = held_.emplace_back(io);
-      holder.open(tcp::v4());
-      holder.set_option(asio::socket_base::reuse_address(true));
-      error_code error;
-      holder.bind({asio::ip::make_address(ip_of(i)), port}, error);
-      if (error) break;
-      port = holder.local_endpoint().port();
-      if (i + 1 == instances) port_ = port;
-    }
-  }
+      router_(context.io, kAs, [this] { return context_.now(); }),
+      port_(context.loopback.next_port()) {
   for (int i = 0; i < instances; ++i) {
-    // Given back at once: only a process started at the same moment could get it.
-    asio::ip::udp::socket s(io, {asio::ip::make_address(ip_of(i)), 0});
-    members_.push_back(s.local_endpoint());
+    members_.emplace_back(context.loopback.address(i), context.loopback.next_port());
     const std::string of_instance = folder_ + "/" + name_of(i);
     std::filesystem::remove_all(of_instance);
     std::filesystem::create_directories(of_instance);
   }
-  relay_ = std::make_unique<DatagramRelay>(io, members_, seed);
+  relay_ = std::make_unique<DatagramRelay>(context.io, members_, seed);
   service_ = {asio::ip::make_address("127.0.0.1"), router_.forward(prefix_, port_)};
   Random random(seed, 31);
   std::ofstream key(folder_ + "/group.key");
@@ -107,7 +89,7 @@
 void GroupNet::cut_from_router(int instance, bool on) { router_.cut(address_of(instance), on); }
 
 bool GroupNet::tell(int instance, const std::string& line) {
-  asio::local::stream_protocol::socket socket(io_);
+  asio::local::stream_protocol::socket socket(context_.io);
   error_code error;
   socket.connect(asio::local::stream_protocol::endpoint(status_socket(instance)), error);
   if (!error) asio::write(socket, asio::buffer(line + "\n"), error);
--- a/src/rig/group_net.h
+++ b/src/rig/group_net.h
@@ -4,12 +4,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
-#include <deque>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "rig/judge/context.h"
 #include "rig/servers/bgp_router.h"
 #include "rig/servers/datagram_relay.h"
 
@@ -25,8 +24,9 @@
   static constexpr Duration kOverlap = std::chrono::milliseconds(300);
 
   // The first `voters` instances vote. Folders are made in `folder`, and what was in them is gone.
-  GroupNet(asio::io_context& io, const std::string& folder, int instances, int voters,
-           std::uint64_t seed, std::function<Time()> clock);
+  // There are at most LoopbackBlock::kAddresses instances.
+  GroupNet(Context& context, const std::string& folder, int instances, int voters,
+           std::uint64_t seed);
 
   // [group], [[address]] and [bgp] of one instance's file.
   std::string tables(int instance) const;
@@ -51,19 +51,18 @@
 
  private:
   BgpRouter::Address address_of(int instance) const {
-    return 0x7f00000bu + static_cast<BgpRouter::Address>(instance);
+    return context_.loopback.address(instance).to_uint();
   }
   std::string ip_of(int instance) const;
 
-  asio::io_context& io_;
+  Context& context_;
   const std::string folder_;
   const int instances_, voters_;
   const bgp::Prefix prefix_{0x0a090001, 32};
   BgpRouter router_;
   std::unique_ptr<DatagramRelay> relay_;
   std::vector<DatagramRelay::Endpoint> members_;
-  std::uint16_t port_ = 0;                    // of all instances' listeners
-  std::deque<asio::ip::tcp::acceptor> held_;  // keep that port for them
+  const std::uint16_t port_;  // of all instances' listeners
   asio::ip::tcp::endpoint service_;
 };
 
--- a/src/rig/judge/context.h
+++ b/src/rig/judge/context.h
@@ -13,6 +13,7 @@
 
 #include "rig/judge/auditor.h"
 #include "rig/judge/stampede.h"
+#include "rig/loopback/loopback_block.h"
 #include "rig/model/base.h"
 #include "rig/model/scenario.h"
 
@@ -90,6 +91,7 @@
   const Scenario& scenario;
   Auditor auditor;
   Stampede stampede;
+  LoopbackBlock loopback;  // where the run's servers and balancers listen
 
  private:
   void arm() {
--- a/src/rig/loopback/loopback_block.cc
+++ b/src/rig/loopback/loopback_block.cc
@@ -63,12 +63,20 @@
   return !error;
 }
 
+bool is_free(const asio::ip::address_v4& address, std::uint16_t port) {
+  return can_be_bound<asio::ip::tcp>(address, port) && can_be_bound<asio::ip::udp>(address, port);
+}
+
 int first_block_of_process() {
   return static_cast<int>(static_cast<std::int64_t>(::getpid()) * kStride % LoopbackBlock::kBlocks);
 }
 
 }  // namespace
 
+std::string text_of(const asio::ip::tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 LoopbackBlock::LoopbackBlock() : LoopbackBlock(first_block_of_process()) {}
 
 LoopbackBlock::LoopbackBlock(int first) {
@@ -95,11 +103,20 @@
 std::uint16_t LoopbackBlock::next_port() {
   while (end_port_ > lowest_port_) {
     const auto port = static_cast<std::uint16_t>(--end_port_);
-    if (can_be_bound<asio::ip::tcp>(address(), port) &&
-        can_be_bound<asio::ip::udp>(address(), port))
-      return port;
+    if (is_free(address(), port)) return port;
   }
   throw std::runtime_error("all ports of a loopback block are given");
 }
 
+asio::ip::tcp::endpoint LoopbackBlock::next_endpoint() {
+  for (;;) {
+    if (next_index_ == kAddresses) {
+      shared_port_ = next_port();
+      next_index_ = 0;
+    }
+    const auto own = address(next_index_++);
+    if (is_free(own, shared_port_)) return {own, shared_port_};
+  }
+}
+
 }  // namespace silverpin::rig
--- a/src/rig/loopback/loopback_block.h
+++ b/src/rig/loopback/loopback_block.h
@@ -7,6 +7,9 @@
 
 namespace silverpin::rig {
 
+// As addresses are written in settings and lists: "127.0.0.1:80".
+std::string text_of(const boost::asio::ip::tcp::endpoint& endpoint);
+
 // A /24 network of 127.64.0.0/10 that belongs to this object alone among all processes that use
 // this class: for servers and processes whose address is chosen before they listen, or that come
 // back to it after they have stopped.
@@ -39,14 +42,17 @@
   // the port and listens on all addresses. Throws std::runtime_error once all are given, some
   // thousands.
   std::uint16_t next_port();
-  boost::asio::ip::tcp::endpoint next_endpoint(int index = 0) {
-    return {address(index), next_port()};
-  }
+  // An endpoint that nobody else has, with a port as above; each of the block's addresses in turn
+  // has the port before the next port is taken: some millions.
+  boost::asio::ip::tcp::endpoint next_endpoint();
 
  private:
   int block_ = -1;
   int lock_ = -1;                         // the descriptor
   std::uint32_t lowest_port_, end_port_;  // those still to be given; the highest goes first
+  // Of next_endpoint().
+  std::uint16_t shared_port_ = 0;
+  int next_index_ = kAddresses;
 };
 
 }  // namespace silverpin::rig
--- a/src/rig/model/scenario.cc
+++ b/src/rig/model/scenario.cc
@@ -354,10 +354,6 @@
   if (s.descriptors() > descriptor_limit)
     throw ScenarioError(s.file + ": needs " + std::to_string(s.descriptors()) +
                         " descriptors; this process may hold " + std::to_string(descriptor_limit));
-  // Addresses 127.0.1.1 to 127.0.200.250, one for each host.
-  if (s.hosts() > 50'000)
-    throw ScenarioError(s.file + ": needs " + std::to_string(s.hosts()) +
-                        " addresses; there are 50000");
 }
 
 }  // namespace silverpin::rig
--- a/src/rig/moves.cc
+++ b/src/rig/moves.cc
@@ -143,8 +143,7 @@
         context_(io_, scenario_),
         cluster_(io_, 1, 0),
         random_(options.seed, 5),
-        net_(io_, options.folder, options.instances, options.voters, options.seed,
-             [this] { return context_.now(); }),
+        net_(context_, options.folder, options.instances, options.voters, options.seed),
         ids_(static_cast<std::size_t>(options.instances)),
         serving_(static_cast<std::size_t>(options.instances)),
         signals_(io_, SIGINT, SIGTERM) {
--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -142,14 +142,13 @@
          ",\"settings\":" + fleet.settings_json() + "}\n";
 }
 
-// The operator's file of a balancer, whose RESP listeners, one for each cluster, are at these
-// ports.
+// The operator's file of a balancer. `listeners`: of each cluster, those of all balancers.
 std::string operator_file(const Scenario& s,
                           const std::vector<std::unique_ptr<RespFleet>>& clusters,
-                          const std::vector<std::vector<std::uint16_t>>& ports,
+                          const std::vector<std::vector<asio::ip::tcp::endpoint>>& listeners,
                           std::size_t balancer, const GroupNet* group) {
   const auto ms = [](Duration d) { return std::to_string(millis(d)); };
-  const auto name = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
+  const auto name = [](const asio::ip::tcp::endpoint& e) { return "\"" + text_of(e) + "\""; };
   std::string text = "[process]\nname = \"n" + std::to_string(balancer) +
                      "\"\nmemory_mb = " + std::to_string(s.memory_mb) +
                      "\nsockets = " + std::to_string(s.sockets) + "\n";
@@ -180,10 +179,10 @@
            group->tables(static_cast<int>(balancer));
   for (std::size_t c = 0; c < clusters.size(); ++c) {
     text += "[[listener]]\nname = \"" + s.clusters[c].name +
-            "\"\naddress = " + name(ports[c][balancer]) + "\npool = \"" + s.clusters[c].name +
+            "\"\naddress = " + name(listeners[c][balancer]) + "\npool = \"" + s.clusters[c].name +
             "\"\npeers = [";
-    for (std::size_t b = 0; b < ports[c].size(); ++b)
-      if (b != balancer) text += name(ports[c][b]) + ", ";
+    for (std::size_t b = 0; b < listeners[c].size(); ++b)
+      if (b != balancer) text += name(listeners[c][b]) + ", ";
     text += "]\n";
   }
   return text;
@@ -207,26 +206,28 @@
     for (std::size_t c = 0; c < s.clusters.size(); ++c) {
       clusters_.push_back(std::make_unique<RespFleet>(run_.context, static_cast<int>(c)));
       clusters_.back()->fill(Arrivals(s).popular());
-      ports_.emplace_back();
-      for (int b = 0; b < s.balancers; ++b) ports_.back().push_back(hold_port());
+      listeners_.emplace_back();
+      for (int b = 0; b < s.balancers; ++b)
+        listeners_.back().push_back(run_.context.loopback.next_endpoint());
     }
     if (s.group_voters > 0) {
-      group_ = std::make_unique<GroupNet>(run_.io, options.folder, s.balancers, s.group_voters,
-                                          s.seed, [this] { return run_.context.now(); });
+      group_ = std::make_unique<GroupNet>(run_.context, options.folder, s.balancers, s.group_voters,
+                                          s.seed);
       group_->router().on_change = [this](const BgpRouter::Change&) { on_route(); };
     }
     for (int b = 0; b < s.balancers; ++b) {
       BalancerProcess::Files files;
       files.standby = group_ != nullptr;
-      // While one is away others' connections must not be given its port.
-      if (s.memcache()) files.port = hold_port();
+      files.listen = s.memcache() ? run_.context.loopback.next_endpoint()
+                                  : listeners_.front()[static_cast<std::size_t>(b)];
       if (s.memcache())
         files.platform = [this, b](const std::string& listen) {
           return configuration(s_, fleet_, b, seeds_.next(), listen);
         };
       if (!clusters_.empty())
         files.added = [this, b] {
-          return operator_file(s_, clusters_, ports_, static_cast<std::size_t>(b), group_.get());
+          return operator_file(s_, clusters_, listeners_, static_cast<std::size_t>(b),
+                               group_.get());
         };
       balancers_.push_back(std::make_unique<BalancerProcess>(run_.context, options.program,
                                                              options.folder, b, std::move(files)));
@@ -255,12 +256,7 @@
       resp = {{group_->service()}};
     } else {
       for (const auto& b : balancers_) addresses.push_back(b->address());
-    }
-    for (const auto& ports : ports_) {
-      if (group_) break;
-      resp.emplace_back();
-      for (const auto port : ports)
-        resp.back().emplace_back(asio::ip::make_address("127.0.0.1"), port);
+      resp = listeners_;
     }
     run_.load = std::make_unique<Load>(run_.context, run_.tally, addresses, resp);
     run_.each_second = [this] {
@@ -456,23 +452,13 @@
     });
   }
 
-  // A port that nobody else is given, though nobody listens there yet: clients are told all
-  // balancers' ports before any is up.
-  std::uint16_t hold_port() {
-    auto& holder = held_.emplace_back(run_.io);
-    holder.open(asio::ip::tcp::v4());
-    holder.set_option(asio::socket_base::reuse_address(true));
-    holder.bind({asio::ip::make_address("127.0.0.1"), 0});
-    return holder.local_endpoint().port();
-  }
-
   const Scenario& s_;
   const RehearsalOptions& options_;
   Run run_;
   Fleet fleet_;
   std::vector<std::unique_ptr<RespFleet>> clusters_;
-  std::vector<std::vector<std::uint16_t>> ports_;  // of each cluster's listeners, by balancer
-  std::deque<asio::ip::tcp::acceptor> held_;
+  // Of each cluster, by balancer.
+  std::vector<std::vector<asio::ip::tcp::endpoint>> listeners_;
   Random seeds_;
   std::unique_ptr<GroupNet> group_;
   std::vector<std::unique_ptr<BalancerProcess>> balancers_;
--- a/src/rig/servers/cache_server.cc
+++ b/src/rig/servers/cache_server.cc
@@ -268,6 +268,7 @@
       speed_(speed),
       zone_(zone),
       address_(address),
+      dial_(text_of(address)),
       random_(seed),
       on_miss_(std::move(on_miss)),
       acceptor_(context.io),
@@ -281,15 +282,13 @@
   close_sessions();
 }
 
-// The port is the kernel's choice at first, and the host's own from then on.
+// The address is the host's own while it is away, too (LoopbackBlock).
 void CacheServer::listen() {
   acceptor_.open(address_.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(address_);
   acceptor_.listen(kBacklog);
   acceptor_.non_blocking(true);
-  address_ = acceptor_.local_endpoint();
-  dial_ = address_.address().to_string() + ":" + std::to_string(address_.port());
 }
 
 void CacheServer::start(int audit_id, bool cold) {
--- a/src/rig/servers/cache_server.h
+++ b/src/rig/servers/cache_server.h
@@ -67,8 +67,8 @@
   const KindSpec& kind_;
   const double speed_;
   const int zone_;
-  asio::ip::tcp::endpoint address_;
-  std::string dial_;
+  const asio::ip::tcp::endpoint address_;
+  const std::string dial_;
   Random random_;
   OnMiss on_miss_;
   asio::ip::tcp::acceptor acceptor_;
--- a/src/rig/servers/discovery_server.cc
+++ b/src/rig/servers/discovery_server.cc
@@ -34,7 +34,7 @@
 
 void DiscoveryServer::open(int balancer) {
   outlets_[static_cast<std::size_t>(balancer)].http = std::make_unique<HttpServer>(
-      context_, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), 64,
+      context_, context_.loopback.next_endpoint(), 64,
       [this, balancer](const HttpServer::SessionPtr& s) { serve(balancer, s); });
 }
 
--- a/src/rig/servers/fleet.cc
+++ b/src/rig/servers/fleet.cc
@@ -15,12 +15,6 @@
 constexpr std::size_t kMostMissed = 50'000;
 constexpr Duration kRestartTime = std::chrono::seconds(1);
 
-asio::ip::tcp::endpoint address_of(int host) {
-  const std::string text =
-      "127.0." + std::to_string(1 + host / 250) + "." + std::to_string(1 + host % 250);
-  return {asio::ip::make_address(text), 0};
-}
-
 std::string ns(Duration d) { return std::to_string(d.count()); }
 
 std::string quoted_names(const auto& all) {
@@ -53,17 +47,19 @@
       host.number = number;
       host.name = "h" + std::to_string(number);
       host.audit_id = context.auditor.add_host(host.name);
-      host.server = std::make_unique<CacheServer>(
-          context, kind, kind.speed.draw(random_), static_cast<int>(zone), address_of(number),
-          random_.next(), [this](RequestNumber r, CacheServer& server) {
-            auto& missed = missed_[r];
-            if (missed.empty()) missed_order_.push_back(r);
-            if (missed.size() < kStoredAt) missed.push_back(&server);
-            while (missed_order_.size() > kMostMissed) {
-              missed_.erase(missed_order_.front());
-              missed_order_.pop_front();
-            }
-          });
+      host.server = std::make_unique<CacheServer>(context, kind, kind.speed.draw(random_),
+                                                  static_cast<int>(zone),
+                                                  context.loopback.next_endpoint(), random_.next(),
+                                                  [this](RequestNumber r, CacheServer& server) {
+                                                    auto& missed = missed_[r];
+                                                    if (missed.empty()) missed_order_.push_back(r);
+                                                    if (missed.size() < kStoredAt)
+                                                      missed.push_back(&server);
+                                                    while (missed_order_.size() > kMostMissed) {
+                                                      missed_.erase(missed_order_.front());
+                                                      missed_order_.pop_front();
+                                                    }
+                                                  });
       host.server->start(host.audit_id, false);
       discovery_.add(entry(host, Health::kReady, 0));
       hosts_.push_back(std::move(host));
--- a/src/rig/servers/http_server.cc
+++ b/src/rig/servers/http_server.cc
@@ -68,7 +68,6 @@
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(local_);
   acceptor_.listen();
-  local_ = acceptor_.local_endpoint();
   accept();
 }
 
--- a/src/rig/servers/http_server.h
+++ b/src/rig/servers/http_server.h
@@ -12,8 +12,8 @@
 
 namespace silverpin::rig {
 
-// HTTP/1.1 on one loopback address, for the origin and for discovery: one request at a time on a
-// connection, kept open. What can't be read, or is too long, gets a close.
+// HTTP/1.1 on one address of the run's, for the origin and for discovery: one request at a time on
+// a connection, kept open. What can't be read, or is too long, gets a close.
 class HttpServer {
  public:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -48,9 +48,7 @@
              Handler handler);
   ~HttpServer();
   const asio::ip::tcp::endpoint& local() const { return local_; }
-  std::string dial() const {
-    return local_.address().to_string() + ":" + std::to_string(local_.port());
-  }
+  std::string dial() const { return text_of(local_); }
   std::function<void()> on_accept;  // a connection has come
   void stop_accepting();
   void close_all();
@@ -60,7 +58,7 @@
   void accept();
 
   Context& context_;
-  asio::ip::tcp::endpoint local_;
+  const asio::ip::tcp::endpoint local_;
   const std::size_t most_;
   Handler handler_;
   asio::ip::tcp::acceptor acceptor_;
--- a/src/rig/servers/links.cc
+++ b/src/rig/servers/links.cc
@@ -169,7 +169,7 @@
     Accept{this, link.get()}();
   }
   const auto at = link->acceptor.local_endpoint();
-  return at.address().to_string() + ":" + std::to_string(at.port());
+  return text_of(at);
 }
 
 void Links::set(int balancer, const std::string& target, Way way, const Trouble& trouble) {
--- a/src/rig/servers/origin_server.cc
+++ b/src/rig/servers/origin_server.cc
@@ -34,7 +34,7 @@
       random_(seed),
       hooks_(std::move(hooks)),
       engine_(context),
-      http_(context, {asio::ip::make_address("127.0.0.1"), 0}, context.scenario.origin.connections,
+      http_(context, context.loopback.next_endpoint(), context.scenario.origin.connections,
             [this](const HttpServer::SessionPtr& s) { serve(s); }),
       dial_(http_.dial()) {
   engine_.start(context.scenario.origin.host, false);
--- a/tests/loopback_block_test.cc
+++ b/tests/loopback_block_test.cc
@@ -123,9 +123,12 @@
   constexpr int kDraws = 2000;
   for (int i = 0; i < kDraws; ++i) {
     const auto endpoint = block.next_endpoint();
-    EXPECT_EQ(endpoint.address(), block.address());
+    const auto index = endpoint.address().to_v4().to_uint() - block.address().to_uint();
+    EXPECT_LT(index, static_cast<std::uint32_t>(LoopbackBlock::kAddresses)) << endpoint;
     EXPECT_TRUE(endpoint.port() < low || endpoint.port() > high) << endpoint;
     EXPECT_TRUE(given.insert(endpoint).second) << endpoint << " was given before";
+    const tcp::endpoint single(block.address(), block.next_port());
+    EXPECT_TRUE(given.insert(single).second) << single << " was given before";
   }
 }
 
--- a/tests/rig/servers_test.cc
+++ b/tests/rig/servers_test.cc
@@ -1,6 +1,9 @@
 // The emulated servers on sockets, with the test as their client.
+#include <filesystem>
 #include <fstream>
+#include <set>
 
+#include "rig/group_net.h"
 #include "rig/report/report.h"
 #include "rig_harness.h"
 
@@ -207,6 +210,41 @@
   EXPECT_EQ(p->in.find("\"born_ms\":0}"), std::string::npos) << "a restarted host tells its start";
 }
 
+// Hosts and balancers are away at times, and members of a group are yet to start: meanwhile the
+// kernel may give their ports to nobody, and another run may not use their addresses.
+TEST_F(ServersTest, TwoRunsAtOnceShareNoAddress) {
+  begin();
+  char folder[] = "/tmp/silverpin-servers-XXXXXX";
+  ASSERT_NE(::mkdtemp(folder), nullptr);
+  Context other_context(io, scenario);
+  Fleet other_fleet(other_context);
+  constexpr int kInstances = 3;
+  const GroupNet group(*context, folder, kInstances, kInstances, 1);
+  const GroupNet other_group(other_context, folder, kInstances, kInstances, 1);
+  std::uint32_t low = 0, high = 0;
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> low >> high;
+  std::set<std::string> all;
+  const auto add = [&](const tcp::endpoint& e) {
+    EXPECT_TRUE(e.port() < low || e.port() > high) << e << " is one that the kernel gives away";
+    EXPECT_TRUE(all.insert(text_of(e)).second) << e << " is had twice";
+  };
+  for (Fleet* f : {fleet.get(), &other_fleet}) {
+    const std::string list = f->discovery().whole_list(0);
+    for (const char* host : {"h0", "h1", "origin"}) add(endpoint_of(dial(list, host)));
+    add(endpoint_of(f->discovery().dial(0)));
+  }
+  for (const GroupNet* g : {&group, &other_group})
+    for (int i = 0; i < kInstances; ++i) {
+      add(g->direct(i));
+      const std::string tables = g->tables(i), key = "\nlisten = \"";
+      const auto at = tables.find(key) + key.size();
+      add(endpoint_of(tables.substr(at, tables.find('"', at) - at)));
+    }
+  for (int i = 0; i < kInstances; ++i)
+    EXPECT_NE(group.direct(i).address(), other_group.direct(i).address());
+  std::filesystem::remove_all(folder);
+}
+
 // The report is made of its own JSON, and nonsense in its place is an error.
 TEST_F(ServersTest, AReportIsMadeOfItsJson) {
   begin();
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -12,7 +12,6 @@
 #include <deque>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 #include "net/descriptor_link.h"
 #include "node_harness.h"
@@ -24,11 +23,7 @@
 
 using std::chrono::milliseconds;
 
-std::string text(const Endpoint& e) {
-  std::ostringstream out;
-  out << e;
-  return out.str();
-}
+using rig::text_of;
 
 // One start of the program.
 class Process {
@@ -38,7 +33,7 @@
     int pipe[2];
     EXPECT_EQ(::pipe(pipe), 0);
     const std::string config = "ROUTER_CONFIG=" + dir + "/config.json", tmp = "TMPDIR=" + dir,
-                      at = "ROUTER_ADMIN=" + text(admin);
+                      at = "ROUTER_ADMIN=" + text_of(admin);
     char* const env[] = {const_cast<char*>(config.c_str()), const_cast<char*>(tmp.c_str()),
                          const_cast<char*>(at.c_str()), nullptr};
     char* const args[] = {const_cast<char*>(SILVERPIN_PROGRAM), nullptr};
@@ -113,7 +108,7 @@
     listen_ = addresses_.next_endpoint();
     discovery_.hosts =
         host_entry("s-1", cache_.server.dial()) + "," + host_entry("s-2", cache_2_.server.dial());
-    write_config(text(listen_));
+    write_config(text_of(listen_));
   }
   void TearDown() override { std::filesystem::remove_all(dir_); }
 
