--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -5,7 +5,6 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <cstdio>
-#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <memory>
--- a/src/rig/servers/fleet.cc
+++ b/src/rig/servers/fleet.cc
@@ -47,19 +47,10 @@
       host.number = number;
       host.name = "h" + std::to_string(number);
       host.audit_id = context.auditor.add_host(host.name);
-      host.server = std::make_unique<CacheServer>(context, kind, kind.speed.draw(random_),
-                                                  static_cast<int>(zone),
-                                                  context.loopback.next_endpoint(), random_.next(),
-                                                  [this](RequestNumber r, CacheServer& server) {
-                                                    auto& missed = missed_[r];
-                                                    if (missed.empty()) missed_order_.push_back(r);
-                                                    if (missed.size() < kStoredAt)
-                                                      missed.push_back(&server);
-                                                    while (missed_order_.size() > kMostMissed) {
-                                                      missed_.erase(missed_order_.front());
-                                                      missed_order_.pop_front();
-                                                    }
-                                                  });
+      host.server = std::make_unique<CacheServer>(
+          context, kind, kind.speed.draw(random_), static_cast<int>(zone),
+          context.loopback.next_endpoint(), random_.next(),
+          [this](RequestNumber r, CacheServer& server) { note_miss(r, server); });
       host.server->start(host.audit_id, false);
       discovery_.add(entry(host, Health::kReady, 0));
       hosts_.push_back(std::move(host));
@@ -96,6 +87,16 @@
   };
 }
 
+void Fleet::note_miss(RequestNumber request, CacheServer& server) {
+  auto& missed = missed_[request];
+  if (missed.empty()) missed_order_.push_back(request);
+  if (missed.size() < kStoredAt) missed.push_back(&server);
+  while (missed_order_.size() > kMostMissed) {
+    missed_.erase(missed_order_.front());
+    missed_order_.pop_front();
+  }
+}
+
 DiscoveryServer::Entry Fleet::entry(const Host& host, Health health, std::int64_t born_ms) const {
   DiscoveryServer::Entry e;
   e.host = host.name;
--- a/src/rig/servers/fleet.h
+++ b/src/rig/servers/fleet.h
@@ -55,6 +55,7 @@
   void kill(Host& host);
   void start_cold(Host& host);
   void set(Host& host, const IncidentSpec& incident, bool on);
+  void note_miss(RequestNumber request, CacheServer& server);
   void set_origin(const IncidentSpec& incident, bool on);
   void set_links(const IncidentSpec& incident, bool on);
 
