A program that ProgramTest starts ends with its test and holds none of its sockets

A test that is killed at its time limit left its program running, and the program inherited the test's sockets, so that a peer which the test closed stayed open.

Change: descriptors from 3 on are closed and PR_SET_PDEATHSIG is set before the program runs.

--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -1,5 +1,6 @@
 // The built program: what it does at its start, on signals and on new configurations.
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -52,8 +53,8 @@
     pid_ = ::fork();
     if (pid_ == 0) {
       ::dup2(pipe[1], 2);
-      ::close(pipe[0]);
-      ::close(pipe[1]);
+      ::close_range(3, ~0U, 0);            // the test's own
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the test
       ::execve(SILVERPIN_PROGRAM, args.data(), env);
       ::_exit(127);
     }
