--- a/src/rig/judge/context.h
+++ b/src/rig/judge/context.h
@@ -14,6 +14,7 @@
 #include "rig/judge/auditor.h"
 #include "rig/judge/cold_load.h"
 #include "rig/judge/stampede.h"
+#include "rig/loopback/loopback_block.h"
 #include "rig/model/base.h"
 #include "rig/model/scenario.h"
 
@@ -93,6 +94,7 @@
   Auditor auditor;
   Stampede stampede;
   ColdLoads cold_loads;
+  LoopbackBlock loopback;  // where the run's servers and balancers listen
 
  private:
   void arm() {
--- a/src/rig/servers/fleet.cc
+++ b/src/rig/servers/fleet.cc
@@ -17,12 +17,6 @@
 // For which links may still bring what they held up, once they hold nothing up any more.
 constexpr Duration kLinksSettle = std::chrono::milliseconds(100);
 
-asio::ip::tcp::endpoint address_of(int host) {
-  const std::string text =
-      "127.0." + std::to_string(1 + host / 250) + "." + std::to_string(1 + host % 250);
-  return {asio::ip::make_address(text), 0};
-}
-
 std::string ns(Duration d) { return std::to_string(d.count()); }
 
 std::string quoted_names(const auto& all) {
@@ -56,16 +50,9 @@
       host.name = "h" + std::to_string(number);
       host.audit_id = context.auditor.add_host(host.name);
       host.server = std::make_unique<CacheServer>(
-          context, kind, kind.speed.draw(random_), static_cast<int>(zone), address_of(number),
-          random_.next(), [this](RequestNumber r, CacheServer& server) {
-            auto& missed = missed_[r];
-            if (missed.empty()) missed_order_.push_back(r);
-            if (missed.size() < kStoredAt) missed.push_back(&server);
-            while (missed_order_.size() > kMostMissed) {
-              missed_.erase(missed_order_.front());
-              missed_order_.pop_front();
-            }
-          });
+          context, kind, kind.speed.draw(random_), static_cast<int>(zone),
+          context.loopback.next_endpoint(), random_.next(),
+          [this](RequestNumber r, CacheServer& server) { note_miss(r, server); });
       host.server->start(host.audit_id, false);
       discovery_.add(entry(host, Health::kReady, 0));
       hosts_.push_back(std::move(host));
@@ -102,6 +89,16 @@
   };
 }
 
+void Fleet::note_miss(RequestNumber request, CacheServer& server) {
+  auto& missed = missed_[request];
+  if (missed.empty()) missed_order_.push_back(request);
+  if (missed.size() < kStoredAt) missed.push_back(&server);
+  while (missed_order_.size() > kMostMissed) {
+    missed_.erase(missed_order_.front());
+    missed_order_.pop_front();
+  }
+}
+
 DiscoveryServer::Entry Fleet::entry(const Host& host, Health health, std::int64_t born_ms) const {
   DiscoveryServer::Entry e;
   e.host = host.name;
