--- a/src/rig/balancer_process.h
+++ b/src/rig/balancer_process.h
@@ -40,7 +40,8 @@
   void reload();                             // writes the configuration anew, then SIGHUP
   // From now on its exit is no crash.
   void expect_exit() { exit_expected_ = true; }
-  bool running();  // reaps it
+  bool running();                     // reaps it
+  pid_t pid() const { return pid_; }  // 0: it is not running
   void sample();
   const asio::ip::tcp::endpoint& address() const { return address_; }
   std::string last_log_lines() const;
--- a/src/rig/scale/control_plane.cc
+++ b/src/rig/scale/control_plane.cc
@@ -37,6 +37,16 @@
     "rules":{"mustAskIn":10000000000}})";
 }
 
+bool run_until(asio::io_context& io, const std::function<bool()>& done, Duration limit) {
+  constexpr Duration kLook = std::chrono::milliseconds(5);
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!done()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    io.run_one_for(kLook);
+  }
+  return true;
+}
+
 Duration thread_cpu_time() {
   timespec time{};
   ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
@@ -214,13 +224,7 @@
 void HollowBalancers::run_for(Duration length) { io_.run_for(length); }
 
 bool HollowBalancers::run_until(const std::function<bool()>& done, Duration limit) {
-  constexpr Duration kLook = std::chrono::milliseconds(5);
-  const auto end = std::chrono::steady_clock::now() + limit;
-  while (!done()) {
-    if (std::chrono::steady_clock::now() > end) return false;
-    io_.run_one_for(kLook);
-  }
-  return true;
+  return scale::run_until(io_, done, limit);
 }
 
 }  // namespace silverpin::rig::scale
--- a/src/rig/scale/control_plane.h
+++ b/src/rig/scale/control_plane.h
@@ -26,6 +26,9 @@
 // `asked`: lists have to be asked for; otherwise they are pushed.
 std::string platform_settings(int balancers, bool asked);
 
+// Runs the loop until `done` holds; false if it does not within `limit`.
+bool run_until(asio::io_context& io, const std::function<bool()>& done, Duration limit);
+
 // Processor time, user and system, that the calling thread has used so far.
 Duration thread_cpu_time();
 
--- a/src/rig/scale/sweep.cc
+++ b/src/rig/scale/sweep.cc
@@ -62,6 +62,9 @@
 const std::vector<SweepEntry>& sweeps() {
   static const std::vector<SweepEntry> all{
       {"changes", "cost of list changes to balancers and discovery", sweep_changes},
+      {"hosts", "memory and CPU of a process by listed hosts", sweep_hosts},
+      {"load", "CPU by requests and bytes, memory by client connections", sweep_load},
+      {"restart", "cost and duration of restarts", sweep_restart},
       {"group", "membership's datagrams, bytes and CPU by size of the group", sweep_group},
       {"origin", "repeated fetches of the origin by number of balancers", sweep_origin},
   };
--- a/src/rig/scale/sweep.h
+++ b/src/rig/scale/sweep.h
@@ -80,6 +80,9 @@
 
 SweepResult sweep_changes(const SweepOptions& options);
 SweepResult sweep_group(const SweepOptions& options);
+SweepResult sweep_hosts(const SweepOptions& options);
+SweepResult sweep_load(const SweepOptions& options);
+SweepResult sweep_restart(const SweepOptions& options);
 SweepResult sweep_origin(const SweepOptions& options);
 
 }  // namespace silverpin::rig::scale
--- /dev/null
+++ b/src/rig/scale/sweep_hosts.cc
@@ -0,0 +1,81 @@
+// What listed hosts cost a real process: resident memory and processor time until the first list is
+// in force, and after changes that replace hosts.
+#include "rig/scale/balancer_processes.h"
+#include "rig/scale/sweep.h"
+
+namespace silverpin::rig::scale {
+namespace {
+
+constexpr Duration kGetsReady = std::chrono::seconds(60);
+constexpr Duration kTakesList = std::chrono::seconds(10);
+
+// Whether the one process has the list of so many hosts, what it then holds, and what it holds
+// after `changes` more.
+std::vector<double> measure(const SweepOptions& options, int hosts, int changes,
+                            std::uint64_t seed) {
+  DiscoveryService discovery(hosts, 1, seed);
+  BalancerProcesses::Settings settings;
+  settings.seed = seed;
+  BalancerProcesses process(options, discovery, settings);
+  if (!process.start(kGetsReady)) throw std::runtime_error("the balancer did not come up");
+  // What discovery answers is counted even where the balancer cannot take it.
+  const bool listed = process.run_until([&] { return discovery.listed() == 1; }, kTakesList);
+  const auto first = process.usage();
+  const auto told = discovery.usage();
+  constexpr double kChangesPerSecond = 200;
+  if (listed) {
+    discovery.begin_changes(kChangesPerSecond);
+    process.run_for(from_seconds(changes / kChangesPerSecond));
+    discovery.stop_changes();
+    process.run_until([&] { return discovery.outstanding() == 0; }, kGetsReady);
+  }
+  const auto last = process.usage();
+  const auto used = discovery.usage().since(told);
+  return {static_cast<double>(hosts),
+          static_cast<double>(seed),
+          static_cast<double>(listed),
+          static_cast<double>(told.whole_lists),
+          static_cast<double>(told.bytes_out),
+          first.resident_mb,
+          first.cpu_ms,
+          static_cast<double>(first.descriptors),
+          static_cast<double>(used.changes),
+          last.resident_mb,
+          last.cpu_ms - first.cpu_ms};
+}
+
+}  // namespace
+
+SweepResult sweep_hosts(const SweepOptions& options) {
+  SweepResult result{
+      "hosts",
+      Table({"hosts", "seed", "listed", "whole_lists", "bytes_out", "resident_mb", "start_cpu_ms",
+             "descriptors", "changes", "resident_after_mb", "changes_cpu_ms"}),
+      {}};
+  // The last is beyond what the program takes in one list.
+  const std::vector<int> sizes =
+      options.quick ? std::vector<int>{50, 400} : std::vector<int>{50, 200, 800, 1400, 3200, 6000};
+  for (const int hosts : sizes)
+    for (const std::uint64_t seed : options.seeds) {
+      result.table.add(measure(options, hosts, options.quick ? 20 : 600, seed));
+      report_progress(options, "hosts: %d, seed %llu", hosts,
+                      static_cast<unsigned long long>(seed));
+    }
+  const Table& t = result.table;
+  const auto listed = [&t](std::size_t row) { return t.at(row, "listed") == 1; };
+  const auto by_hosts = [&](const std::string& what, const std::string& unit,
+                            const std::string& column) {
+    result.fit(
+        what, "listed hosts", unit,
+        [&t, column](std::size_t row) {
+          return Point{t.at(row, "hosts"), t.at(row, column)};
+        },
+        listed);
+  };
+  by_hosts("resident memory", "MB", "resident_mb");
+  by_hosts("resident memory after 600 changes", "MB", "resident_after_mb");
+  by_hosts("CPU of a start with its first list", "CPU ms", "start_cpu_ms");
+  return result;
+}
+
+}  // namespace silverpin::rig::scale
--- /dev/null
+++ b/src/rig/scale/sweep_load.cc
@@ -0,0 +1,195 @@
+// What requests and connections cost a real process, against the rig's hosts and clients: processor
+// time by requests a second and by bytes of a value, memory by client connections.
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "rig/load/load.h"
+#include "rig/scale/balancer_processes.h"
+#include "rig/scale/sweep.h"
+#include "rig/servers/fleet.h"
+
+namespace silverpin::rig::scale {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Duration kGetsReady = seconds(30);
+// Hosts are warm and the first connections are open by then.
+constexpr Duration kWarmsUp = seconds(1);
+constexpr int kMemoryMb = 256;
+
+Scenario load_scenario_of(double rate, int value_bytes, std::uint64_t seed, Duration length) {
+  const std::string bytes = std::to_string(value_bytes);
+  return parse_scenario(
+      "name = \"load\"\nwarm_up_s = 0\nlength_s = " +
+          std::to_string(rig::seconds(kWarmsUp + length)) + "\nseed = " + std::to_string(seed) +
+          "\n[balancers]\ncount = 1\nmemory_mb = " + std::to_string(kMemoryMb) +
+          "\n[[class]]\nname = \"read\"\nwork_ms = 0.2\naim_ms = 1000\ndeadline_ms = 3000\n"
+          "[[kind]]\nname = \"std\"\ncount = 4\ncores = 8\nslots = 64\nmemory_mb = 256\n"
+          "[origin]\ncores = 64\nslots = 256\nread_ms = 2\n"
+          "[load]\nkeys = 200\nrate = " +
+          std::to_string(rate) + "\nvalue_bytes = [" + bytes + ", " + bytes + "]\n",
+      "load.toml");
+}
+
+// One balancer under a rate of requests.
+class LoadMeasurement {
+ public:
+  LoadMeasurement(const SweepOptions& options, double rate, int value_bytes, std::uint64_t seed,
+                  Duration length)
+      : folder_(options),
+        scenario_(load_scenario_of(rate, value_bytes, seed, length)),
+        context_(io_, scenario_),
+        tally_(scenario_),
+        fleet_(context_),
+        length_(length),
+        process_(context_, options.program, folder_.path(), 0, files(seed)) {}
+
+  struct Cost {
+    double seconds = 0, served = 0, others = 0, cpu_ms = 0, resident_mb = 0;
+    int descriptors = 0;
+  };
+  Cost run() {
+    bool ready = false;
+    process_.start([&ready] { ready = true; });
+    if (!run_until(
+            io_, [&ready] { return ready; }, kGetsReady))
+      throw std::runtime_error("the balancer did not come up");
+    Load load(context_, tally_, {process_.address()});
+    load.start();
+    io_.run_for(kWarmsUp);
+    const Figures first = figures();
+    io_.run_for(length_);
+    const Figures last = figures();
+    load.close_all();
+    return {
+        rig::seconds(last.at - first.at), last.served - first.served, last.others - first.others,
+        last.cpu_ms - first.cpu_ms,       last.resident_mb,           last.descriptors};
+  }
+
+ private:
+  struct Figures {
+    Time at{0};
+    double served = 0, others = 0, cpu_ms = 0, resident_mb = 0;
+    int descriptors = 0;
+  };
+  BalancerProcess::Files files(std::uint64_t seed) {
+    BalancerProcess::Files files;
+    files.platform = [this, seed](const std::string& listen) {
+      ProcessConfiguration configuration;
+      configuration.listen = listen;
+      configuration.discovery = fleet_.discovery().dial(0);
+      configuration.seed = seed;
+      configuration.memory_mb = kMemoryMb;
+      configuration.settings = fleet_.settings_json();
+      return configuration_json(configuration);
+    };
+    return files;
+  }
+  Figures figures() const {
+    Figures now;
+    now.at = context_.now();
+    const auto& read = tally_.classes().front();
+    now.served = static_cast<double>(read.ends[0] + read.ends[1]);
+    for (std::size_t end = 2; end < kEnds; ++end) now.others += static_cast<double>(read.ends[end]);
+    double cpu_seconds = 0;
+    read_process(process_.pid(), cpu_seconds, now.resident_mb, now.descriptors);
+    now.cpu_ms = 1e3 * cpu_seconds;
+    return now;
+  }
+
+  RunFolder folder_;
+  asio::io_context io_{1};
+  const Scenario scenario_;
+  Context context_;
+  Tally tally_;
+  Fleet fleet_;
+  const Duration length_;
+  BalancerProcess process_;
+};
+
+// Resident memory with so many connections of clients that have asked `mn` once and rest.
+double resident_with_clients(const SweepOptions& options, int clients, std::uint64_t seed) {
+  DiscoveryService discovery(50, 1, seed);
+  BalancerProcesses::Settings settings;
+  settings.seed = seed;
+  settings.sockets = 16'384;
+  BalancerProcesses process(options, discovery, settings);
+  if (!process.start(kGetsReady)) throw std::runtime_error("the balancer did not come up");
+  std::deque<asio::ip::tcp::socket> connections;
+  for (int i = 0; i < clients; ++i) {
+    connections.emplace_back(process.io()).connect(process.address(0));
+    asio::write(connections.back(), asio::buffer("mn\r\n", 4));
+    char answer[4];
+    asio::read(connections.back(), asio::buffer(answer));
+  }
+  return process.usage().resident_mb;
+}
+
+const std::vector<std::string> kColumns{"rate_per_s",  "value_bytes", "clients",    "seed",
+                                        "seconds",     "served",      "not_served", "cpu_ms",
+                                        "resident_mb", "descriptors"};
+
+void add_load_row(SweepResult& result, const SweepOptions& options, double rate, int value_bytes,
+                  std::uint64_t seed) {
+  const Duration length = options.quick ? seconds(1) : seconds(4);
+  const auto cost = LoadMeasurement(options, rate, value_bytes, seed, length).run();
+  result.table.add({rate, static_cast<double>(value_bytes), 0, static_cast<double>(seed),
+                    cost.seconds, cost.served, cost.others, cost.cpu_ms, cost.resident_mb,
+                    static_cast<double>(cost.descriptors)});
+  report_progress(options, "load: %.0f requests a second of %d bytes, seed %llu", rate, value_bytes,
+                  static_cast<unsigned long long>(seed));
+}
+
+constexpr int kUsualBytes = 600;
+constexpr double kUsualRate = 300;
+
+void fit_load(SweepResult& result) {
+  const Table& t = result.table;
+  result.fit(
+      "CPU by requests a second, 600 bytes", "requests a second", "CPU ms a second",
+      [&t](std::size_t row) {
+        return Point{t.at(row, "served") / t.at(row, "seconds"),
+                     t.at(row, "cpu_ms") / t.at(row, "seconds")};
+      },
+      [&t](std::size_t row) { return t.at(row, "value_bytes") == kUsualBytes; });
+  result.fit(
+      "CPU of a request by bytes of its value", "bytes", "CPU ms a request",
+      [&t](std::size_t row) {
+        return Point{t.at(row, "value_bytes"), t.at(row, "cpu_ms") / t.at(row, "served")};
+      },
+      [&t](std::size_t row) { return t.at(row, "rate_per_s") == kUsualRate; });
+  result.fit(
+      "resident memory by client connections", "connections", "MB",
+      [&t](std::size_t row) {
+        return Point{t.at(row, "clients"), t.at(row, "resident_mb")};
+      },
+      [&t](std::size_t row) { return t.at(row, "clients") > 0; });
+}
+
+}  // namespace
+
+SweepResult sweep_load(const SweepOptions& options) {
+  SweepResult result{"load", Table(kColumns), {}};
+  const std::vector<double> rates =
+      options.quick ? std::vector<double>{100} : std::vector<double>{100, 300, 600, 1000, 1500};
+  const std::vector<int> sizes =
+      options.quick ? std::vector<int>{} : std::vector<int>{4'000, 16'000, 32'000, 64'000};
+  const std::vector<int> clients =
+      options.quick ? std::vector<int>{20} : std::vector<int>{200, 800, 2000, 4000};
+  for (const std::uint64_t seed : options.seeds) {
+    for (const double rate : rates) add_load_row(result, options, rate, kUsualBytes, seed);
+    for (const int bytes : sizes) add_load_row(result, options, kUsualRate, bytes, seed);
+    for (const int count : clients) {
+      result.table.add({0, 0, static_cast<double>(count), static_cast<double>(seed), 0, 0, 0, 0,
+                        resident_with_clients(options, count, seed), 0});
+      report_progress(options, "load: %d client connections, seed %llu", count,
+                      static_cast<unsigned long long>(seed));
+    }
+  }
+  fit_load(result);
+  return result;
+}
+
+}  // namespace silverpin::rig::scale
