--- a/src/rig/scale/control_plane.cc
+++ b/src/rig/scale/control_plane.cc
@@ -118,6 +118,10 @@
   return address;
 }
 
+void DiscoveryService::list(const DiscoveryServer::Entry& entry) {
+  call([&] { server_.publish(entry); });
+}
+
 DiscoveryService::Usage DiscoveryService::Usage::since(const Usage& before) const {
   return {calls - before.calls,       whole_lists - before.whole_lists,
           bytes_in - before.bytes_in, bytes_out - before.bytes_out,
--- a/src/rig/scale/control_plane.h
+++ b/src/rig/scale/control_plane.h
@@ -36,6 +36,7 @@
 // another one does. One change at each call.
 class ChangeSource {
  public:
+  // `hosts`: at least one before next() is called.
   ChangeSource(int hosts, std::uint64_t seed) : hosts_(hosts), random_(seed, 1) {}
   DiscoveryServer::Entry next();
   static DiscoveryServer::Entry entry(int host);
@@ -66,6 +67,7 @@
 
   // Each may be called from any thread, and waits for the service's own.
   std::string dial(int balancer);
+  void list(const DiscoveryServer::Entry& entry);  // one more host
   Usage usage();
   void begin_changes(double per_second);  // at random moments, from now on
   void publish(int changes);              // all at once
--- a/src/rig/scale/sweep_hosts.cc
+++ b/src/rig/scale/sweep_hosts.cc
@@ -52,7 +52,6 @@
       Table({"hosts", "seed", "listed", "whole_lists", "bytes_out", "resident_mb", "start_cpu_ms",
              "descriptors", "changes", "resident_after_mb", "changes_cpu_ms"}),
       {}};
-  // The last is beyond what the program takes in one list.
   const std::vector<int> sizes =
       options.quick ? std::vector<int>{50, 400} : std::vector<int>{50, 200, 800, 1400, 3200, 6000};
   for (const int hosts : sizes)
--- a/tests/rig/scale_test.cc
+++ b/tests/rig/scale_test.cc
@@ -2,7 +2,8 @@
 // is not looked at.
 #include <gtest/gtest.h>
 
-#include <cmath>
+#include <cstdlib>
+#include <filesystem>
 
 #include "rig/scale/control_plane.h"
 #include "rig/scale/sweep.h"
@@ -152,5 +153,55 @@
   EXPECT_EQ(result.table.at(2, "tries"), result.table.at(0, "tries")) << "the same clients";
 }
 
+SweepOptions quick_with_program() {
+  SweepOptions options = quick(1);
+  options.program = SILVERPIN_PROGRAM;
+  return options;
+}
+
+TEST(HostsSweep, AProcessTakesItsListAndTheChangesBehindIt) {
+  const SweepResult result = sweep_hosts(quick_with_program());
+  ASSERT_EQ(result.table.rows(), 2u);
+  for (std::size_t row = 0; row < result.table.rows(); ++row) {
+    SCOPED_TRACE(row);
+    EXPECT_EQ(result.table.at(row, "listed"), 1);
+    EXPECT_GE(result.table.at(row, "whole_lists"), 1);
+    EXPECT_GT(result.table.at(row, "changes"), 0);
+    EXPECT_GT(result.table.at(row, "resident_mb"), 0);
+  }
+}
+
+// A balancer that starts asks for one whole list, and then watches.
+TEST(RestartSweep, AStartTakesTwoCalls) {
+  const SweepResult result = sweep_restart(quick_with_program());
+  ASSERT_EQ(result.table.rows(), 3u);
+  for (std::size_t row = 0; row < result.table.rows(); ++row) {
+    SCOPED_TRACE(row);
+    EXPECT_GE(result.table.at(row, "whole_lists"), result.table.at(row, "processes"));
+    EXPECT_LE(result.table.at(row, "calls"),
+              2 * result.table.at(row, "whole_lists") +
+                  result.table.at(row, "processes") * (1 + result.table.at(row, "ready_s")));
+  }
+}
+
+TEST(LoadSweep, RequestsAreServedAndStreamsStayOpen) {
+  const SweepResult result = sweep_load(quick_with_program());
+  ASSERT_EQ(result.table.rows(), 3u);
+  EXPECT_GT(result.table.at(0, "served"), 0);
+  EXPECT_EQ(result.table.at(1, "clients"), 20);
+  EXPECT_EQ(result.table.at(2, "streams"), 4);
+}
+
+TEST(ScaleSweep, WritesItsTablesAndCharts) {
+  char folder[] = "/tmp/silverpin-scale-test-XXXXXX";
+  ASSERT_NE(::mkdtemp(folder), nullptr);
+  SweepOptions options = quick(1);
+  options.folder = folder;
+  run_and_write("origin", options);
+  for (const char* file : {"/origin.csv", "/origin-fits.csv", "/origin.html"})
+    EXPECT_GT(std::filesystem::file_size(folder + std::string(file)), 0u) << file;
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace silverpin::rig::scale
