--- a/src/rig/scale/sweep_changes.cc
+++ b/src/rig/scale/sweep_changes.cc
@@ -9,6 +9,10 @@
 namespace silverpin::rig::scale {
 namespace {
 
+// Those of a region of the size to design for, and all of them; one size between and one beyond.
+constexpr int kAllHosts = 1400;
+constexpr std::initializer_list<int> kHosts{28, 200, kAllHosts, 3200};
+
 constexpr Duration kGetsReady = std::chrono::seconds(60);
 // Above the longest backoff of a balancer whose watch broke.
 constexpr Duration kAsksAgain = std::chrono::seconds(3);
@@ -122,19 +126,18 @@
   std::vector<ChangeRun> runs;
   // By changes a second and by listed hosts, at one balancer.
   for (const bool asked : {false, true})
-    for (const int hosts : {50, 400, 1400, 3200})
+    for (const int hosts : kHosts)
       for (const double rate : {0.0, 10.0, 20.0, 40.0, 80.0}) {
-        if (asked && hosts != 1400) continue;
+        if (asked && hosts != kAllHosts) continue;
         runs.push_back({asked, hosts, 1, rate, 0, 0, milliseconds(2000)});
       }
-  for (const int hosts : {50, 400, 1400, 3200})
-    runs.push_back({false, hosts, 1, 0, 0, 6, milliseconds(0)});
+  for (const int hosts : kHosts) runs.push_back({false, hosts, 1, 0, 0, 6, milliseconds(0)});
   // By balancers: calls and processor time at discovery, and time to the last of them.
   for (const int balancers : {25, 50, 100, 200, 400})
     runs.push_back({false, 200, balancers, 5, 0, 0, milliseconds(2000)});
   // A burst.
   for (const int burst : {10, 100, 1000})
-    runs.push_back({false, 1400, 1, 0, burst, 0, milliseconds(0)});
+    runs.push_back({false, kAllHosts, 1, 0, burst, 0, milliseconds(0)});
   return runs;
 }
 
@@ -148,7 +151,8 @@
   };
 }
 
-void fit_one_balancer(SweepResult& result, bool asked, int hosts) {
+// Returns the CPU ms of a change.
+double fit_one_balancer(SweepResult& result, bool asked, int hosts) {
   const Table& t = result.table;
   const auto chosen = [&t, asked, hosts](std::size_t row) {
     return t.at(row, "asked") == asked && t.at(row, "hosts") == hosts &&
@@ -167,9 +171,11 @@
         chosen);
   };
   by_rate("balancer CPU per change", "CPU ms a second", "balancer_cpu_ms");
+  const double cpu_of_a_change = result.fits.back().line.slope;
   by_rate("calls per change", "calls a second", "calls");
   by_rate("bytes in per change", "bytes a second to the balancer", "bytes_out");
   by_rate("bytes out per change", "bytes a second from the balancer", "bytes_in");
+  return cpu_of_a_change;
 }
 
 void fit_whole_lists(SweepResult& result) {
@@ -188,16 +194,19 @@
   by_hosts("balancer CPU of a whole list per host", "CPU ms a whole list", "balancer_cpu_ms");
 }
 
-void fit_by_hosts(SweepResult& result) {
+void fit_rest_by_hosts(SweepResult& result) {
   const Table& t = result.table;
+  const auto pushed_to_one = [&t](std::size_t row) {
+    return t.at(row, "asked") == 0 && t.at(row, "balancers") == 1 && t.at(row, "breaks") == 0 &&
+           t.at(row, "burst") == 0;
+  };
   result.fit(
-      "balancer CPU of a change by listed hosts", "listed hosts", "CPU ms a change",
+      "balancer CPU at rest by listed hosts", "listed hosts", "CPU ms a second",
       [&t](std::size_t row) {
-        return Point{t.at(row, "hosts"), t.at(row, "balancer_cpu_ms") / t.at(row, "changes")};
+        return Point{t.at(row, "hosts"), t.at(row, "balancer_cpu_ms") / t.at(row, "seconds")};
       },
-      [&t](std::size_t row) {
-        return t.at(row, "asked") == 0 && t.at(row, "balancers") == 1 &&
-               t.at(row, "rate_per_s") >= 40 && t.at(row, "changes") > 0;
+      [&t, pushed_to_one](std::size_t row) {
+        return pushed_to_one(row) && t.at(row, "rate_per_s") == 0;
       });
 }
 
@@ -240,9 +249,13 @@
                       static_cast<unsigned long long>(seed));
     }
   if (options.quick) return result;
-  for (const int hosts : {50, 400, 1400, 3200}) fit_one_balancer(result, false, hosts);
-  fit_one_balancer(result, true, 1400);
-  fit_by_hosts(result);
+  std::vector<Point> cpu_of_a_change;
+  for (const int hosts : kHosts)
+    cpu_of_a_change.push_back({static_cast<double>(hosts), fit_one_balancer(result, false, hosts)});
+  fit_one_balancer(result, true, kAllHosts);
+  result.fits.push_back({"balancer CPU of a change by listed hosts", "listed hosts",
+                         "CPU ms a change", cpu_of_a_change, fit_line(cpu_of_a_change)});
+  fit_rest_by_hosts(result);
   fit_whole_lists(result);
   fit_by_balancers(result);
   return result;
