Scale: repeated fetches grow with 1 - 1/balancers; memory by open streams has a fit

The time of a fetch, which decides how many come meanwhile, is a second size. `scale load` wrote its open streams and fitted nothing through them.

--- a/src/rig/scale/sweep_load.cc
+++ b/src/rig/scale/sweep_load.cc
@@ -228,12 +228,16 @@
         return Point{t.at(row, "value_bytes"), t.at(row, "cpu_ms") / t.at(row, "served")};
       },
       [&t](std::size_t row) { return t.at(row, "rate_per_s") == kUsualRate; });
-  result.fit(
-      "resident memory by client connections", "connections", "MB",
-      [&t](std::size_t row) {
-        return Point{t.at(row, "clients"), t.at(row, "resident_mb")};
-      },
-      [&t](std::size_t row) { return t.at(row, "clients") > 0; });
+  const auto memory_by = [&](const std::string& what, const std::string& column) {
+    result.fit(
+        "resident memory by " + what, what, "MB",
+        [&t, column](std::size_t row) {
+          return Point{t.at(row, column), t.at(row, "resident_mb")};
+        },
+        [&t, column](std::size_t row) { return t.at(row, column) > 0; });
+  };
+  memory_by("client connections", "clients");
+  memory_by("open streams of long values", "streams");
 }
 
 }  // namespace
--- a/src/rig/scale/sweep_origin.cc
+++ b/src/rig/scale/sweep_origin.cc
@@ -9,28 +9,33 @@
 namespace silverpin::rig::scale {
 namespace {
 
+struct OriginLoad {
+  double rate = 0;  // requests a second
+  int read_ms = 0;  // the origin's time for a fetch
+};
+
 // Only reads; neither hosts nor the origin are short, so that nothing but balancers differs.
-Scenario origin_scenario(int balancers, double rate, std::uint64_t seed, bool quick) {
-  return parse_scenario("name = \"origin\"\nwarm_up_s = 1\nlength_s = " +
-                            std::string(quick ? "4" : "14") + "\nseed = " + std::to_string(seed) +
-                            "\n[balancers]\ncount = " + std::to_string(balancers) +
-                            "\n[[class]]\nname = \"read\"\nwork_ms = 1\naim_ms = 300\n"
-                            "deadline_ms = 2000\n"
-                            "[[kind]]\nname = \"std\"\ncount = 8\ncores = 8\nslots = 64\n"
-                            "[origin]\ncores = 64\nslots = 256\nread_ms = 30\n"
-                            "[load]\nrate = " +
-                            std::to_string(rate) +
-                            "\nkeys = 2000\n"
-                            "[[incident]]\nwhat = \"flush\"\nat_s = 2\n",
-                        "origin.toml");
+Scenario origin_scenario(int balancers, const OriginLoad& load, std::uint64_t seed, bool quick) {
+  return parse_scenario(
+      "name = \"origin\"\nwarm_up_s = 1\nlength_s = " + std::string(quick ? "4" : "14") +
+          "\nseed = " + std::to_string(seed) +
+          "\n[balancers]\ncount = " + std::to_string(balancers) +
+          "\n[[class]]\nname = \"read\"\nwork_ms = 1\naim_ms = 300\n"
+          "deadline_ms = 2000\n"
+          "[[kind]]\nname = \"std\"\ncount = 8\ncores = 8\nslots = 64\n"
+          "[origin]\ncores = 256\nslots = 1024\nread_ms = " +
+          std::to_string(load.read_ms) + "\n[load]\nrate = " + std::to_string(load.rate) +
+          "\nkeys = 2000\n"
+          "[[incident]]\nwhat = \"flush\"\nat_s = 2\n",
+      "origin.toml");
 }
 
 struct OriginCost {
   double fetches = 0, tries = 0;
 };
 
-OriginCost measure(int balancers, double rate, std::uint64_t seed, bool quick) {
-  const Scenario scenario = origin_scenario(balancers, rate, seed, quick);
+OriginCost measure(int balancers, const OriginLoad& load, std::uint64_t seed, bool quick) {
+  const Scenario scenario = origin_scenario(balancers, load, seed, quick);
   model::Plant plant(scenario, {});
   plant.run();
   OriginCost cost;
@@ -39,39 +44,49 @@
   return cost;
 }
 
+// Of n balancers that share requests evenly, another than the one that has a key on its way gets
+// the next request for it with a chance of 1 - 1/n; so that, and not n, is what repeats grow with.
+void fit_other_balancers(SweepResult& result, const OriginLoad& load) {
+  const Table& t = result.table;
+  result.fit(
+      "repeated share of fetches, " + std::to_string(static_cast<int>(load.rate)) +
+          " requests a second, fetch of " + std::to_string(load.read_ms) + " ms",
+      "1 - 1/balancers", "share",
+      [&t](std::size_t row) {
+        return Point{1 - 1 / t.at(row, "balancers"), t.at(row, "repeated_share")};
+      },
+      [&t, load](std::size_t row) {
+        return t.at(row, "rate_per_s") == load.rate && t.at(row, "read_ms") == load.read_ms;
+      });
+}
+
 }  // namespace
 
 SweepResult sweep_origin(const SweepOptions& options) {
   SweepResult result{"origin",
-                     Table({"balancers", "rate_per_s", "seed", "tries", "fetches",
+                     Table({"balancers", "rate_per_s", "read_ms", "seed", "tries", "fetches",
                             "fetches_of_one_balancer", "repeated_share"}),
                      {}};
   const std::vector<int> sizes =
       options.quick ? std::vector<int>{1, 4, 16} : std::vector<int>{1, 2, 4, 8, 12, 16, 32, 64};
-  const std::vector<double> rates =
-      options.quick ? std::vector<double>{300} : std::vector<double>{150, 600, 2400};
-  for (const double rate : rates)
+  const std::vector<OriginLoad> loads =
+      options.quick
+          ? std::vector<OriginLoad>{{300, 30}}
+          : std::vector<OriginLoad>{{150, 30}, {600, 30}, {2400, 30}, {600, 240}, {2400, 240}};
+  for (const OriginLoad& load : loads)
     for (const std::uint64_t seed : options.seeds) {
       double alone = 0;
       for (const int balancers : sizes) {
-        const OriginCost cost = measure(balancers, rate, seed, options.quick);
+        const OriginCost cost = measure(balancers, load, seed, options.quick);
         if (balancers == 1) alone = cost.fetches;
-        result.table.add({static_cast<double>(balancers), rate, static_cast<double>(seed),
-                          cost.tries, cost.fetches, alone, (cost.fetches - alone) / cost.fetches});
-        report_progress(options, "origin: %d balancers, %.0f requests a second, seed %llu",
-                        balancers, rate, static_cast<unsigned long long>(seed));
+        result.table.add({static_cast<double>(balancers), load.rate,
+                          static_cast<double>(load.read_ms), static_cast<double>(seed), cost.tries,
+                          cost.fetches, alone, (cost.fetches - alone) / cost.fetches});
+        report_progress(options, "origin: %d balancers, %.0f requests a second, %d ms, seed %llu",
+                        balancers, load.rate, load.read_ms, static_cast<unsigned long long>(seed));
       }
     }
-  const Table& t = result.table;
-  for (const double rate : rates)
-    result.fit(
-        "fetches at " + std::to_string(static_cast<int>(rate)) + " requests a second", "balancers",
-        "fetches beside those of one balancer",
-        [&t](std::size_t row) {
-          return Point{t.at(row, "balancers"),
-                       t.at(row, "fetches") / t.at(row, "fetches_of_one_balancer")};
-        },
-        [&t, rate](std::size_t row) { return t.at(row, "rate_per_s") == rate; });
+  for (const OriginLoad& load : loads) fit_other_balancers(result, load);
   return result;
 }
 
