--- a/src/rig/scale/control_plane.h
+++ b/src/rig/scale/control_plane.h
@@ -26,6 +26,9 @@
 // `asked`: lists have to be asked for; otherwise they are pushed.
 std::string platform_settings(int balancers, bool asked);
 
+// Runs the loop until `done` holds; false if it does not within `limit`.
+bool run_until(asio::io_context& io, const std::function<bool()>& done, Duration limit);
+
 // Processor time, user and system, that the calling thread has used so far.
 Duration thread_cpu_time();
 
@@ -33,6 +36,7 @@
 // another one does. One change at each call.
 class ChangeSource {
  public:
+  // `hosts`: at least one before next() is called.
   ChangeSource(int hosts, std::uint64_t seed) : hosts_(hosts), random_(seed, 1) {}
   DiscoveryServer::Entry next();
   static DiscoveryServer::Entry entry(int host);
@@ -63,6 +67,7 @@
 
   // Each may be called from any thread, and waits for the service's own.
   std::string dial(int balancer);
+  void list(const DiscoveryServer::Entry& entry);  // one more host
   Usage usage();
   void begin_changes(double per_second);  // at random moments, from now on
   void publish(int changes);              // all at once
