--- a/src/dissemination/replica.cc
+++ b/src/dissemination/replica.cc
@@ -76,6 +76,8 @@
 // before the number where that source began, and if no term lies between them unheard.
 void Replica::adopt_term(Time now, const SourceState& source) {
   const bool follows = !is_fresh_ && source.term == source_.term + 1;
+  // Still so if the last source went before its whole configuration had come.
+  const bool needs_whole = snapshot_ && snapshot_->whole;
   source_ = source;
   is_fresh_ = false;
   snapshot_.reset();
@@ -92,7 +94,8 @@
   else
     jump_purges();
   Stream& configuration = stream(Channel::kConfiguration);
-  if (!follows || configuration.log.last() > source.starts[index(Channel::kConfiguration)]) {
+  if (!follows || needs_whole ||
+      configuration.log.last() > source.starts[index(Channel::kConfiguration)]) {
     configuration.log.reset(0);
     begin_snapshot(now, true);
   }
