--- a/bench/dissemination.cc
+++ b/bench/dissemination.cc
@@ -2,9 +2,12 @@
 // messages by role, beside what polling would cost for the same changes.
 //
 //   cmake --build build --target silverpin_bench_dissemination
-//   build/silverpin_bench_dissemination [MEMBERS [SITES [REGIONS [SECONDS [SEED [LOSS]]]]]]
+//   build/silverpin_bench_dissemination [MEMBERS [SITES [REGIONS [SECONDS [SEED [LOSS [DAY]]]]]]]
 //
-// Without arguments: 11,000 members, 870 sites, 49 regions, 60 s, seed 1, no loss.
+// Without arguments: 11,000 members, 870 sites, 49 regions, 60 s, seed 1, no loss, no failures.
+// With DAY above 0: 2,400 restarts and 44 failures (five minutes each) times DAY a day, and in the
+// course of the run a site lost for a fifth of it (five minutes at most) and a region cut off for
+// as long.
 #include <sys/resource.h>
 
 #include <chrono>
@@ -46,6 +49,75 @@
               period, bytes, members / period, period + 0.24);
 }
 
+// Failures, and how long those that come back take until they are current.
+class Day {
+ public:
+  Day(DisseminationSim& sim, double length, double factor)
+      : sim_(sim), end_(sim.now() + from_seconds(length)) {
+    if (factor <= 0) return;
+    each(2400 * factor, [this] {
+      const int m = any();
+      sim_.restart(m, sim_.random()() % 4 == 0);
+      watch(m, sim_.now());
+    });
+    each(44 * factor, [this] {
+      const int m = any();
+      sim_.kill(m);
+      sim_.after(std::chrono::minutes(5), [this, m] {
+        sim_.restart(m, true);
+        watch(m, sim_.now());
+      });
+    });
+    const Duration away = std::min<Duration>(from_seconds(length / 5), std::chrono::minutes(5));
+    cut(from_seconds(length * 0.2), away, sim_.of_site(7), 1);
+    cut(from_seconds(length * 0.6), away, sim_.of_region(3), 2);
+  }
+  LatencyCounts recovered;
+
+ private:
+  int any() { return static_cast<int>(sim_.random()() % static_cast<unsigned>(sim_.size())); }
+  void each(double a_day, const std::function<void()>& happens) {
+    const Duration gap =
+        from_seconds(std::exponential_distribution<>(a_day / 86400)(sim_.random()));
+    if (sim_.now() + gap > end_) return;
+    sim_.after(gap, [this, a_day, happens] {
+      happens();
+      each(a_day, happens);
+    });
+  }
+  void cut(Duration begin, Duration length, const std::vector<int>& members, int part) {
+    sim_.after(begin, [this, members, part] {
+      for (int m : members) sim_.set_part(m, part);
+    });
+    sim_.after(begin + length, [this, members] {
+      for (int m : members) {
+        sim_.set_part(m, 0);
+        watch(m, sim_.now());
+      }
+    });
+  }
+  // Current: it has what had been sent when it came back, and hears of what is sent now.
+  void watch(int m, Time since) {
+    const auto heads = sim_.source()->state().heads;
+    watch(m, since, heads);
+  }
+  void watch(int m, Time since, const PerChannel<Sequence>& heads) {
+    sim_.after(std::chrono::milliseconds(100), [this, m, since, heads] {
+      const Replica* replica = sim_.replica(m);
+      if (!replica) return;
+      const bool has_all = replica->cursor(Channel::kPurge).sequence >= heads[0] &&
+                           replica->cursor(Channel::kConfiguration).sequence >= heads[1];
+      if (has_all && replica->reliance(sim_.now()).purges_complete)
+        recovered.add(sim_.now() - since);
+      else
+        watch(m, since, heads);
+    });
+  }
+
+  DisseminationSim& sim_;
+  const Time end_;
+};
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -65,6 +137,7 @@
   std::vector<DisseminationSim::Traffic> before;
   for (int m = 0; m <= source; ++m) before.push_back(sim.traffic(m));
   sim.load(from_seconds(length));
+  Day day(sim, length, argument(7, 0));
   const auto wall = std::chrono::steady_clock::now();
   sim.run(from_seconds(length));
   std::vector<double> all, in, out, messages, region_relays;
@@ -96,6 +169,7 @@
   print("purge in force everywhere", sim.everywhere(Channel::kPurge));
   print("configuration in force at a member", applied_configuration);
   print("configuration in force everywhere", sim.everywhere(Channel::kConfiguration));
+  print("current again after a restart or cut", day.recovered);
   print("member, sent and received", spread(all), "bytes/s");
   print("  received", spread(in), "bytes/s");
   print("  sent", spread(out), "bytes/s");
--- a/tests/dissemination_log_test.cc
+++ b/tests/dissemination_log_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "dissemination/change_log.h"
+#include "dissemination/range_repair.h"
 
 namespace silverpin::dissemination {
 namespace {
@@ -101,6 +102,30 @@
   EXPECT_EQ(piece.through, 3u);
 }
 
+// ---- answers to requests for a range
+
+TEST(RangeRepairTest, AnswersOnlyFromTheHistoryOfTheAskersTerm) {
+  ChangeLog log(10);
+  for (Sequence s = 1; s <= 5; ++s) log.append(entry(s));
+  const SourceState source{3, {0, 0}, {4, 0}};
+  EXPECT_EQ(numbers(answer_range(log, source, {3, Channel::kPurge, 2, 9})->entries),
+            (std::vector<Sequence>{2, 3, 4}))
+      << "no further than what was sent";
+  const auto earlier = answer_range(log, source, {2, Channel::kPurge, 2, 3});
+  ASSERT_TRUE(earlier) << "it is told of the term";
+  EXPECT_EQ(earlier->source.term, 3u);
+  EXPECT_TRUE(earlier->entries.empty());
+  EXPECT_FALSE(answer_range(log, source, {4, Channel::kPurge, 2, 3}));
+}
+
+TEST(RangeRepairTest, SaysSoWhereTheLogHasWrapped) {
+  ChangeLog log(3);
+  for (Sequence s = 1; s <= 10; ++s) log.append(entry(s));
+  const auto answer = answer_range(log, {1, {0, 0}, {10, 0}}, {1, Channel::kPurge, 2, 10});
+  EXPECT_TRUE(answer->entries.empty());
+  EXPECT_EQ(answer->oldest, 8u);
+}
+
 TEST(WireSizeTest, CountsEntriesAndOverhead) {
   Batch batch;
   const auto empty = wire_size(Message(batch));
