Test that a crowd of idle clients keeps no list and no host from a process

Need: idle clients may fill the descriptors while discovery is down; on its return the list is still to be fetched within 6 s, and hosts to be reached.

What holds it: Limits keeps 24 descriptors for the process itself (kReserved), discovery's among them, and gives two fifths of the rest to connections to servers; clients get what is left and no more. Nothing had to be mended.

Discovery is silent, or resets, then returns with another host in its list: fetched within 6 s, and a new client is served over a new connection to that host. tests/program_harness.h starts such processes.

--- /dev/null
+++ b/tests/program_harness.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "node_harness.h"
+#include "rig/balancer_process.h"
+
+// The built program as processes of their own, between peers on the test's event loop.
+namespace silverpin::node {
+
+// Discovery that can be away: it answers nothing then, or breaks its connections off.
+class SwitchableDiscovery {
+ public:
+  enum class State { kUp, kSilent, kResetting };
+
+  explicit SwitchableDiscovery(asio::io_context& io)
+      : server(io, [this](Peer& p) { on_data(p); }) {}
+  void set(State to) {
+    state_ = to;
+    if (to != State::kResetting) return;
+    for (const auto& p : std::exchange(server.peers, {})) p->close();
+  }
+
+  std::string hosts;
+  int answered = 0;  // calls that have been given the whole list
+  Server server;
+
+ private:
+  void on_data(Peer& p) {
+    if (state_ == State::kResetting) return p.close();
+    for (auto end = p.in.find("\r\n\r\n"); end != std::string::npos; end = p.in.find("\r\n\r\n")) {
+      const bool watch = p.in.substr(0, end).find("index=") != std::string::npos;
+      p.in.erase(0, end + 4);
+      if (state_ == State::kSilent) continue;
+      answered += !watch;
+      const std::string body = watch ? "{\"seq\":1,\"whole\":false,\"hosts\":[]}"
+                                     : "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
+      p.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+             body);
+    }
+  }
+
+  State state_ = State::kUp;
+};
+
+// Lowers what a process that is started meanwhile may open.
+class DescriptorLimit {
+ public:
+  explicit DescriptorLimit(rlim_t most) {
+    ::getrlimit(RLIMIT_NOFILE, &before_);
+    const rlimit lower{most, before_.rlim_max};
+    ::setrlimit(RLIMIT_NOFILE, &lower);
+  }
+  ~DescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+  DescriptorLimit(const DescriptorLimit&) = delete;
+  DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+class ProcessTest : public ::testing::Test {
+ protected:
+  using Process = rig::BalancerProcess;
+
+  void SetUp() override {
+    char made[] = "/tmp/silverpin-test-XXXXXX";
+    ASSERT_NE(::mkdtemp(made), nullptr);
+    folder = made;
+  }
+  void TearDown() override {
+    processes.clear();
+    std::filesystem::remove_all(folder);
+  }
+  // The processes read their configuration, `settings` and `known` with it, at each start. Each
+  // start takes a port anew: that of an earlier one may be another's by then.
+  void make_processes(int count) {
+    for (int i = 0; i < count; ++i) {
+      Process::Files files;
+      files.platform = [this](const std::string&) { return config_text(); };
+      processes.push_back(
+          std::make_unique<Process>(context, SILVERPIN_PROGRAM, folder, i, std::move(files)));
+    }
+  }
+  std::string config_text() const {
+    return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.server.dial() +
+           "\",\"limits\":{\"memory_mb\":32,\"sockets\":" + std::to_string(sockets) +
+           "},\"settings\":" + settings +
+           (known.empty() ? ""
+                          : ",\"known\":{\"seq\":1,\"whole\":true,\"hosts\":[" + known + "]}") +
+           "}";
+  }
+  std::shared_ptr<Peer> client() { return Peer::dial(io, processes.at(0)->address()); }
+  ::testing::AssertionResult wait(const std::function<bool()>& done,
+                                  std::chrono::seconds limit = std::chrono::seconds(30)) {
+    if (run_until(io, done, limit)) return ::testing::AssertionSuccess();
+    return ::testing::AssertionFailure()
+           << "it never came to that; the log: " << processes.at(0)->last_log_lines();
+  }
+
+  rig::Scenario scenario;
+  asio::io_context io{1};
+  rig::Context context{io, scenario};
+  SwitchableDiscovery discovery{io};
+  std::string folder, settings = test_settings(), known;
+  int sockets = 256;
+  std::vector<std::unique_ptr<Process>> processes;
+};
+
+}  // namespace silverpin::node
