--- a/tests/leaving_client_test.cc
+++ b/tests/leaving_client_test.cc
@@ -26,7 +26,8 @@
 // | any, and the loop is late: what lets the  | UnheardLeavingTest, all                          |
 // | request go on is read before the close    |                                                  |
 //
-// The tests of LeavingClientTest and UnreadClientTest stand in tests/crossings_test.cc.
+// The tests of LeavingClientTest and UnreadClientTest stand in tests/crossings_test.cc. Under load:
+// tests/leaving_load_test.cc.
 #include <algorithm>
 #include <thread>
 
