--- a/tests/leaving_client_test.cc
+++ b/tests/leaving_client_test.cc
@@ -51,6 +51,16 @@
 
 class GoneClientTest : public CoreTest, public ::testing::WithParamInterface<bool> {
  protected:
+  // A host and an origin; the client of the first request leaves once the host has it.
+  void begin_and_leave() {
+    begin();
+    list({listed("h", cache.server.local()), listed("o", origin.server.local(), true)});
+    auto c = client();
+    c->send(get("k", "1"));
+    ASSERT_TRUE(wait([&] { return cache.saw("1"); }));
+    ASSERT_TRUE(gone(c, GetParam()));
+  }
+
   ScriptedCache cache{io};
   ScriptedOrigin origin{io};
 };
@@ -96,12 +106,8 @@
 }
 
 TEST_P(GoneClientTest, AMissComesBehindTheLeaving) {
-  begin();
-  list({listed("h", cache.server.local()), listed("o", origin.server.local(), true)});
-  auto c = client(), other = client();
-  c->send(get("k", "1"));
-  ASSERT_TRUE(wait([&] { return cache.saw("1"); }));
-  ASSERT_TRUE(gone(c, GetParam()));
+  begin_and_leave();
+  auto other = client();
   cache.miss("1");
   other->send(get("k", "2"));
   ASSERT_TRUE(wait([&] { return cache.saw("2"); }));
@@ -111,12 +117,8 @@
 }
 
 TEST_P(GoneClientTest, AResetComesBehindTheLeaving) {
-  begin();
-  list({listed("h", cache.server.local()), listed("o", origin.server.local(), true)});
-  auto c = client(), other = client();
-  c->send(get("k", "1"));
-  ASSERT_TRUE(wait([&] { return cache.saw("1"); }));
-  ASSERT_TRUE(gone(c, GetParam()));
+  begin_and_leave();
+  auto other = client();
   cache.from.at("1")->close();
   other->send(get("k", "2"));
   ASSERT_TRUE(wait([&] { return cache.saw("2"); }));
@@ -129,12 +131,8 @@
 TEST_P(GoneClientTest, ItsSlowCopyIsDueBehindTheLeaving) {
   site.policy.second_copies = true;
   for (RequestClass& c : site.policy.classes) c.aim = milliseconds(800);  // slow behind the half
-  begin();
-  list({listed("h", cache.server.local()), listed("o", origin.server.local(), true)});
-  auto c = client(), other = client();
-  c->send(get("k", "1"));
-  ASSERT_TRUE(wait([&] { return cache.saw("1"); }));
-  ASSERT_TRUE(gone(c, GetParam()));
+  begin_and_leave();
+  auto other = client();
   other->send(get("j", "2"));  // later, and so is its copy
   ASSERT_TRUE(wait([&] { return origin.saw("2"); }));
   EXPECT_EQ(origin.ids, Ids{"2"});
