Rig: what comes behind a host's pause counts from then, not from its beginning

Cause: CacheServer::Session::read_late marked every open connection, so that the next request on one that was silent through the pause counted as come when the pause began, however much later it came.

Change: only a connection on which bytes wait when the host goes on is marked.

Both tests wait for the pause itself to begin, and the new one for an answer that only a host gives that has gone on, not for a time.

--- a/src/rig/servers/cache_server.cc
+++ b/src/rig/servers/cache_server.cc
@@ -41,7 +41,7 @@
     error_code ignored;
     socket_.non_blocking(true, ignored);
     socket_.set_option(tcp::no_delay(true), ignored);
-    late_since_ = late_since;
+    if (late_since) return read_late(*late_since);
     read();
   }
 
@@ -54,9 +54,10 @@
       if (!e && !self->closed_ && !self->server_.paused_) self->on_readable();
     });
   }
-  // The host stood still since then: what is read next came at any time since.
+  // The host stood still since then: what has come meanwhile may have come at any time since.
   void read_late(Time since) {
-    late_since_ = since;
+    error_code ignored;
+    if (socket_.available(ignored) > 0) late_since_ = since;
     read();
   }
 
--- a/tests/rig/servers_test.cc
+++ b/tests/rig/servers_test.cc
@@ -58,6 +58,13 @@
     return "mg " + key + " v O" + request(0, key) + " Pc=read,d=900\r\n";
   }
   ::testing::AssertionResult wait(const std::function<bool()>& done) { return run_until(io, done); }
+  // Strikes the first incident, a pause, and returns once it has begun, however late the test runs.
+  void pause_begins() {
+    fleet->strike(scenario.incidents[0]);
+    const Time end = context->now() + std::chrono::milliseconds(20);
+    ASSERT_TRUE(wait([&] { return context->now() > end; }));
+    io.poll();
+  }
 
   Scenario scenario;
   asio::io_context io{1};
@@ -166,9 +173,7 @@
 // the connection itself waited, and behind it the request is the client's second attempt.
 TEST_F(ServersTest, APausedHostHoldsNoTimeAgainstWhatCameMeanwhile) {
   begin("[[incident]]\nwhat = \"pause\"\nhost = \"h0\"\nat_s = 0\nfor_s = 0.5\n");
-  fleet->strike(scenario.incidents[0]);
-  ASSERT_TRUE(wait(
-      [&, end = context->now() + std::chrono::milliseconds(50)] { return context->now() > end; }));
+  pause_begins();
   RequestNumber number = 0;
   const std::string id = request(0, "k", &number);
   context->auditor.on_arrived(context->now(), number, 1);
@@ -181,6 +186,29 @@
   EXPECT_EQ(told.broken, 0u) << told.example;
 }
 
+// What comes once it has gone on is held against the time at which it comes, also on a connection
+// that was open and silent through the pause.
+TEST_F(ServersTest, WhatComesBehindAPauseCountsFromThen) {
+  begin("[[incident]]\nwhat = \"pause\"\nhost = \"h0\"\nat_s = 0\nfor_s = 0.2\n");
+  auto p = peer(h0);
+  p->send("mn\r\n");
+  ASSERT_TRUE(wait([&] { return p->in == "MN\r\n"; }));
+  pause_begins();
+  auto other = peer(h0);
+  other->send("mn\r\n");
+  ASSERT_TRUE(wait([&] { return other->in == "MN\r\n"; })) << "it has gone on";
+  EXPECT_GE(context->now(), std::chrono::milliseconds(200));
+  RequestNumber number = 0;
+  const std::string id = request(0, "k", &number);
+  context->auditor.on_client_gone(context->now(), number);
+  ASSERT_TRUE(wait(
+      [&, end = context->now() + std::chrono::milliseconds(150)] { return context->now() > end; }));
+  p->in.clear();
+  p->send("mg k v O" + id + " Pc=read,d=5000\r\n");
+  ASSERT_TRUE(wait([&] { return !p->in.empty(); }));
+  EXPECT_EQ(context->auditor.checks().at(1).broken, 1u) << "begun late behind the client's close";
+}
+
 TEST_F(ServersTest, RefusedAndSilentConnects) {
   begin(
       "[[incident]]\nwhat = \"refuse\"\nhost = \"h0\"\nat_s = 0\nfor_s = 0.3\n"
