--- a/tests/rig/program_test.cc
+++ b/tests/rig/program_test.cc
@@ -119,6 +119,18 @@
   EXPECT_NE(out_.find("requests lost 0, effects twice 0"), std::string::npos) << out_;
 }
 
+// Every read misses, and its host takes 0.2 s to say so: each fetch behind it begins with that much
+// less of the client's time.
+TEST_F(RigProgramTest, FetchesBehindSlowMissesTellWhatIsLeft) {
+  std::string text = scenario_text();
+  const std::string kind = "name = \"std\"\n";
+  text.insert(text.find(kind) + kind.size(), "slots = 64\nmemory_mb = 0.01\nmiss_us = 200000\n");
+  write(text);
+  EXPECT_EQ(run(rehearse()), 0) << out_;
+  EXPECT_EQ(out_.find("told more time than is left        0 of      0,"), std::string::npos)
+      << out_;
+}
+
 TEST_F(RigProgramTest, BadInputEndsWithTwoBeforeAnythingStarts) {
   EXPECT_EQ(run("rehearse " + dir_ + "/none.toml"), 2);
   EXPECT_NE(out_.find("none.toml: cannot be read"), std::string::npos) << out_;
