Scale: what an outage of discovery costs it, while it is away and at its return

Hollow balancers lose their watches for 4 s and call again and again, as today, and ask for the whole list at discovery's return. `scale restart` counts the calls of both and the time until all have asked. The discovery server tells of calls that it turns away too; before, none of an outage was counted. The test holds a call per balancer and outage at the least, one each 250 ms at the most.

--- a/src/rig/scale/control_plane.cc
+++ b/src/rig/scale/control_plane.cc
@@ -166,6 +166,10 @@
   });
 }
 
+void DiscoveryService::set_down(bool down) {
+  call([&] { server_.set_down(down); });
+}
+
 Histogram DiscoveryService::take_in_force() {
   Histogram taken;
   call([&] { std::swap(taken, delays_); });
--- a/src/rig/scale/control_plane.h
+++ b/src/rig/scale/control_plane.h
@@ -73,6 +73,8 @@
   void publish(int changes);              // all at once
   void stop_changes();
   void break_watches();  // discovery is away for a moment
+  // While it is down watches are ended, and calls are turned away.
+  void set_down(bool down);
   // Of the changes that all balancers have had in force since the last call of this: from when they
   // were listed until the last balancer had them.
   Histogram take_in_force();
--- a/src/rig/scale/sweep_restart.cc
+++ b/src/rig/scale/sweep_restart.cc
@@ -1,5 +1,5 @@
-// What restarts cost discovery, and how long they take: a tenth of hollow balancers starts anew
-// while the others watch, and real processes that are all started at once.
+// What starts and an outage cost discovery: hollow balancers and real processes that start all at
+// once, and hollow balancers that call while discovery is away and after its return.
 #include "rig/scale/balancer_processes.h"
 #include "rig/scale/sweep.h"
 
@@ -11,17 +11,24 @@
 // Of hollow balancers, which share one core: at rest each takes a part of it that grows with hosts.
 constexpr int kHollowHosts = 200;
 
+enum class Kind { kHollowStart, kProcessStart, kOutage };
+
 struct RestartCost {
-  int processes = 0, real = 0;
+  Kind kind = Kind::kHollowStart;
+  int processes = 0;
+  double outage_s = 0, outage_calls = 0;
+  // Until all have their list; of an outage, from its end until all have asked for the whole list.
   double ready_s = 0;
   DiscoveryService::Usage discovery;
   double cpu_ms = 0;  // of all that started
 };
 
 std::vector<double> row(const RestartCost& cost, std::uint64_t seed) {
-  return {static_cast<double>(cost.real),
+  return {static_cast<double>(cost.kind),
           static_cast<double>(cost.processes),
           static_cast<double>(seed),
+          cost.outage_s,
+          cost.outage_calls,
           cost.ready_s,
           static_cast<double>(cost.discovery.calls),
           static_cast<double>(cost.discovery.whole_lists),
@@ -63,30 +70,65 @@
     throw std::runtime_error("a balancer did not come up");
   RestartCost cost;
   cost.processes = processes;
-  cost.real = 1;
+  cost.kind = Kind::kProcessStart;
   cost.ready_s = seconds_since(began);
   cost.discovery = discovery.usage();
   cost.cpu_ms = all.usage().cpu_ms;
   return cost;
 }
 
+RestartCost outage_of_discovery(int balancers, std::uint64_t seed, Duration length) {
+  DiscoveryService discovery(kHollowHosts, balancers, seed);
+  HollowBalancers all(discovery, balancers, false, seed);
+  if (!all.run_until([&] { return discovery.listed() == balancers; }, kGetsReady))
+    throw std::runtime_error("a balancer got no list");
+  const auto before = discovery.usage();
+  discovery.set_down(true);
+  all.run_for(length);
+  const auto at_return = discovery.usage();
+  const auto began = std::chrono::steady_clock::now();
+  const Duration cpu = thread_cpu_time();
+  discovery.set_down(false);
+  const auto asked = [&] {
+    return discovery.usage().since(at_return).whole_lists >= static_cast<std::uint64_t>(balancers);
+  };
+  if (!all.run_until(asked, kGetsReady))
+    throw std::runtime_error("a balancer did not ask for the whole list");
+  RestartCost cost;
+  cost.kind = Kind::kOutage;
+  cost.processes = balancers;
+  cost.outage_s = seconds(length);
+  cost.outage_calls = static_cast<double>(at_return.since(before).calls);
+  cost.ready_s = seconds_since(began);
+  cost.discovery = discovery.usage().since(at_return);
+  cost.cpu_ms = millis(thread_cpu_time() - cpu);
+  return cost;
+}
+
 }  // namespace
 
 SweepResult sweep_restart(const SweepOptions& options) {
-  SweepResult result{"restart",
-                     Table({"real", "processes", "seed", "ready_s", "calls", "whole_lists",
-                            "bytes_in", "bytes_out", "discovery_cpu_ms", "cpu_ms"}),
-                     {}};
+  SweepResult result{
+      "restart",
+      Table({"kind", "processes", "seed", "outage_s", "outage_calls", "ready_s", "calls",
+             "whole_lists", "bytes_in", "bytes_out", "discovery_cpu_ms", "cpu_ms"}),
+      {}};
   const std::vector<int> hollow =
       options.quick ? std::vector<int>{2, 8} : std::vector<int>{5, 10, 20, 40, 80};
   const std::vector<int> real =
       options.quick ? std::vector<int>{4} : std::vector<int>{10, 25, 50, 100};
+  const Duration outage = std::chrono::seconds(options.quick ? 2 : 4);
   for (const std::uint64_t seed : options.seeds) {
     for (const int balancers : hollow) {
       result.table.add(row(restart_hollow(balancers, seed), seed));
       report_progress(options, "restart: %d hollow balancers, seed %llu", balancers,
                       static_cast<unsigned long long>(seed));
     }
+    for (const int balancers : hollow) {
+      result.table.add(row(outage_of_discovery(balancers, seed, outage), seed));
+      report_progress(options, "restart: %d hollow balancers, discovery away, seed %llu", balancers,
+                      static_cast<unsigned long long>(seed));
+    }
     for (const int processes : real) {
       result.table.add(row(restart_processes(options, processes, seed), seed));
       report_progress(options, "restart: %d processes, seed %llu", processes,
@@ -95,21 +137,27 @@
   }
   const Table& t = result.table;
   const auto by_processes = [&](const std::string& what, const std::string& unit,
-                                const std::string& column, bool processes) {
+                                const std::string& column, Kind kind) {
     result.fit(
-        what, processes ? "processes" : "balancers", unit,
+        what, kind == Kind::kProcessStart ? "processes" : "balancers", unit,
         [&t, column](std::size_t i) {
           return Point{t.at(i, "processes"), t.at(i, column)};
         },
-        [&t, processes](std::size_t i) { return t.at(i, "real") == processes; });
+        [&t, kind](std::size_t i) { return t.at(i, "kind") == static_cast<double>(kind); });
   };
-  by_processes("discovery calls of a restart", "calls", "calls", false);
-  by_processes("discovery bytes of a restart, 200 hosts", "bytes", "bytes_out", false);
+  by_processes("discovery calls of a restart", "calls", "calls", Kind::kHollowStart);
+  by_processes("discovery bytes of a restart, 200 hosts", "bytes", "bytes_out", Kind::kHollowStart);
   by_processes("discovery CPU of a restart, 200 hosts (stand-in)", "CPU ms", "discovery_cpu_ms",
-               false);
-  by_processes("CPU of starting hollow balancers, 200 hosts", "CPU ms", "cpu_ms", false);
-  by_processes("CPU of starting processes, 1400 hosts", "CPU ms", "cpu_ms", true);
-  by_processes("time until all processes are ready, 1400 hosts", "s", "ready_s", true);
+               Kind::kHollowStart);
+  by_processes("CPU of starting hollow balancers, 200 hosts", "CPU ms", "cpu_ms",
+               Kind::kHollowStart);
+  by_processes("CPU of starting processes, 1400 hosts", "CPU ms", "cpu_ms", Kind::kProcessStart);
+  by_processes("time until all processes are ready, 1400 hosts", "s", "ready_s",
+               Kind::kProcessStart);
+  by_processes("discovery calls in an outage of 4 s", "calls", "outage_calls", Kind::kOutage);
+  by_processes("discovery bytes out after its return, 200 hosts", "bytes", "bytes_out",
+               Kind::kOutage);
+  by_processes("time until all have asked after its return", "s", "ready_s", Kind::kOutage);
   return result;
 }
 
--- a/src/rig/servers/discovery_server.cc
+++ b/src/rig/servers/discovery_server.cc
@@ -96,9 +96,9 @@
   const std::string target(session->request().target());
   if (!target.starts_with("/discovery/hosts")) return session->respond(404, "", "");
   context_.stampede.count(Stampede::Kind::kListCall, context_.now());
-  if (down_) return session->respond(503, "", "");
   const auto index = query(target, "index=");
   if (on_call) on_call(balancer, index);
+  if (down_) return session->respond(503, "", "");
   if (!index) return answer(balancer, session, true, 0);
   const auto wait = std::min(query(target, "wait=").value_or(0), kLongestWait);
   if (*index < seq_ || wait == 0) return answer(balancer, session, false, *index);
--- a/src/rig/servers/discovery_server.h
+++ b/src/rig/servers/discovery_server.h
@@ -45,8 +45,9 @@
   // Where a balancer is told that a host listens; none: where it does.
   std::function<std::string(int balancer, const Entry& entry)> dial_told;
   void forget(int balancer);  // it has started anew
-  // Hears of each call for the list: `index` is the version that a watch names, which the balancer
-  // has in force by then; none for a call for the whole list.
+  // Hears of each call for the list, also of those that are turned away: `index` is the version
+  // that a watch names, which the balancer has in force by then; none for a call for the whole
+  // list.
   std::function<void(int balancer, std::optional<std::uint64_t> index)> on_call;
   struct Traffic {
     std::uint64_t bytes_in = 0, bytes_out = 0;
--- a/tests/rig/scale_test.cc
+++ b/tests/rig/scale_test.cc
@@ -171,16 +171,23 @@
   }
 }
 
-// A balancer that starts asks for one whole list, and then watches.
-TEST(RestartSweep, AStartTakesTwoCalls) {
+// A balancer that starts, or has lost discovery, asks for one whole list, and then watches.
+TEST(RestartSweep, AStartAndAnOutageTakeAWholeListEach) {
   const SweepResult result = sweep_restart(quick_with_program());
-  ASSERT_EQ(result.table.rows(), 3u);
+  ASSERT_EQ(result.table.rows(), 5u);
+  // While discovery is away the retries of a balancer lie this far apart at the least.
+  constexpr double kLeastRetrySeconds = 0.25;
   for (std::size_t row = 0; row < result.table.rows(); ++row) {
     SCOPED_TRACE(row);
-    EXPECT_GE(result.table.at(row, "whole_lists"), result.table.at(row, "processes"));
-    EXPECT_LE(result.table.at(row, "calls"),
-              2 * result.table.at(row, "whole_lists") +
-                  result.table.at(row, "processes") * (1 + result.table.at(row, "ready_s")));
+    const double processes = result.table.at(row, "processes");
+    EXPECT_GE(result.table.at(row, "whole_lists"), processes);
+    EXPECT_LE(result.table.at(row, "calls"), 2 * result.table.at(row, "whole_lists") +
+                                                 processes * (1 + result.table.at(row, "ready_s")));
+    EXPECT_LE(result.table.at(row, "outage_calls"),
+              processes * (2 + result.table.at(row, "outage_s") / kLeastRetrySeconds));
+    if (result.table.at(row, "outage_s") > 0) {
+      EXPECT_GE(result.table.at(row, "outage_calls"), processes);
+    }
   }
 }
 
