--- a/src/rig/scale/control_plane.cc
+++ b/src/rig/scale/control_plane.cc
@@ -155,7 +155,11 @@
 
 void DiscoveryService::publish(int changes) {
   call([&] {
-    for (int i = 0; i < changes; ++i) publish_next();
+    for (int i = 0; i < changes; ++i) {
+      DiscoveryServer::Entry changed = ChangeSource::entry(i % source_.hosts());
+      changed.health = Health::kDraining;
+      publish_change(changed);
+    }
   });
 }
 
@@ -180,14 +184,14 @@
   timer_.expires_after(from_seconds(random_.exponential(1 / changes_per_second_)));
   timer_.async_wait([this](const error_code& e) {
     if (e || changes_per_second_ <= 0) return;
-    publish_next();
+    publish_change(source_.next());
     schedule_change();
   });
 }
 
-void DiscoveryService::publish_next() {
+void DiscoveryService::publish_change(const DiscoveryServer::Entry& changed) {
   const Time published = context_.now();
-  const std::uint64_t version = server_.publish(source_.next());
+  const std::uint64_t version = server_.publish(changed);
   ++usage_.changes;
   pending_.push_back({version, published, static_cast<int>(in_force_.size())});
   outstanding_ = pending_.size();
--- a/src/rig/scale/control_plane.h
+++ b/src/rig/scale/control_plane.h
@@ -40,6 +40,7 @@
   ChangeSource(int hosts, std::uint64_t seed) : hosts_(hosts), random_(seed, 1) {}
   DiscoveryServer::Entry next();
   static DiscoveryServer::Entry entry(int host);
+  int hosts() const { return hosts_; }
 
  private:
   const int hosts_;
@@ -70,7 +71,7 @@
   void list(const DiscoveryServer::Entry& entry);  // one more host
   Usage usage();
   void begin_changes(double per_second);  // at random moments, from now on
-  void publish(int changes);              // all at once
+  void publish(int changes);  // all at once, each of another host as long as there are some
   void stop_changes();
   void break_watches();  // discovery is away for a moment
   // While it is down watches are ended, and calls are turned away.
@@ -91,7 +92,7 @@
     int lacking;  // balancers
   };
   void call(const std::function<void()>& work);
-  void publish_next();
+  void publish_change(const DiscoveryServer::Entry& changed);
   void schedule_change();
   void on_call(int balancer, std::optional<std::uint64_t> version);
 
--- a/src/rig/scale/sweep.cc
+++ b/src/rig/scale/sweep.cc
@@ -62,6 +62,7 @@
 const std::vector<SweepEntry>& sweeps() {
   static const std::vector<SweepEntry> all{
       {"changes", "cost of list changes to balancers and discovery", sweep_changes},
+      {"bursts", "cost of many changes at once", sweep_bursts},
       {"hosts", "memory and CPU of a process by listed hosts", sweep_hosts},
       {"load", "CPU by requests and bytes, memory by client connections", sweep_load},
       {"restart", "cost and duration of restarts", sweep_restart},
--- a/src/rig/scale/sweep.h
+++ b/src/rig/scale/sweep.h
@@ -78,6 +78,7 @@
 void report_progress(const SweepOptions& options, const char* format, ...)
     __attribute__((format(printf, 2, 3)));
 
+SweepResult sweep_bursts(const SweepOptions& options);
 SweepResult sweep_changes(const SweepOptions& options);
 SweepResult sweep_group(const SweepOptions& options);
 SweepResult sweep_hosts(const SweepOptions& options);
--- a/src/rig/scale/sweep_changes.cc
+++ b/src/rig/scale/sweep_changes.cc
@@ -135,9 +135,6 @@
   // By balancers: calls and processor time at discovery, and time to the last of them.
   for (const int balancers : {25, 50, 100, 200, 400})
     runs.push_back({false, 200, balancers, 5, 0, 0, milliseconds(2000)});
-  // A burst.
-  for (const int burst : {10, 100, 1000})
-    runs.push_back({false, kAllHosts, 1, 0, burst, 0, milliseconds(0)});
   return runs;
 }
 
@@ -233,21 +230,48 @@
                [&t](std::size_t row) { return t.at(row, "in_force_p99_ms"); });
 }
 
-}  // namespace
-
-SweepResult sweep_changes(const SweepOptions& options) {
-  SweepResult result{"changes", Table(kColumns), {}};
-  const std::vector<ChangeRun> runs = options.quick ? quick_runs() : full_runs();
+SweepResult run_all(const char* name, const std::vector<ChangeRun>& runs,
+                    const SweepOptions& options) {
+  SweepResult result{name, Table(kColumns), {}};
   for (const ChangeRun& run : runs)
     for (const std::uint64_t seed : options.seeds) {
       result.table.add(ChangeMeasurement(run, seed).row());
       report_progress(options,
-                      "changes: %s, %d hosts, %d balancers, %.0f changes a second, burst %d, "
+                      "%s: %s, %d hosts, %d balancers, %.0f changes a second, burst %d, "
                       "%d breaks, seed %llu",
-                      run.asked ? "asked" : "pushed", run.hosts, run.balancers,
+                      name, run.asked ? "asked" : "pushed", run.hosts, run.balancers,
                       run.changes_per_second, run.burst, run.breaks,
                       static_cast<unsigned long long>(seed));
     }
+  return result;
+}
+
+}  // namespace
+
+SweepResult sweep_bursts(const SweepOptions& options) {
+  std::vector<ChangeRun> runs;
+  for (const int burst : {10, 50, 200, 1000})
+    runs.push_back({false, kAllHosts, 1, 0, burst, 0, std::chrono::milliseconds(0)});
+  SweepResult result = run_all("bursts", runs, options);
+  const Table& t = result.table;
+  const auto by_changes = [&](const std::string& what, const std::string& unit,
+                              const std::string& column) {
+    result.fit(
+        what, "changed hosts", unit,
+        [&t, column](std::size_t row) {
+          return Point{t.at(row, "changes"), t.at(row, column)};
+        },
+        [](std::size_t) { return true; });
+  };
+  by_changes("bytes to a balancer of a changed host in a burst, 1400 hosts", "bytes", "bytes_out");
+  by_changes("balancer CPU of a changed host in a burst, 1400 hosts", "CPU ms", "balancer_cpu_ms");
+  by_changes("calls of a burst", "calls", "calls");
+  by_changes("time until a burst is in force", "ms", "in_force_max_ms");
+  return result;
+}
+
+SweepResult sweep_changes(const SweepOptions& options) {
+  SweepResult result = run_all("changes", options.quick ? quick_runs() : full_runs(), options);
   if (options.quick) return result;
   std::vector<Point> cpu_of_a_change;
   for (const int hosts : kHosts)
