--- a/src/dissemination/source.cc
+++ b/src/dissemination/source.cc
@@ -51,7 +51,6 @@
     return 0;
   auto entry = std::make_shared<Entry>(Entry{log.last() + 1, std::move(key), std::move(value)});
   log.append(entry);
-  if (channel == Channel::kConfiguration) configuration_.put(entry);
   Pacing& pacing = pacing_[index(channel)];
   if (pacing.due == Time::max()) pacing.due = now + settings_.max_delay[index(channel)];
   return log.last();
@@ -132,6 +131,8 @@
 
 void Source::send_batch(Time now, Channel channel, std::vector<EntryPtr> entries) {
   if (!entries.empty()) state_.heads[index(channel)] = entries.back()->sequence;
+  if (channel == Channel::kConfiguration)
+    for (const auto& entry : entries) configuration_.put(entry);
   Batch batch;
   batch.source = state_;
   batch.channel = channel;
--- a/src/dissemination/source.h
+++ b/src/dissemination/source.h
@@ -68,6 +68,7 @@
 
   const SourceState& state() const { return state_; }
   const ChangeLog& log(Channel channel) const { return logs_[index(channel)]; }
+  // Of what was sent: the rest may yet get another successor's number.
   const CompactedLog& configuration() const { return configuration_; }
   InForce in_force(Channel channel, Sequence sequence) const;
   // The same within one region, or one site.
--- a/tests/dissemination_parts_test.cc
+++ b/tests/dissemination_parts_test.cc
@@ -7,6 +7,7 @@
 
 #include "dissemination/relay_tree.h"
 #include "dissemination/send_queue.h"
+#include "dissemination/source.h"
 #include "dissemination/watermark.h"
 
 namespace silverpin::dissemination {
@@ -173,6 +174,26 @@
   EXPECT_EQ(drain(queue, Time{0}), 2000u);
 }
 
+// ---- the source
+
+// Its number may be given anew by a successor that doesn't know the change.
+TEST(SourceTest, ASnapshotHoldsNothingThatWasNotSent) {
+  const auto tree = std::make_shared<RelayTree>(places(1, 1, 2), kStripes);
+  Source source({}, tree, {}, Time{0});
+  source.append(Time{0}, Channel::kConfiguration, "key", "sent");
+  source.on_timer(seconds(1));
+  source.take_sends(seconds(1));
+  source.append(seconds(1), Channel::kConfiguration, "key", "not sent");
+  source.on_message(seconds(1), "r0s0m0", SnapshotRequest{1, 0}, 0);
+  const auto sends = source.take_sends(seconds(1));
+  ASSERT_EQ(sends.size(), 1u);
+  const auto& piece = std::get<SnapshotPiece>(sends[0].message);
+  EXPECT_TRUE(piece.complete);
+  EXPECT_EQ(piece.through, 1u);
+  ASSERT_EQ(piece.entries.size(), 1u);
+  EXPECT_EQ(piece.entries[0]->value, "sent");
+}
+
 // ---- watermarks
 
 Report report(std::string from, Term term, Sequence purge, Sequence configuration) {
