Ask for what is missing sooner, so that a hundredth lost keeps the bound on purges

Cause: with 1% loss the last of 3,563 purges was everywhere after 2.7 s, over the bound of 2.5 s: two rounds of waiting before repair, each up to 300 ms behind the next batch.

Change: gaps in purges are asked for after 60 ms by those who look after them and after 220 ms by the others (100 and 300 before). Retries stay at 200 ms: at 150 ms repair fed on itself on a bad network.

--- a/src/dissemination/replica.h
+++ b/src/dissemination/replica.h
@@ -33,8 +33,8 @@
   // purging key by key, and reads the newest values of the configuration.
   PerChannel<Sequence> max_replay{600, 64};
   // How long a gap may close by itself: for those who ask first in a site, and for the others.
-  PerChannel<Duration> first_wait{std::chrono::milliseconds(100), std::chrono::milliseconds(400)};
-  PerChannel<Duration> wait{std::chrono::milliseconds(300), std::chrono::seconds(1)};
+  PerChannel<Duration> first_wait{std::chrono::milliseconds(60), std::chrono::milliseconds(400)};
+  PerChannel<Duration> wait{std::chrono::milliseconds(220), std::chrono::seconds(1)};
   // Between two requests for the same gap, to one in its region and to the source; doubled each
   // time that nobody has answered, up to the longest.
   Duration retry{std::chrono::milliseconds(200)}, source_retry{std::chrono::milliseconds(300)};
