--- a/src/net/upstream_pool.cc
+++ b/src/net/upstream_pool.cc
@@ -249,7 +249,8 @@
 }
 
 void Upstreams::review() {
-  for (auto& [id, member] : members_) member.pool->review();
+  for (auto& [id, member] : members_)
+    if (!member.pool->empty()) member.pool->review();
 }
 
 void Upstreams::start(AttemptPtr attempt, std::string_view host) {
@@ -291,8 +292,10 @@
   tick_.async_wait([this](const boost::system::error_code& e) {
     if (e) return;
     for (auto it = members_.begin(); it != members_.end();) {
-      it->second.pool->tick();
-      it = it->second.gone && it->second.pool->empty() ? members_.erase(it) : std::next(it);
+      const Member& member = it->second;
+      // Most hosts of a large fleet have neither connections nor attempts here.
+      if (!member.pool->empty()) member.pool->tick();
+      it = member.gone && member.pool->empty() ? members_.erase(it) : std::next(it);
     }
     arm_tick();
   });
--- a/src/rig/scale/balancer_processes.cc
+++ b/src/rig/scale/balancer_processes.cc
@@ -37,6 +37,7 @@
     : folder_(options) {
   for (int i = 0; i < settings.count; ++i) {
     BalancerProcess::Files files;
+    files.listen = context_.loopback.next_endpoint();
     files.platform = [i, settings, dial = discovery.dial(i)](const std::string& listen) {
       ProcessConfiguration configuration;
       configuration.number = i;
--- a/src/rig/scale/sweep_load.cc
+++ b/src/rig/scale/sweep_load.cc
@@ -80,6 +80,7 @@
   };
   BalancerProcess::Files files(std::uint64_t seed) {
     BalancerProcess::Files files;
+    files.listen = context_.loopback.next_endpoint();
     files.platform = [this, seed](const std::string& listen) {
       ProcessConfiguration configuration;
       configuration.listen = listen;
--- a/tests/program_harness.h
+++ b/tests/program_harness.h
@@ -80,18 +80,19 @@
     processes.clear();
     std::filesystem::remove_all(folder);
   }
-  // The processes read their configuration, `settings` and `known` with it, at each start. Each
-  // start takes a port anew: that of an earlier one may be another's by then.
+  // The processes read their configuration, `settings` and `known` with it, at each start.
   void make_processes(int count) {
     for (int i = 0; i < count; ++i) {
       Process::Files files;
-      files.platform = [this](const std::string&) { return config_text(); };
+      files.listen = context.loopback.next_endpoint();
+      files.platform = [this](const std::string& listen) { return config_text(listen); };
       processes.push_back(
           std::make_unique<Process>(context, SILVERPIN_PROGRAM, folder, i, std::move(files)));
     }
   }
-  std::string config_text() const {
-    return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.server.dial() +
+  std::string config_text(const std::string& listen) const {
+    return "{\"name\":\"n\",\"listen\":\"" + listen + "\",\"discovery\":\"" +
+           discovery.server.dial() +
            "\",\"limits\":{\"memory_mb\":32,\"sockets\":" + std::to_string(sockets) +
            "},\"settings\":" + settings +
            (known.empty() ? ""
