Tests of full descriptors: wait until the list is in force, not for 50 ms

Cause: DescriptorTest waited 50 ms between discovery's answer and the request that has to reach the new host.

Change: the test waits for the process's next watch, which it sends once the list is in force; so too for the first list. The checks are the same ones.

--- a/tests/descriptor_test.cc
+++ b/tests/descriptor_test.cc
@@ -64,7 +64,7 @@
     const DescriptorLimit few(kDescriptors);
     processes[0]->start([&] { ready = true; });
   }
-  ASSERT_TRUE(wait([&] { return ready && discovery.answered > 0; }));
+  ASSERT_TRUE(wait([&] { return ready && discovery.watches > 0; }));
   discovery.set(GetParam());
   while (crowd_.size() < kCrowd) crowd_.push_back(client());
   ASSERT_TRUE(wait_in_crowd([&] { return open_descriptors() > kDescriptors / 2; }));
@@ -82,7 +82,8 @@
   const Time back = context.now();
   ASSERT_TRUE(wait_in_crowd([&] { return discovery.answered > calls; }, kListWithin));
   const double fetched = seconds(context.now() - back);
-  run_for(io, std::chrono::milliseconds(50));
+  const int watches = discovery.watches;
+  ASSERT_TRUE(wait_in_crowd([&] { return discovery.watches > watches; }, kListWithin));
   expect_served("2", after);
   EXPECT_EQ(after.server.peers.size(), 1u);
   std::printf("%zu idle clients (%d came again), up to %d of %d descriptors open; list in %.2f s\n",
--- a/tests/program_harness.h
+++ b/tests/program_harness.h
@@ -31,6 +31,7 @@
 
   std::string hosts;
   int answered = 0;  // calls that have been given the whole list
+  int watches = 0;   // calls for what has changed since a list, which is in force by then
   Server server;
 
  private:
@@ -40,7 +41,7 @@
       const bool watch = p.in.substr(0, end).find("index=") != std::string::npos;
       p.in.erase(0, end + 4);
       if (state_ == State::kSilent) continue;
-      answered += !watch;
+      ++(watch ? watches : answered);
       const std::string body = watch ? "{\"seq\":1,\"whole\":false,\"hosts\":[]}"
                                      : "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
       p.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
