--- a/src/rig/balancer_process.cc
+++ b/src/rig/balancer_process.cc
@@ -15,6 +15,9 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <vector>
+
+#include "rig/faults/fault_plan.h"
 
 namespace silverpin::rig {
 namespace {
@@ -92,7 +95,15 @@
   std::string option = "--operator", added = folder_ + "/" + name() + ".toml";
   char* const args[] = {program.data(), files_.added ? option.data() : nullptr, added.data(),
                         nullptr};
-  char* const environment[] = {files_.platform ? env.data() : nullptr, nullptr};
+  std::string faults = std::string(kFaultPlanVariable) + "=" + files_.faults;
+  std::string preload = "LD_PRELOAD=" SILVERPIN_FAULT_LIBRARY;
+  std::string sanitizer = "ASAN_OPTIONS=verify_asan_link_order=0";
+  std::vector<char*> environment;
+  if (files_.platform) environment.push_back(env.data());
+  if (!files_.faults.empty())
+    for (std::string* const added_variable : {&faults, &preload, &sanitizer})
+      environment.push_back(added_variable->data());
+  environment.push_back(nullptr);
   // What is sent to it before it runs the program must not end in the rig's own handlers.
   sigset_t all, before;
   ::sigfillset(&all);
@@ -111,7 +122,7 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the rig, however that ends
     // The rig's sockets are not the balancer's.
     for (int fd = 3; fd < 65'536; ++fd) ::close(fd);
-    ::execve(program.c_str(), args, environment);
+    ::execve(program.c_str(), args, environment.data());
     ::_exit(127);
   }
   ++figures_.starts;
--- a/src/rig/balancer_process.h
+++ b/src/rig/balancer_process.h
@@ -25,6 +25,7 @@
     // Where it listens for clients, at each start. Of the run's own, so that others' connections
     // are not given its port while it is away. Unused by one of a group.
     asio::ip::tcp::endpoint listen{};
+    std::string faults{};  // a FaultPlan's text; empty: none
   };
   BalancerProcess(Context& context, std::string program, std::string folder, int number,
                   Files files);
--- /dev/null
+++ b/src/rig/faults/fault_plan.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace silverpin::rig {
+
+// The environment variable in which a balancer under test gets its plan.
+inline constexpr const char* kFaultPlanVariable = "SILVERPIN_TEST_FAULTS";
+
+// What is wrong with the machine of one balancer under test, as text: "NAME=NUMBER,NAME=NUMBER".
+// The library of preload.cc carries it out. Times count from the start of the process.
+struct FaultPlan {
+  std::int64_t wall_step_s = 0;      // added to the wall clock, and to no other
+  std::int64_t wall_step_at_ms = 0;  // from then on
+  std::int64_t storage_from_ms = 0, storage_until_ms = 0;  // in between, files fail
+  std::int64_t storage_per_thousand = 1000;                // of their writes, syncs and renames
+  std::int64_t calls_per_thousand = 0;                     // of the calls on sockets fail
+  std::int64_t seed = 1;
+
+  // Nothing where a name is unknown or a number cannot be read.
+  static std::optional<FaultPlan> parse(std::string_view text) {
+    FaultPlan plan;
+    while (!text.empty()) {
+      const std::string_view entry = text.substr(0, text.find(','));
+      text.remove_prefix(std::min(text.size(), entry.size() + 1));
+      const auto equals = entry.find('=');
+      if (equals == std::string_view::npos) return std::nullopt;
+      std::int64_t* const value = plan.field(entry.substr(0, equals));
+      if (!value) return std::nullopt;
+      const std::string_view number = entry.substr(equals + 1);
+      const char* const end = number.data() + number.size();
+      const auto [at, error] = std::from_chars(number.data(), end, *value);
+      if (error != std::errc{} || at != end) return std::nullopt;
+    }
+    return plan;
+  }
+
+ private:
+  std::int64_t* field(std::string_view name) {
+    if (name == "wall_step_s") return &wall_step_s;
+    if (name == "wall_step_at_ms") return &wall_step_at_ms;
+    if (name == "storage_from_ms") return &storage_from_ms;
+    if (name == "storage_until_ms") return &storage_until_ms;
+    if (name == "storage_per_thousand") return &storage_per_thousand;
+    if (name == "calls_per_thousand") return &calls_per_thousand;
+    if (name == "seed") return &seed;
+    return nullptr;
+  }
+};
+
+}  // namespace silverpin::rig
--- a/src/rig/main.cc
+++ b/src/rig/main.cc
@@ -137,6 +137,7 @@
       ->check(CLI::Range(1, 7));
   move->add_option("--only", moves.only, "one kind of trouble, as the report names it");
   move->add_option("--seed", moves.seed);
+  move->add_option("--faults", moves.faults, "what is wrong with each process's machine");
   move->add_option("--out", moves.folder, "folder for state and logs (rehearsals/moves)");
   move->add_option("--program", moves.program, "the balancer (silverpin beside this program)");
   move->add_flag("--quiet", quiet, "no progress line");
--- a/src/rig/model/scenario.cc
+++ b/src/rig/model/scenario.cc
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <tuple>
 
+#include "rig/faults/fault_plan.h"
 #include "settings/toml_keys.h"
 
 namespace silverpin::rig {
@@ -203,6 +204,8 @@
     s.connect_timeout = b.time("connect_timeout_ms", 1e-3, 150, 1, 10'000);
     s.connection_idle = b.time("connection_idle_s", 1, 15, 1, 600);
     s.streams = b.whole("streams", 32, 1, 1000);
+    s.faults = b.text("faults", "");
+    if (!FaultPlan::parse(s.faults)) b.bad("faults", "is no list of NAME=NUMBER that is known");
   });
   if (k.has("group"))
     k.table("group", [&](Keys& g) {
--- a/src/rig/model/scenario.h
+++ b/src/rig/model/scenario.h
@@ -178,6 +178,7 @@
   Duration warm_up{0};  // at its start; counts for the rules, not for the figures
   int balancers = 1;
   int memory_mb = 192, sockets = 1024;
+  std::string faults;  // a FaultPlan's text: what is wrong with each balancer's machine
   // So many of the balancers vote on who holds the service address that clients come to; 0: each
   // has an address of its own.
   int group_voters = 0;
--- a/src/rig/moves.cc
+++ b/src/rig/moves.cc
@@ -155,6 +155,7 @@
       BalancerProcess::Files files;
       files.standby = true;
       files.added = [this, i] { return operator_file(i); };
+      files.faults = options.faults;
       processes_.push_back(std::make_unique<BalancerProcess>(context_, options.program,
                                                              options.folder, i, std::move(files)));
     }
--- a/src/rig/moves.h
+++ b/src/rig/moves.h
@@ -15,6 +15,7 @@
   int rounds = 12;
   std::string only;  // one kind of trouble, by its name; empty: all in turn
   std::uint64_t seed = 1;
+  std::string faults;  // a FaultPlan's text, for each process; empty: none
   bool progress = true;
 };
 
--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -218,6 +218,7 @@
     for (int b = 0; b < s.balancers; ++b) {
       BalancerProcess::Files files;
       files.standby = group_ != nullptr;
+      files.faults = s.faults;
       files.listen = s.memcache() ? run_.context.loopback.next_endpoint()
                                   : listeners_.front()[static_cast<std::size_t>(b)];
       if (s.memcache())
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -140,10 +140,10 @@
 };
 
 inline std::string host_entry(const std::string& id, const std::string& dial,
-                              const std::string& kind = "std",
-                              const std::string& health = "ready") {
+                              const std::string& kind = "std", const std::string& health = "ready",
+                              std::int64_t born_ms = 0) {
   return "{\"host\":\"" + id + "\",\"dial\":\"" + dial + "\",\"class\":\"" + kind +
-         "\",\"health\":\"" + health + "\",\"born_ms\":0}";
+         "\",\"health\":\"" + health + "\",\"born_ms\":" + std::to_string(born_ms) + "}";
 }
 
 // The cache host of a test: hands each whole command line to `answer` and sends what it returns.
--- a/tests/program_harness.h
+++ b/tests/program_harness.h
@@ -87,6 +87,7 @@
       Process::Files files;
       files.listen = context.loopback.next_endpoint();
       files.platform = [this](const std::string& listen) { return config_text(listen); };
+      files.faults = faults;
       processes.push_back(
           std::make_unique<Process>(context, SILVERPIN_PROGRAM, folder, i, std::move(files)));
     }
@@ -113,6 +114,7 @@
   rig::Context context{io, scenario};
   SwitchableDiscovery discovery{io};
   std::string folder, settings = test_settings(), known;
+  std::string faults;  // of their machines; see rig/faults/fault_plan.h
   int sockets = 256;
   std::vector<std::unique_ptr<Process>> processes;
 };
--- a/tests/rig/moves_test.cc
+++ b/tests/rig/moves_test.cc
@@ -30,6 +30,20 @@
   std::filesystem::remove_all(name);
 }
 
+// Each process starts while no file can be written or synced. Once that is over its voters vote.
+TEST(MovesTest, VotersWhoseStorageFailsAtTheStartVoteOnceItWorks) {
+  char name[] = "/tmp/silverpin-moves-XXXXXX";
+  ASSERT_NE(::mkdtemp(name), nullptr);
+  MoveOptions options;
+  options.program = SILVERPIN_PROGRAM;
+  options.folder = name;
+  options.rounds = 1;
+  options.progress = false;
+  options.faults = "storage_until_ms=1500";
+  EXPECT_EQ(run_moves(options), 0);
+  std::filesystem::remove_all(name);
+}
+
 TEST(MovesTest, AnUnknownTroubleIsNamed) {
   MoveOptions options;
   options.program = SILVERPIN_PROGRAM;
--- /dev/null
+++ b/tests/wall_clock_test.cc
@@ -0,0 +1,67 @@
+// The machine's wall clock is wrong when a balancer starts. A cache host's age decides how much it
+// is sent; the age must not come from that clock.
+#include "program_harness.h"
+
+namespace silverpin::node {
+namespace {
+
+constexpr int kKeys = 200;
+
+std::int64_t unix_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+class WallClockTest : public ProcessTest {
+ protected:
+  // Starts a balancer before two hosts, of which one has just started.
+  void begin(std::int64_t wall_step_s, const std::string& warm_after_ns) {
+    faults = "wall_step_s=" + std::to_string(wall_step_s);
+    settings.insert(settings.rfind('}'),
+                    ",\"rules\":{\"startCapacity\":0.01,\"warmAfter\":" + warm_after_ns + "}");
+    discovery.hosts = host_entry("old", old_host.server.dial()) + "," +
+                      host_entry("new", new_host.server.dial(), "std", "ready", unix_ms());
+    make_processes(1);
+    bool ready = false;
+    processes.front()->start([&ready] { ready = true; });
+    ASSERT_TRUE(wait([&] { return ready && discovery.watches > 0; }));
+  }
+  // The part of the keys, each asked for once, that the new host is asked for.
+  double part_of_new_host() {
+    const std::size_t before = new_host.ids.size();
+    const auto c = client();
+    for (int key = 0; key < kKeys; ++key) {
+      c->in.clear();
+      c->send("mg key-" + std::to_string(key) + " v O" + std::to_string(++last_id) +
+              " Pc=read,t=acme,d=5000\r\n");
+      EXPECT_TRUE(wait([&] { return c->in.ends_with("v\r\n"); })) << c->in;
+    }
+    return static_cast<double>(new_host.ids.size() - before) / kKeys;
+  }
+
+  static std::string serve(const std::string&, const std::string& id) {
+    return FakeCache::value(id, "v");
+  }
+  FakeCache old_host{io, serve}, new_host{io, serve};
+  int last_id = 0;
+};
+
+TEST_F(WallClockTest, AnHourAheadWarmsNoColdHost) {
+  begin(3600, "600000000000");
+  EXPECT_LT(part_of_new_host(), 0.2);
+}
+
+TEST_F(WallClockTest, AnHourBehindKeepsNoHostCold) {
+  begin(-3600, "1000000000");
+  run_for(io, std::chrono::milliseconds(1500));
+  EXPECT_GT(part_of_new_host(), 0.3);
+}
+
+TEST_F(WallClockTest, ARightOneTellsTheSame) {
+  begin(0, "600000000000");
+  EXPECT_LT(part_of_new_host(), 0.2);
+}
+
+}  // namespace
+}  // namespace silverpin::node
