Ages of cache hosts come from the monotonic clock and from what hosts say of each other

Cause: src/net/clock.h anchored all times to the wall clock of the start, and HostHealth::warmth compared born_ms with it: an hour ahead every cold host passed for warm, an hour behind none ever warmed. The hand-over and the file of operators' words carried such times to the next process. Change: Clock is the steady clock. recovery::HostAgeEstimator bounds the true Unix time from below (no host has started in the future; a Date of discovery's), capped by the wall clock, so that a host counts as no older than it is and as no younger than since it was first heard of. A list's word for a start (born) tells starts apart, and never is a time. Hand-over and file carry ages. Rejected: holding a host that is new to a list to the age of the list before it: a host that a partition took off the list would start cold again.

--- a/src/core/server_pool.cc
+++ b/src/core/server_pool.cc
@@ -47,6 +47,7 @@
       site_(site),
       subscribe_(std::move(subscribe)),
       steering_(steering),
+      host_ages_(clock.wall_offset()),
       due_(clock.now(), kTimerTick),
       timer_(io),
       policy_(site.policy, seed, clock.now(), *this, steering ? &steering->placement() : nullptr),
@@ -72,7 +73,7 @@
   attempt->until = until;
   attempt->unsafe = call.unsafe;
   if (steering_) steering_->prepare(*attempt);
-  if (const auto* host_now = policy_.host(host)) attempt->host_started = host_now->started_at;
+  if (const auto* host_now = policy_.host(host)) attempt->host_born = host_now->born();
   const RequestClass& klass = site_.policy.classes[static_cast<std::size_t>(call.klass)];
   if (klass.repeat == Repeat::kKeyed) {
     if (call.may_run_since) {
@@ -318,8 +319,8 @@
       now() >= attempt.begin_by || !it->second.caller->may_go_out() || !is_there(it->second))
     return Permit::kOver;
   const auto* host = policy_.host(attempt.host);
-  return host && host->takes_new() && host->started_at == attempt.host_started ? Permit::kGo
-                                                                               : Permit::kElsewhere;
+  const bool same = host && host->takes_new() && host->born() == attempt.host_born;
+  return same ? Permit::kGo : Permit::kElsewhere;
 }
 
 // The first byte is the answer: no other attempt may serve from here on. From now on both sides'
@@ -359,17 +360,36 @@
 
 void ServerPool::on_list(const HostList& list) {
   upstreams_.apply(list);
+  learn_unix_time(list);
   std::vector<HostEntry> entries;
   for (const ListedHost& host : list.hosts) {
     if (host.origin) origin_ = host.id;
     entries.push_back(
-        {host.id, host.started_at, host.origin, host.zone, host.cell, host.state, host.weight});
+        {host.id, start_of(host), host.origin, host.zone, host.cell, host.state, host.weight});
   }
   policy_.on_hosts(now(), list.whole ? ListKind::kWhole : ListKind::kChanges, entries);
   upstreams_.review();
   forget_finished();
 }
 
+void ServerPool::learn_unix_time(const HostList& list) {
+  if (list.sent_at) host_ages_.on_unix_time(now(), *list.sent_at);
+  for (const ListedHost& host : list.hosts)
+    if (host.born) host_ages_.on_unix_time(now(), *host.born + host.age.value_or(Duration{0}));
+}
+
+std::optional<HostStart> ServerPool::start_of(const ListedHost& host) const {
+  if (!host.born) return std::nullopt;
+  const Time at = host.age ? now() - *host.age : host_ages_.started(now(), *host.born);
+  return HostStart{*host.born, at};
+}
+
+std::optional<Duration> ServerPool::age_of(std::string_view id) const {
+  const auto* host = policy_.host(id);
+  if (!host || !host->start) return std::nullopt;
+  return now() - host->start->at;
+}
+
 bool ServerPool::maintain(std::string_view host, bool out) {
   const bool known = policy_.on_maintenance(now(), host, out);
   upstreams_.review();
--- a/src/core/server_pool.h
+++ b/src/core/server_pool.h
@@ -17,6 +17,7 @@
 #include "net/request.h"
 #include "net/upstream_pool.h"
 #include "policy/policy.h"
+#include "recovery/host_age.h"
 #include "recovery/standing.h"
 #include "settings/settings.h"
 
@@ -51,6 +52,8 @@
 
   void on_list(const HostList& list);
   void on_list_refused();
+  // Of a host's last start; nothing where it is not listed, or started long ago.
+  std::optional<Duration> age_of(std::string_view id) const;
   // From now on what would go to hosts other than the origin waits after a standstill, until a list
   // has come that was asked for since; see recovery::Standing. `confirm` asks for one, from the
   // event loop and not before it returns; `log` gets a line at the end of each standstill.
@@ -106,6 +109,8 @@
 
   // AttemptEvents
   Time now() const override { return clock_.now(); }
+  void learn_unix_time(const HostList& list);
+  std::optional<HostStart> start_of(const ListedHost& host) const;
   Permit permit(const Attempt& attempt) const override;
   void on_begin(const AttemptPtr& attempt, const StreamPtr& stream) override;
   void on_end(const AttemptPtr& attempt, Result result, std::string value) override;
@@ -132,6 +137,7 @@
     AttemptPtr attempt;
     std::uint64_t tag = 0;
   };
+  recovery::HostAgeEstimator host_ages_;
   TimingWheel<Due> due_;
   std::deque<Due> due_now_;  // not worked off yet
   bool working_off_ = false;
--- a/src/model/plant.cc
+++ b/src/model/plant.cc
@@ -298,7 +298,7 @@
   e.origin = host.origin;
   e.zone = host.zone;
   e.state = host.state;
-  e.started_at = host.started_at;
+  if (host.started_at) e.start = HostStart::exactly(*host.started_at);
   return e;
 }
 
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -28,7 +28,7 @@
   bool parked = false;    // held back, so that it has not gone anywhere yet
   bool assigned = false;  // to a connection
   // Of the host's process that was decided on; another one under its name is another decision.
-  std::optional<Time> host_started;
+  std::optional<UnixTime> host_born;
   // Its first byte goes out before this or not at all: behind it repeats are not discarded any
   // more.
   Time begin_by = Time::max();
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -6,18 +6,20 @@
 
 namespace silverpin {
 
-// One clock for all decisions: it never jumps, and is anchored to Unix time at the start so that
-// the times at which hosts say they started compare with it.
+// The monotonic clock, on which all decisions run. Wall clocks are set, forward and back; they are
+// read for nothing but the offset below.
 class Clock {
  public:
-  Time now() const { return std::chrono::steady_clock::now().time_since_epoch() + offset_; }
+  Time now() const { return std::chrono::steady_clock::now().time_since_epoch(); }
   std::chrono::steady_clock::time_point steady(Time t) const {
-    return std::chrono::steady_clock::time_point(t - offset_);
+    return std::chrono::steady_clock::time_point(t);
   }
+  // What the wall clock showed less what this one showed at the start; it may be wrong.
+  Duration wall_offset() const { return wall_offset_; }
 
  private:
-  Duration offset_ = std::chrono::system_clock::now().time_since_epoch() -
-                     std::chrono::steady_clock::now().time_since_epoch();
+  Duration wall_offset_ = std::chrono::system_clock::now().time_since_epoch() -
+                          std::chrono::steady_clock::now().time_since_epoch();
 };
 
 }  // namespace silverpin
--- a/src/net/upstream_pool.cc
+++ b/src/net/upstream_pool.cc
@@ -28,9 +28,9 @@
 void UpstreamPool::set_host(const ListedHost& host) {
   // What is in the pool leads to the old process or the old address, also what is coming up or has
   // attempts out. Where an address has passed to another host, that one would get them.
-  const bool moved = (host.dial && dial_ && host.dial != dial_) || host.started_at != started_at_;
+  const bool moved = (host.dial && dial_ && host.dial != dial_) || host.born != born_;
   if (host.dial) dial_ = host.dial;
-  started_at_ = host.started_at;
+  born_ = host.born;
   origin_ = host.origin;
   if (moved) retire();
 }
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -80,7 +80,7 @@
   std::size_t& open_;
   FreeDescriptor free_descriptor_;
   std::optional<Endpoint> dial_;
-  std::optional<Time> started_at_;
+  std::optional<UnixTime> born_;
   bool origin_ = false;
   pool::Sharing sharing_;
   std::vector<std::shared_ptr<UpstreamConnection>> all_;    // by the module's names for them
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -83,7 +83,7 @@
     }
     out.port = h.dial->port();
   }
-  out.started_at = h.started_at;
+  out.born = h.born;
   out.origin = h.origin;
   out.zone = h.zone;
   out.cell = h.cell;
@@ -93,7 +93,9 @@
 }
 
 HostList list_of(const handover::Snapshot& s) {
-  HostList list{s.seq, true, {}};
+  HostList list;
+  list.seq = s.seq;
+  list.whole = true;
   for (const handover::Host& h : s.hosts) {
     ListedHost host;
     host.id = h.id;
@@ -106,7 +108,8 @@
       std::copy(h.address.begin(), h.address.end(), bytes.begin());
       host.dial = Endpoint(boost::asio::ip::address_v6(bytes), h.port);
     }
-    host.started_at = h.started_at;
+    host.born = h.born;
+    host.age = h.age;
     host.origin = h.origin;
     host.zone = h.zone;
     host.cell = h.cell;
@@ -334,7 +337,7 @@
       for (const auto& h : s.hosts)
         if (h.share < 1) learnt.shares.emplace_back(h.id, h.share);
       memcache_->pool.take_up(learnt);
-      for (const auto& w : s.words) memcache_->pool.restore(w.host, {w.out, w.at});
+      for (const auto& w : s.words) restore(w);
       if (s.away) send_away(true);
     }
     passed_ = std::move(from.sockets);
@@ -343,7 +346,7 @@
   }
   if (!from.link || from.snapshot.version > handover::kVersion) {
     if (const auto kept = Upgrade::read_words(config.folder, config.name)) {
-      for (const auto& w : kept->words) memcache_->pool.restore(w.host, {w.out, w.at});
+      for (const auto& w : kept->words) restore(w);
       log_(std::to_string(kept->words.size()) + " operators' words taken from their file");
     }
     // Where another process listens that could not be asked, it holds some of the limits.
@@ -373,7 +376,7 @@
             return handover::Share{open * 2 + kNeedsMore, open * kWholeValue + kWholeValue};
           },
           [this](const handover::Word& w) {
-            memcache_->pool.restore(w.host, {w.out, w.at});
+            restore(w);
             log_("cache host " + w.host + (w.out ? " taken out" : " put back") +
                  " by an operator, at the other process");
           },
@@ -400,7 +403,10 @@
   handover::Snapshot s;
   s.listed = memcache_->listed;
   s.seq = memcache_->seq;
-  for (const auto& [id, h] : memcache_->hosts) s.hosts.push_back(host_of(h));
+  for (const auto& [id, h] : memcache_->hosts) {
+    s.hosts.push_back(host_of(h));
+    if (h.born) s.hosts.back().age = memcache_->pool.age_of(id);
+  }
   const Policy::Learnt learnt = memcache_->pool.learnt();
   s.work_rate = learnt.work_rate;
   s.origin_open = learnt.origin;
@@ -408,7 +414,7 @@
   const std::map<std::string, double> shares(learnt.shares.begin(), learnt.shares.end());
   for (handover::Host& h : s.hosts)
     if (const auto at = shares.find(h.id); at != shares.end()) h.share = at->second;
-  for (const auto& [id, w] : memcache_->pool.words()) s.words.push_back({id, w.out, w.at});
+  s.words = words();
   s.away = away_;
   for (const ClientListener* l : listeners()) s.listeners.push_back(text_of(l->local()));
   return s;
@@ -440,15 +446,26 @@
 
 // ---- operators' calls
 
+std::vector<handover::Word> Balancer::words() const {
+  std::vector<handover::Word> all;
+  for (const auto& [id, word] : memcache_->pool.words())
+    all.push_back({id, word.out, clock_.now() - word.at});
+  return all;
+}
+
+void Balancer::restore(const handover::Word& word) {
+  memcache_->pool.restore(word.host, {word.out, clock_.now() - word.age});
+}
+
 bool Balancer::maintain(std::string_view host, bool out) {
   if (!memcache_ || !memcache_->pool.maintain(host, out)) return false;
   log_("cache host " + std::string(host) + (out ? " taken out" : " put back") + " by an operator");
   if (!upgrade_) return true;
-  const auto& words = memcache_->pool.words();
-  if (const auto w = words.find(host); w != words.end())
-    upgrade_->tell(handover::Word{w->first, w->second.out, w->second.at});
+  const auto& all = memcache_->pool.words();
+  if (const auto w = all.find(host); w != all.end())
+    upgrade_->tell(handover::Word{w->first, w->second.out, clock_.now() - w->second.at});
   handover::Snapshot kept;
-  for (const auto& [id, w] : words) kept.words.push_back({id, w.out, w.at});
+  kept.words = words();
   upgrade_->keep_words(kept);
   return true;
 }
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -91,6 +91,8 @@
   void open();
   void follow(Predecessor& from, const Config& config);
   handover::Snapshot snapshot();
+  std::vector<handover::Word> words() const;
+  void restore(const handover::Word& word);
   std::vector<ClientListener*> listeners();
   // Carries out what Upgrade::turn() says.
   void take_turn();
--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "node/discovery_list.h"
+#include "node/http_date.h"
 #include "settings/json.h"
 
 namespace silverpin::node {
@@ -163,7 +164,8 @@
       complain(Cause::kStatus, "has status " + std::to_string(message.result_int()));
     return fail(Failure::kRefused);
   }
-  const auto fault = apply(message.body());
+  const auto date = parse_http_date(std::string(message[http::field::date]));
+  const auto fault = apply(message.body(), date);
   if (fault) {
     complain(Cause::kNoList,
              "of " + std::to_string(message.body().size()) + " bytes is no list: " + *fault);
@@ -179,11 +181,13 @@
   arm();
 }
 
-std::optional<std::string> Discovery::apply(const std::string& body) {
+std::optional<std::string> Discovery::apply(const std::string& body,
+                                            std::optional<UnixTime> sent_at) {
   try {
     simdjson::dom::element root;
     if (const auto error = json_.parse(body).get(root)) return simdjson::error_message(error);
     HostList list = read_host_list(json::as<simdjson::dom::object>(root, "list"), site_);
+    list.sent_at = sent_at;
     if (body.size() > kSmallList) json_ = simdjson::dom::parser();
     const bool counts = schedule_.on_list(list.seq, list.whole);
     if (!counts) list.hosts.clear();
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -70,7 +70,7 @@
   void hang_up();
   void arm();
   // Why the body is no list; nothing if it has been applied.
-  std::optional<std::string> apply(const std::string& body);
+  std::optional<std::string> apply(const std::string& body, std::optional<UnixTime> sent_at);
   void fail(Failure failure);
   void complain(Cause cause, const std::string& why);
   void complain_of_size();
--- a/src/node/discovery_list.cc
+++ b/src/node/discovery_list.cc
@@ -29,7 +29,7 @@
   if (!host.dial && host.state == HostState::kServing) bad("dial", "is no address");
   const auto born_ms = get_or<std::int64_t>(o, "born_ms", 0);
   if (born_ms > 0 && born_ms < 9'000'000'000'000)
-    host.started_at = std::chrono::milliseconds(born_ms);
+    host.born = UnixTime(std::chrono::milliseconds(born_ms));
   const auto kind = get_or<std::string_view>(o, "class", "");
   host.origin = kind == "origin" || index_of(site.kinds, kind) == site.origin_kind;
   host.zone = index_of(site.zones, get_or<std::string_view>(o, "site", ""));
--- a/src/policy/host_health.h
+++ b/src/policy/host_health.h
@@ -34,6 +34,8 @@
   bool ejected(Time now) const { return now < ejected_until_; }
 
   void on_start(Time started, double jitter);
+  // That start was earlier than thought.
+  void on_older(Time started) { started_ = std::min(started_, started); }
   double warmth(Time now, const ColdRule& rule) const;  // its share of full capacity, 1 once warm
   // Slow start. `normal_rate` is the work (seconds a second) that this balancer gives a warm host
   // of the same size; a cold one may get that times its warmth. The sum over any window is bounded.
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -107,6 +107,7 @@
   for (const auto& [kind, index, at] : news) {
     const Host& host = roster_[index];
     if (kind == Kind::kStarted || kind == Kind::kCalledBack) health_[index].on_start(at, uniform());
+    if (kind == Kind::kOlder) health_[index].on_older(at);
     if (kind == Kind::kTakenOut || kind == Kind::kCalledBack) sink_.close_idle(host.id);
     if (kind == Kind::kJoined) joined.push_back({index, host.id, host.weight});
     if (kind == Kind::kForgotten) health_[index] = {};
--- a/src/proto/handover_wire.cc
+++ b/src/proto/handover_wire.cc
@@ -20,14 +20,15 @@
 void put(const Word& w, pb::Word& to) {
   to.set_host(w.host);
   to.set_out(w.out);
-  to.set_at(w.at.count());
+  to.set_age(w.age.count());
 }
 
 void put(const Host& h, pb::Host& to) {
   to.set_id(h.id);
   to.set_address(h.address);
   to.set_port(h.port);
-  if (h.started_at) to.set_started_at(h.started_at->count());
+  if (h.born) to.set_born(h.born->time_since_epoch().count());
+  if (h.age) to.set_age(h.age->count());
   to.set_origin(h.origin);
   to.set_zone(h.zone);
   to.set_cell(h.cell);
@@ -78,9 +79,11 @@
 
 Share share_of(const pb::Share& s) { return {s.descriptors(), s.bytes()}; }
 
+bool is_age(std::int64_t ns) { return ns >= 0 && ns <= kMaxAge.count(); }
+
 std::optional<Word> word_of(const pb::Word& w) {
-  if (w.host().empty() || w.host().size() > kMaxId || w.at() < 0) return std::nullopt;
-  return Word{w.host(), w.out(), Time(w.at())};
+  if (w.host().empty() || w.host().size() > kMaxId || !is_age(w.age())) return std::nullopt;
+  return Word{w.host(), w.out(), Duration(w.age())};
 }
 
 std::optional<Host> host_of(const pb::Host& h) {
@@ -89,12 +92,14 @@
   if (!h.address().empty() && h.address().size() != 4 && h.address().size() != 16)
     return std::nullopt;
   if (h.zone() < 0 || h.cell() < 0 || !std::isfinite(h.weight())) return std::nullopt;
-  if (h.has_started_at() && h.started_at() < 0) return std::nullopt;
+  if (h.has_born() && h.born() < 0) return std::nullopt;
+  if (h.has_age() && (!h.has_born() || !is_age(h.age()))) return std::nullopt;
   Host host;
   host.id = h.id();
   host.address = h.address();
   host.port = static_cast<std::uint16_t>(h.port());
-  if (h.has_started_at()) host.started_at = Time(h.started_at());
+  if (h.has_born()) host.born = UnixTime(Duration(h.born()));
+  if (h.has_age()) host.age = Duration(h.age());
   host.origin = h.origin();
   host.zone = h.zone();
   host.cell = h.cell();
--- a/src/proto/handover_wire.h
+++ b/src/proto/handover_wire.h
@@ -8,12 +8,12 @@
 #include <variant>
 #include <vector>
 
+#include "structures/time.h"
+
 // The messages between a balancer and the one that takes its place: protocol buffers, checked like
 // any peer's. No I/O.
 namespace silverpin::handover {
 
-using Time = std::chrono::nanoseconds;  // since the Unix epoch
-
 inline constexpr std::uint32_t kVersion = 1;
 // A packet of the system's is bounded; so are the entries of one part, and what a whole snapshot
 // may come to.
@@ -24,6 +24,7 @@
 inline constexpr std::size_t kMaxDescriptors = 16;  // beside one message
 inline constexpr std::size_t kMaxInput = 16u << 10;
 inline constexpr std::size_t kMaxId = 256;
+inline constexpr Duration kMaxAge = std::chrono::hours(24 * 365 * 100);
 
 struct Share {
   std::uint64_t descriptors = 0, bytes = 0;
@@ -34,7 +35,8 @@
   std::string id;
   std::string address;  // 4 or 16 bytes, or none
   std::uint16_t port = 0;
-  std::optional<Time> started_at;
+  std::optional<UnixTime> born;  // its last start, as discovery says it
+  std::optional<Duration> age;   // since that start, as far as the sender knows
   bool origin = false;
   int zone = 0, cell = 0;
   int state = 0;  // 0 to 2, as silverpin::HostState
@@ -46,7 +48,7 @@
 struct Word {
   std::string host;
   bool out = false;
-  Time at{0};
+  Duration age{0};  // since it came to hold
   bool operator==(const Word&) const = default;
 };
 
--- a/src/rig/faults/preload.cc
+++ b/src/rig/faults/preload.cc
@@ -195,6 +195,15 @@
   return next(from, to);
 }
 
+int bind(int fd, const sockaddr* to, socklen_t n) noexcept {
+  NEXT(bind);
+  const bool makes_file = to && to->sa_family == AF_UNIX;
+  if (makes_file && storage_is_down() &&
+      draw() < static_cast<unsigned>(state().plan.storage_per_thousand))
+    return storage_error();
+  return next(fd, to, n);
+}
+
 // ---- sockets
 
 int socket(int domain, int type, int protocol) noexcept {
--- a/src/roster/roster.cc
+++ b/src/roster/roster.cc
@@ -29,10 +29,7 @@
     host.zone = e.zone;
     host.cell = e.cell;
     host.state = e.state;
-    if (e.started_at != host.started_at) {
-      host.started_at = e.started_at;
-      if (e.started_at) news.push_back({News::Kind::kStarted, index, *e.started_at});
-    }
+    take_start(index, e.start, news);
     const auto word = is_new ? words_.find(e.id) : words_.end();
     if (word != words_.end()) heed(index, word->second, news);
     if (host.placed() && !was_placed) {
@@ -55,6 +52,19 @@
   return news;
 }
 
+void Roster::take_start(Index i, const std::optional<HostStart>& start, std::vector<News>& news) {
+  Host& host = hosts_[i];
+  const bool same = start ? host.born() == start->born : !host.start;
+  if (!same) {
+    host.start = start;
+    if (start) news.push_back({News::Kind::kStarted, i, start->at});
+  } else if (start && start->at < host.start->at) {
+    host.start = start;
+    // One that was called back has started since, whatever its list still says.
+    if (!words_.contains(host.id)) news.push_back({News::Kind::kOlder, i, start->at});
+  }
+}
+
 // Facts beside the lists': a host is used only where both allow it, and leaving a list or coming
 // back on one changes nothing.
 std::vector<Roster::News> Roster::restore(std::string_view id, Word word) {
@@ -86,8 +96,8 @@
   if (word.out) {
     news.push_back({News::Kind::kTakenOut, i});
   } else {
-    news.push_back(
-        {News::Kind::kCalledBack, i, std::max(word.at, host.started_at.value_or(word.at))});
+    const Time listed = host.start ? host.start->at : word.at;
+    news.push_back({News::Kind::kCalledBack, i, std::max(word.at, listed)});
   }
 }
 
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -17,9 +17,18 @@
 
 enum class HostState { kServing, kDraining, kGone };
 
+// One start of a cache host.
+struct HostStart {
+  UnixTime born;  // as the list says it: another value is another start
+  Time at{0};     // on this process's clock, as far as is known; the host is no younger
+
+  // Where host and process share one clock, as in a simulation.
+  static HostStart exactly(Time at) { return {UnixTime(at), at}; }
+};
+
 struct HostEntry {
   std::string_view id;
-  std::optional<Time> started_at;
+  std::optional<HostStart> start;  // none: long ago
   bool origin = false;
   int zone = 0;
   int cell = 0;
@@ -45,8 +54,11 @@
     HostState state = HostState::kGone;
     bool out = false;  // by an operator's word
     double weight = 1;
-    std::optional<Time> started_at;
+    std::optional<HostStart> start;
     int held = 0;  // so many still name it: it is not forgotten meanwhile
+    std::optional<UnixTime> born() const {
+      return start ? std::optional(start->born) : std::nullopt;
+    }
     bool takes_new() const { return state == HostState::kServing && !out; }
     // Caches that are listed have a place among those that keys may lie on.
     bool placed() const { return !origin && state != HostState::kGone; }
@@ -61,6 +73,7 @@
   struct News {
     enum class Kind {
       kStarted,     // a list tells of another start, at `at`
+      kOlder,       // the start that is known was earlier than thought, at `at`
       kTakenOut,    // by an operator's word
       kCalledBack,  // by one; `at`: since when its process is another at the earliest
       kJoined,      // has a place from now on
@@ -95,6 +108,7 @@
   double weight() const { return placed_weight_; }    // of all that have a place
 
  private:
+  void take_start(Index i, const std::optional<HostStart>& start, std::vector<News>& news);
   void heed(Index i, const Word& word, std::vector<News>& news);
   bool forget_if_gone(Index i);
 
--- a/src/sim/wire.cc
+++ b/src/sim/wire.cc
@@ -169,7 +169,7 @@
     HostEntry entry;
     entry.id = need<std::string_view>(r, "host");
     const auto started = get_or<std::int64_t>(r, "startedAt", 0);
-    if (started != 0) entry.started_at = Time{started};
+    if (started != 0) entry.start = HostStart::exactly(Time{started});
     entry.origin = get_or<std::int64_t>(r, "hw", -2) == options->origin_kind;
     entry.zone = small(get_or<std::int64_t>(r, "rackZone", 0), "rackZone");
     entry.cell = small(get_or<std::int64_t>(r, "pack", 0), "pack");
--- a/src/structures/time.h
+++ b/src/structures/time.h
@@ -7,6 +7,8 @@
 
 using Duration = std::chrono::nanoseconds;
 using Time = std::chrono::nanoseconds;  // since an epoch of the caller's choosing
+// What a wall clock shows, here or on another machine. Never compared with a Time.
+using UnixTime = std::chrono::sys_time<std::chrono::nanoseconds>;
 
 inline double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 inline Duration from_seconds(double s) {
--- a/tests/crossings_test.cc
+++ b/tests/crossings_test.cc
@@ -291,7 +291,7 @@
       case Change::kGoes:
         return list({listed("g", to)});
       case Change::kRestarts:
-        h.started_at = clock.now() - std::chrono::hours(1);
+        h.born = UnixTime(std::chrono::hours(1));
         h.dial = to;
         return list({h});
       case Change::kMoves:
--- a/tests/handover_test.cc
+++ b/tests/handover_test.cc
@@ -19,7 +19,8 @@
   h.id = id;
   h.address = std::string("\x7f\0\0\1", 4);
   h.port = 11211;
-  h.started_at = seconds(3);
+  h.born = UnixTime(seconds(3));
+  h.age = seconds(7);
   h.cell = 2;
   h.state = 1;
   h.weight = 0.5;
@@ -28,7 +29,7 @@
 
 std::vector<Message> examples() {
   Snapshot s;
-  s.hosts = {host("s-1"), Host{"s-2", "", 0, {}, true, 0, 0, 0, 1}};
+  s.hosts = {host("s-1"), Host{"s-2", "", 0, {}, {}, true, 0, 0, 0, 1}};
   s.words = {{"s-1", true, seconds(4)}};
   s.seq = 41;
   s.listed = s.away = true;
--- /dev/null
+++ b/tests/host_age_test.cc
@@ -0,0 +1,78 @@
+// How old cache hosts are, by a clock that cannot be set.
+#include "recovery/host_age.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace silverpin::recovery {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::seconds;
+
+// The true Unix time where this process's clock shows zero.
+const UnixTime kOrigin{hours(24 * 365 * 56)};
+
+UnixTime unix_at(Time t) { return kOrigin + t; }
+
+struct WallClock {
+  const char* name;
+  Duration wrong_by;
+};
+
+class HostAgeTest : public ::testing::TestWithParam<WallClock> {
+ protected:
+  HostAgeEstimator ages{kOrigin.time_since_epoch() + GetParam().wrong_by};
+};
+INSTANTIATE_TEST_SUITE_P(WallClocks, HostAgeTest,
+                         ::testing::Values(WallClock{"Right", hours(0)},
+                                           WallClock{"AnHourAhead", hours(1)},
+                                           WallClock{"AnHourBehind", hours(-1)},
+                                           WallClock{"SecondsAhead", seconds(3)},
+                                           WallClock{"SecondsBehind", seconds(-3)},
+                                           WallClock{"AtTheEpoch", -kOrigin.time_since_epoch()}),
+                         [](const auto& i) { return i.param.name; });
+
+TEST_P(HostAgeTest, WhoeverHasJustStartedIsNew) {
+  const Time now = seconds(100);
+  ages.on_unix_time(now, unix_at(now));
+  EXPECT_EQ(ages.started(now, unix_at(now)), now);
+}
+
+TEST_P(HostAgeTest, NobodyIsOlderThanItIsOrYoungerThanWhatIsKnownOfIt) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    std::mt19937_64 random(seed);
+    HostAgeEstimator estimator(kOrigin.time_since_epoch() + GetParam().wrong_by);
+    for (Time now = seconds(50); now < seconds(150); now += seconds(1 + random() % 9)) {
+      const Time started = now - seconds(random() % 4000);
+      estimator.on_unix_time(now, unix_at(started));
+      EXPECT_GE(estimator.started(now, unix_at(started)), started);
+      EXPECT_LE(estimator.started(now, unix_at(started)), now);
+    }
+  }
+}
+
+// What hosts say of each other: the one that started last was not in the future.
+TEST(HostAge, OthersStartsBoundAnAgeFromBelow) {
+  HostAgeEstimator ages(kOrigin.time_since_epoch() + hours(1));
+  const Time now = seconds(100);
+  ages.on_unix_time(now, unix_at(seconds(98)));
+  EXPECT_EQ(ages.started(now, unix_at(seconds(38))), seconds(40)) << "60 s before that one";
+  EXPECT_EQ(ages.started(now, unix_at(seconds(98))), now);
+  // Later the bound has moved with the clock.
+  EXPECT_EQ(ages.started(seconds(110), unix_at(seconds(105))), seconds(107));
+}
+
+// One whose own clock is ahead makes no other look old.
+TEST(HostAge, AHostFromTheFutureMakesNobodyOld) {
+  HostAgeEstimator ages(kOrigin.time_since_epoch());
+  const Time now = seconds(100);
+  ages.on_unix_time(now, unix_at(now + hours(1)));
+  EXPECT_EQ(ages.started(now, unix_at(seconds(99))), seconds(99));
+  EXPECT_EQ(ages.started(now, unix_at(now + hours(1))), now) << "and is not cold for an hour";
+}
+
+}  // namespace
+}  // namespace silverpin::recovery
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -244,7 +244,7 @@
   });
   HostList list;
   list.whole = true;
-  list.hosts.push_back({.id = "n", .dial = node.server.local(), .started_at = {}});
+  list.hosts.push_back({.id = "n", .dial = node.server.local(), .born = {}, .age = {}});
   upstreams.apply(list);
   const auto ask = [&](const std::string& key) {
     auto payload = std::make_shared<RespPayload>();
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -92,7 +92,7 @@
   // Off the list, on it again with a new start, and by a whole list.
   HostEntry gone = entry(owner), back = entry(owner);
   gone.state = HostState::kGone;
-  back.started_at = seconds(3);
+  back.start = HostStart::exactly(seconds(3));
   policy.on_hosts(seconds(3), ListKind::kChanges, {gone});
   policy.on_hosts(seconds(4), ListKind::kChanges, {back});
   policy.on_hosts(seconds(5), ListKind::kWhole, {entry("a"), entry("b"), origin()});
@@ -674,7 +674,7 @@
     answer(now);
   }
   HostEntry a = entry("a");
-  a.started_at = now;
+  a.start = HostStart::exactly(now);
   policy.on_hosts(now, ListKind::kChanges, {a});
   int before = 0, after = 0, strays = 0;
   for (int i = 0; i < 400; ++i) {
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -27,13 +27,13 @@
 TEST(Roster, TellsWhoJoinedLeftAndStartedInTheOrderOfTheList) {
   Roster roster(false, seconds(10));
   HostEntry b = entry("b");
-  b.started_at = seconds(4);
+  b.start = HostStart::exactly(seconds(4));
   EXPECT_EQ(kinds(roster.on_list(ListKind::kWhole, {entry("a"), b})),
             (std::vector{Kind::kJoined, Kind::kStarted, Kind::kJoined}));
   EXPECT_EQ(roster.weight(), 2);
   // The same again is no news; another start of one that stays is.
   EXPECT_TRUE(roster.on_list(ListKind::kChanges, {b}).empty());
-  b.started_at = seconds(5);
+  b.start = HostStart::exactly(seconds(5));
   EXPECT_EQ(kinds(roster.on_list(ListKind::kChanges, {b})), std::vector{Kind::kStarted});
   EXPECT_EQ(kinds(roster.on_list(ListKind::kWhole, {b})),
             (std::vector{Kind::kLeft, Kind::kForgotten}));
@@ -112,7 +112,7 @@
         list.push_back(entry(name, static_cast<HostState>(random() % 3)));
         list.back().origin = name == "h0";
         list.back().weight = static_cast<double>(random() % 40) - 2;
-        if (random() % 3 == 0) list.back().started_at = seconds(step);
+        if (random() % 3 == 0) list.back().start = HostStart::exactly(seconds(step));
       }
       const auto news =
           random() % 4 == 0 && !names.empty()
--- a/tests/rules_test.cc
+++ b/tests/rules_test.cc
@@ -119,7 +119,7 @@
       e.zone = place.zone;
       e.cell = place.cell;
       e.state = place.state;
-      if (pick(4) == 0) e.started_at = check.now;
+      if (pick(4) == 0) e.start = HostStart::exactly(check.now);
       if (!whole || place.state != HostState::kGone) entries.push_back(e);
     }
     policy.on_hosts(check.now, whole ? ListKind::kWhole : ListKind::kChanges, entries);
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -126,7 +126,7 @@
     std::unique_ptr<ScriptedCache> script;
     std::deque<std::string> waiting;
     HostState state = HostState::kServing;
-    std::optional<Time> started;
+    std::optional<UnixTime> started;
     bool held = false;
   };
 
@@ -177,7 +177,7 @@
     for (auto& [name, c] : caches_) {
       if (c.state == HostState::kGone) continue;
       hosts.push_back(listed(name, c.script->server.local(), false, c.state));
-      hosts.back().started_at = c.started;
+      hosts.back().born = c.started;
     }
     hosts.push_back(listed("o", origin_->server.local(), true));
     list(std::move(hosts));
@@ -324,7 +324,7 @@
 
   void change(Cache& c) {
     if (c.state != HostState::kServing || chance(30)) {
-      c.started = clock.now();
+      c.started = UnixTime(clock.now());
       return tell(&c, HostState::kServing);
     }
     const auto serving = std::count_if(caches_.begin(), caches_.end(), [](const auto& x) {
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -28,21 +28,29 @@
 // One start of the program.
 class Process {
  public:
-  Process(asio::io_context& io, const std::string& dir, const Endpoint& admin_at)
+  // `faults`: of its machine; see rig/faults/fault_plan.h.
+  Process(asio::io_context& io, const std::string& dir, const Endpoint& admin_at,
+          const std::string& faults)
       : admin(admin_at), err_(io) {
     int pipe[2];
     EXPECT_EQ(::pipe(pipe), 0);
     const std::string config = "ROUTER_CONFIG=" + dir + "/config.json", tmp = "TMPDIR=" + dir,
                       at = "ROUTER_ADMIN=" + text_of(admin);
-    char* const env[] = {const_cast<char*>(config.c_str()), const_cast<char*>(tmp.c_str()),
-                         const_cast<char*>(at.c_str()), nullptr};
+    const std::string plan = "SILVERPIN_TEST_FAULTS=" + faults,
+                      preload = "LD_PRELOAD=" SILVERPIN_FAULT_LIBRARY,
+                      sanitizer = "ASAN_OPTIONS=verify_asan_link_order=0";
+    std::vector<char*> env;
+    for (const std::string* variable : {&config, &tmp, &at, &plan, &sanitizer, &preload})
+      env.push_back(const_cast<char*>(variable->c_str()));
+    if (faults.empty()) env.pop_back();
+    env.push_back(nullptr);
     char* const args[] = {const_cast<char*>(SILVERPIN_PROGRAM), nullptr};
     pid = ::fork();
     if (pid == 0) {
       ::dup2(pipe[1], 2);
       ::close_range(3, ~0U, 0);            // the test's own
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the test, and gives its address back
-      ::execve(SILVERPIN_PROGRAM, args, env);
+      ::execve(SILVERPIN_PROGRAM, args, env.data());
       ::_exit(127);
     }
     ::close(pipe[1]);
@@ -119,8 +127,13 @@
         << ",\"sockets\":" << kSockets << "},\"settings\":" << test_settings() << "}";
     std::filesystem::rename(dir_ + "/new.json", dir_ + "/config.json");
   }
-  std::unique_ptr<Process> start() {
-    return std::make_unique<Process>(io_, dir_, addresses_.next_endpoint());
+  std::unique_ptr<Process> start(const std::string& faults = "") {
+    return std::make_unique<Process>(io_, dir_, addresses_.next_endpoint(), faults);
+  }
+  // Killed outright: nothing is left of it but its folder.
+  void kill(Process& p) {
+    ::kill(p.pid, SIGKILL);
+    ASSERT_TRUE(wait([&] { return p.exited(); }));
   }
   ::testing::AssertionResult wait(const std::function<bool()>& done) {
     if (run_until(io_, done)) return ::testing::AssertionSuccess();
@@ -376,6 +389,40 @@
   EXPECT_TRUE(std::filesystem::exists(dir_ + "/silverpin-n%2f0.words"));
 }
 
+// The folder takes nothing for a while, in which an operator is told yes. Behind it the word is
+// kept: whoever starts next heeds it, though the process that heard it was killed.
+TEST_F(UpgradeTest, AWordIsKeptOnceTheFolderCanBeWritten) {
+  auto first = start("storage_from_ms=0,storage_until_ms=2000");
+  ASSERT_TRUE(serving(*first));
+  EXPECT_EQ(call(*first, "POST /cache-hosts/s-1/maint"), 200);
+  EXPECT_FALSE(std::filesystem::exists(dir_ + "/silverpin-n%2f0.words"));
+  ASSERT_TRUE(wait([&] { return std::filesystem::exists(dir_ + "/silverpin-n%2f0.words"); }));
+  kill(*first);
+  auto next = start();
+  ASSERT_TRUE(serving(*next));
+  lines_.clear();
+  auto c = Peer::dial(io_, listen_);
+  for (int i = 0; i < 30; ++i) ask(*c, "k" + std::to_string(i));
+  EXPECT_EQ(lines_.size(), 0u) << "the host that was taken out is asked";
+}
+
+// As many words as a process takes are read again by the next.
+TEST_F(UpgradeTest, ManyWordsAreKeptOverAKill) {
+  constexpr int kHosts = 600;
+  discovery_.hosts.clear();
+  for (int i = 0; i < kHosts; ++i)
+    discovery_.hosts +=
+        (i > 0 ? "," : "") + host_entry("s-" + std::to_string(i), cache_.server.dial());
+  auto first = start();
+  ASSERT_TRUE(serving(*first));
+  for (int i = 0; i < kHosts; ++i)
+    ASSERT_EQ(call(*first, "POST /cache-hosts/s-" + std::to_string(i) + "/maint"), 200);
+  kill(*first);
+  auto next = start();
+  ASSERT_TRUE(serving(*next));
+  EXPECT_TRUE(next->logged("600 operators' words taken from their file")) << next->log;
+}
+
 // A word given to either is heard by both, while both are there.
 TEST_F(UpgradeTest, BothProcessesHearAWord) {
   auto old = start();
