Open a folder that fails again: voter's record, operators' words, status and hand-over sockets

Cause: Member::open_store let its store go at the first StoreError, for the life of the process; Upgrade::keep_words and publish tried once, keep_words after the operator's call had its yes, and wrote one message, of which handover::decode takes no more than 256 words; a folder without room for the status socket ended the program at its start. Change: member::VoterStorage opens again with back-off (50 ms to 1 s, a line a cause); what it reads then is the last that was promised, as nothing is promised while it is closed; a member whose incarnation is behind what it reads begins again. Words and the socket are written again until they are kept; words go in parts. The status socket is bound again every 0.5 s.

--- a/src/group/instance.cc
+++ b/src/group/instance.cc
@@ -116,6 +116,14 @@
   return !unkept_;
 }
 
+void Instance::restore_voter(Time now, const std::optional<address::VoterRecord>& remembered) {
+  voter_.emplace(settings_.name, settings_.keeper.times, remembered, settings_.founding, now);
+  unkept_ = false;
+  if (std::exchange(mute_, false)) lines_.push_back("voter: promises can be kept again");
+  if (remembered && remembered->voters.version > voters_.version) voters_ = remembered->voters;
+  settle(now);
+}
+
 // ---- what others are
 
 std::vector<address::Peer> Instance::peers(Time now) {
--- a/src/group/instance.h
+++ b/src/group/instance.h
@@ -49,6 +49,9 @@
   void on_withdrawn(Time now, const std::string& address);
   void on_claim_failed(Time now, const std::string& address);
   void on_timer(Time now);
+  // The voter's record could not be read at the start, and can be now. It votes from here on as if
+  // it had just started with it. Until then nothing was kept, and so nothing promised.
+  void restore_voter(Time now, const std::optional<address::VoterRecord>& remembered);
   Time next() const;
   // Gives all up in order; done once idle().
   void leave(Time now);
--- a/src/member/member.cc
+++ b/src/member/member.cc
@@ -21,8 +21,6 @@
 // What this instance is able to do is looked at this often; the look's own delay is the event
 // loop's lateness.
 constexpr Duration kLook = milliseconds(50);
-constexpr const char* kVoterKey = "voter";
-constexpr const char* kLifeKey = "life";
 
 DatagramSocket::Endpoint udp(const std::string& text) {
   const auto e = *parse_endpoint(text);
@@ -35,12 +33,6 @@
   return set;
 }
 
-std::uint64_t unix_ms() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 }  // namespace
 
 Member::Member(asio::io_context& io, const GroupFile& file, bool serves, Owner owner)
@@ -48,24 +40,14 @@
       file_(file),
       serves_(serves),
       owner_(std::move(owner)),
+      storage_(file.folder, file.keeper.times.lease, owner_.log),
       keys_(group::read_keys(file.key_file), file.key_change),
       ability_(file.ability),
       timer_(io),
       look_timer_(io),
       began_(lease_now()) {
-  open_store();
-  group::InstanceSettings s;
-  s.name = file.name;
-  s.endpoint = file.announce;
-  s.life = life_;
-  s.group = file.membership;
-  s.keeper = file.keeper;
-  if (!serves) s.keeper.addresses.clear();
-  s.founding = file.founding;
-  s.serves = serves;
-  const std::uint64_t seed = life_ ^ std::hash<std::string>()(file.name);
-  group::Memory& memory = *this;
-  instance_.emplace(s, remembered_, memory, seed, lease_now());
+  storage_.open(lease_now());
+  make_instance();
   if (serves)
     for (const auto& a : file.addresses) carriers_[a.name].spec = &a;
   socket_ = std::make_unique<DatagramSocket>(
@@ -75,7 +57,7 @@
       });
   if (serves && file.bgp) {
     bgp_ = std::make_unique<BgpLinks>(
-        io, *file.bgp, seed + 1, [this] { work(); }, owner_.log);
+        io, *file.bgp, life_ + 1, [this] { work(); }, owner_.log);
     // Until a session is up this instance can announce nothing.
     ability_.on_part(lease_now(), address::Ability::Part::kRouters, false);
   }
@@ -85,44 +67,34 @@
 
 Member::~Member() { end(); }
 
-// A voter that cannot remember gives no vote; all else goes on.
-void Member::open_store() {
-  life_ = unix_ms();
-  try {
-    store_ = std::make_unique<store::Store>(file_.folder, "group");
-    if (!store_->aside().empty())
-      owner_.log("voter: its record could not be read and is now " + store_->aside() +
-                 "; it votes again in " +
-                 std::to_string(
-                     std::chrono::duration_cast<milliseconds>(file_.keeper.times.lease).count()) +
-                 " ms, when all it may have promised has run out");
-    if (const auto last = store_->get(kLifeKey); last && last->size() < 20)
-      life_ = std::max<std::uint64_t>(life_, std::strtoull(last->c_str(), nullptr, 10) + 1);
-    // A clock that was set back must not make this process an earlier life of itself.
-    store_->put(kLifeKey, std::to_string(life_));
-    if (const auto bytes = store_->get(kVoterKey)) {
-      remembered_ = group::decode_record(*bytes);
-      if (!remembered_)
-        owner_.log("voter: " + store_->file() + ": its record makes no sense and is not used");
-    }
-  } catch (const store::StoreError& e) {
-    owner_.log(std::string("voter: gives no vote: ") + e.what());
-    store_.reset();
-  }
+void Member::make_instance() {
+  life_ = storage_.incarnation();
+  group::InstanceSettings s;
+  s.name = file_.name;
+  s.endpoint = file_.announce;
+  s.life = life_;
+  s.group = file_.membership;
+  s.keeper = file_.keeper;
+  if (!serves_) s.keeper.addresses.clear();
+  s.founding = file_.founding;
+  s.serves = serves_;
+  const std::uint64_t seed = life_ ^ std::hash<std::string>()(file_.name);
+  instance_.emplace(s, storage_.remembered(), storage_, seed, lease_now());
 }
 
-bool Member::keep(const address::VoterRecord& record) {
-  if (!store_) return false;
-  const Time before = lease_now();
-  try {
-    store_->put(kVoterKey, group::encode(record));
-  } catch (const store::StoreError& e) {
-    owner_.log(std::string("voter: ") + e.what());
-    return false;
+// A voter that cannot remember gives no vote; all else goes on. Once its folder can be used it
+// votes like one that has just started: what it reads then is the last that it has promised.
+void Member::open_storage() {
+  const Time now = lease_now();
+  if (!storage_.open(now)) return;
+  // Where the wall clock was set back since, the others hear nothing of this incarnation: it holds
+  // nothing, and begins again as a later one.
+  if (storage_.incarnation() != life_ && instance_->idle() && !left_) {
+    make_instance();
+  } else {
+    instance_->restore_voter(now, storage_.remembered());
   }
-  ++writes_;
-  longest_write_ = std::max(longest_write_, lease_now() - before);
-  return true;
+  work();
 }
 
 // ---- datagrams
@@ -342,6 +314,7 @@
 }
 
 void Member::look() {
+  open_storage();
   const Time now = lease_now();
   using Part = address::Ability::Part;
   ability_.on_lateness(now, now - look_at_);
@@ -426,9 +399,9 @@
   f.unsealed = unsealed_;
   f.replayed = replayed_;
   f.unreadable = unreadable_;
-  f.writes = writes_;
-  f.longest_write = longest_write_;
-  f.remembers = store_ != nullptr;
+  f.writes = storage_.writes();
+  f.longest_write = storage_.longest_write();
+  f.remembers = storage_.is_open();
   return status_json(f, *instance_, file_, bgp_ ? &bgp_->speaker() : nullptr, lease_now());
 }
 
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -14,17 +14,17 @@
 #include "group/instance.h"
 #include "member/bgp_links.h"
 #include "member/command.h"
+#include "member/voter_storage.h"
 #include "net/datagram_socket.h"
 #include "proto/seal.h"
 #include "settings/group_file.h"
-#include "store/store.h"
 
 namespace silverpin::member {
 
 // This process as one of a group of balancers: carries the datagrams of a group::Instance, keeps
 // its voter's record, carries addresses to routers or by commands, and tells whoever owns it when
 // one is to be listened on. Runs on lease_now().
-class Member : private group::Memory {
+class Member {
  public:
   struct Owner {
     // Opens the listeners of an address that this instance has just been given. False: it cannot.
@@ -39,7 +39,7 @@
   // `file` outlives it. `serves`: false for a voter that holds nothing. Throws std::runtime_error
   // (FileError, boost's system_error) with one line where it cannot begin.
   Member(boost::asio::io_context& io, const GroupFile& file, bool serves, Owner owner);
-  ~Member() override;
+  ~Member();
 
   // Whether a request that came to this address may still go out to a host. Asked before each
   // attempt, by the clock and not by what the event loop has got to: a process that was stopped
@@ -66,8 +66,8 @@
     std::unique_ptr<Command> running;
   };
 
-  bool keep(const address::VoterRecord& record) override;
-  void open_store();
+  void make_instance();
+  void open_storage();
   void on_datagram(const DatagramSocket::Endpoint& from, std::string_view bytes);
   void send(const group::Instance::Send& out);
   void send(const DatagramSocket::Endpoint& to, group::Datagram datagram);
@@ -86,8 +86,7 @@
   const GroupFile& file_;
   const bool serves_;
   const Owner owner_;
-  std::unique_ptr<store::Store> store_;  // none: it could not be opened
-  std::optional<address::VoterRecord> remembered_;
+  VoterStorage storage_;
   std::uint64_t life_ = 0, sequence_ = 0;
   group::KeyRing keys_;
   group::ReplayGuard replays_;
@@ -101,8 +100,7 @@
   bool working_ = false, again_ = false, ended_ = false;
   std::function<void()> left_;
   Time leave_by_{0};
-  std::uint64_t unsealed_ = 0, replayed_ = 0, unreadable_ = 0, writes_ = 0;
-  Duration longest_write_{0};
+  std::uint64_t unsealed_ = 0, replayed_ = 0, unreadable_ = 0;
   const Time began_;
 };
 
--- a/src/member/status.cc
+++ b/src/member/status.cc
@@ -3,11 +3,13 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -43,6 +45,14 @@
   }
 }
 
+constexpr std::chrono::milliseconds kRetryListen{500};
+
+// What a folder or the system may be short of for a while.
+bool is_transient(const error_code& error) {
+  constexpr std::array kErrors{ENOSPC, EDQUOT, EIO, ENOMEM, ENOBUFS, EMFILE, ENFILE, EINTR};
+  return std::find(kErrors.begin(), kErrors.end(), error.value()) != kErrors.end();
+}
+
 }  // namespace
 
 std::string status_json(const StatusFigures& f, const group::Instance& instance,
@@ -224,8 +234,13 @@
   std::string in_, out_;
 };
 
-StatusSocket::StatusSocket(asio::io_context& io, const std::string& path, Command command)
-    : io_(io), path_(path), command_(std::move(command)), acceptor_(io) {
+StatusSocket::StatusSocket(asio::io_context& io, const std::string& path, Command command, Log log)
+    : io_(io),
+      path_(path),
+      command_(std::move(command)),
+      log_(std::move(log)),
+      retry_timer_(io),
+      acceptor_(io) {
   if (path.size() > 100) throw std::runtime_error(path + ": is too long for a socket");
   {
     local::socket probe(io);
@@ -233,15 +248,37 @@
     probe.connect(local::endpoint(path), error);
     if (!error) throw std::runtime_error(path + ": another process answers there");
   }
-  ::unlink(path.c_str());
-  error_code error;
+  const error_code error = listen();
+  if (!error) {
+    accept();
+    return;
+  }
+  if (!is_transient(error)) throw std::runtime_error(path + ": " + error.message());
+  log_(path + ": " + error.message() + "; nobody can ask this member until the folder works");
+  retry_listen();
+}
+
+error_code StatusSocket::listen() {
+  ::unlink(path_.c_str());
+  error_code error, ignored;
   acceptor_.open(local(), error);
-  if (!error) acceptor_.bind(local::endpoint(path), error);
+  if (!error) acceptor_.bind(local::endpoint(path_), error);
   // Whoever may change the voters: the owner of the process.
-  if (!error && ::chmod(path.c_str(), 0600) != 0) error = {errno, boost::system::system_category()};
+  if (!error && ::chmod(path_.c_str(), 0600) != 0)
+    error = {errno, boost::system::system_category()};
   if (!error) acceptor_.listen(16, error);
-  if (error) throw std::runtime_error(path + ": " + error.message());
-  accept();
+  if (error) acceptor_.close(ignored);
+  return error;
+}
+
+void StatusSocket::retry_listen() {
+  retry_timer_.expires_after(kRetryListen);
+  retry_timer_.async_wait([this](const error_code& e) {
+    if (e) return;
+    if (listen()) return retry_listen();
+    log_(path_ + ": answers now");
+    accept();
+  });
 }
 
 StatusSocket::~StatusSocket() {
--- a/src/member/status.h
+++ b/src/member/status.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <set>
@@ -43,18 +44,25 @@
  public:
   using Command = std::function<void(const std::string& line,
                                      std::function<void(const std::string& json)> answer)>;
+  using Log = std::function<void(const std::string& line)>;
   // Throws std::runtime_error, one line, if another process is there or the path cannot be used.
-  StatusSocket(boost::asio::io_context& io, const std::string& path, Command command);
+  // A folder that fails for a while is tried again until it takes the socket: the member serves
+  // meanwhile.
+  StatusSocket(boost::asio::io_context& io, const std::string& path, Command command, Log log);
   ~StatusSocket();
 
  private:
   class Talk;
 
+  boost::system::error_code listen();
+  void retry_listen();
   void accept();
 
   boost::asio::io_context& io_;
   const std::string path_;
   const Command command_;
+  const Log log_;
+  boost::asio::steady_timer retry_timer_;
   boost::asio::local::stream_protocol::acceptor acceptor_;
   std::set<std::shared_ptr<Talk>> talks_;
 };
--- /dev/null
+++ b/src/member/voter_storage.cc
@@ -0,0 +1,92 @@
+#include "member/voter_storage.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <utility>
+
+#include "net/lease_clock.h"
+#include "proto/group_wire.h"
+
+namespace silverpin::member {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kFirstRetry = milliseconds(50), kMaxRetry = milliseconds(1000);
+constexpr const char* kVoterKey = "voter";
+constexpr const char* kIncarnationKey = "life";
+constexpr std::size_t kMaxIncarnationDigits = 19;
+
+std::uint64_t unix_ms() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+VoterStorage::VoterStorage(std::string folder, Duration lease, Log log)
+    : folder_(std::move(folder)),
+      lease_(lease),
+      log_(std::move(log)),
+      incarnation_(unix_ms()),
+      retry_delay_(kFirstRetry) {}
+
+bool VoterStorage::open(Time now) {
+  if (store_ || now < next_attempt_) return false;
+  try {
+    store_ = std::make_unique<store::Store>(folder_, "group");
+    read();
+  } catch (const store::StoreError& e) {
+    store_.reset();
+    complain(e.what());
+    next_attempt_ = now + retry_delay_;
+    retry_delay_ = std::min(2 * retry_delay_, kMaxRetry);
+    return false;
+  }
+  next_attempt_ = Time::max();
+  if (!last_cause_.empty()) log_("voter: " + store_->file() + " can be used now");
+  last_cause_.clear();
+  return true;
+}
+
+void VoterStorage::read() {
+  if (!store_->aside().empty())
+    log_("voter: its record could not be read and is now " + store_->aside() +
+         "; it votes again in " +
+         std::to_string(std::chrono::duration_cast<milliseconds>(lease_).count()) +
+         " ms, when all it may have promised has run out");
+  // A clock that was set back must not make this process an earlier incarnation of itself.
+  const auto last = store_->get(kIncarnationKey);
+  if (last && last->size() <= kMaxIncarnationDigits)
+    incarnation_ =
+        std::max<std::uint64_t>(incarnation_, std::strtoull(last->c_str(), nullptr, 10) + 1);
+  store_->put(kIncarnationKey, std::to_string(incarnation_));
+  const auto bytes = store_->get(kVoterKey);
+  remembered_ = bytes ? group::decode_record(*bytes) : std::nullopt;
+  if (bytes && !remembered_)
+    log_("voter: " + store_->file() + ": its record makes no sense and is not used");
+}
+
+bool VoterStorage::keep(const address::VoterRecord& record) {
+  if (!store_) return false;
+  const Time before = lease_now();
+  try {
+    store_->put(kVoterKey, group::encode(record));
+  } catch (const store::StoreError& e) {
+    log_(std::string("voter: ") + e.what());
+    return false;
+  }
+  ++writes_;
+  longest_write_ = std::max(longest_write_, lease_now() - before);
+  return true;
+}
+
+void VoterStorage::complain(const std::string& cause) {
+  if (cause == last_cause_) return;
+  last_cause_ = cause;
+  log_("voter: gives no vote: " + cause);
+}
+
+}  // namespace silverpin::member
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -279,7 +279,8 @@
       io_, member::status_path(*added_.group),
       [this](const std::string& line, std::function<void(const std::string&)> answer) {
         member_->command(line, std::move(answer));
-      });
+      },
+      log);
 }
 
 MayGoOut Balancer::gate(const std::string& service) const {
@@ -466,7 +467,7 @@
     upgrade_->tell(handover::Word{w->first, w->second.out, clock_.now() - w->second.at});
   handover::Snapshot kept;
   kept.words = words();
-  upgrade_->keep_words(kept);
+  upgrade_->keep_words(std::move(kept));
   return true;
 }
 
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -133,7 +133,8 @@
       io, silverpin::member::status_path(*all.group),
       [&member](const std::string& line, std::function<void(const std::string&)> answer) {
         member.command(line, std::move(answer));
-      });
+      },
+      log);
   std::function<void()> await_signal = [&] {
     signals.async_wait([&](const boost::system::error_code& e, int number) {
       if (e) return;
--- a/src/node/upgrade.cc
+++ b/src/node/upgrade.cc
@@ -1,5 +1,6 @@
 #include "node/upgrade.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -34,6 +35,10 @@
 constexpr milliseconds kPresumed{10000};
 constexpr milliseconds kTick{50};
 constexpr std::size_t kMostCallers = 4;
+// Between two tries to write what the folder has not taken.
+constexpr milliseconds kFirstRetry{100}, kMaxRetry{1000};
+// As many words as are kept, each with the longest id, need less.
+constexpr std::size_t kMaxWordsFile = 2u << 20;
 // Of one answer. The largest snapshot comes in fewer.
 constexpr int kMostPackets = 256;
 
@@ -132,6 +137,14 @@
   return Asked::kSilent;
 }
 
+// Nothing where it is no snapshot, or one of a later version.
+std::optional<handover::Snapshot> snapshot_in(std::string_view bytes) {
+  auto message = handover::decode(bytes);
+  auto* snapshot = message ? std::get_if<handover::Snapshot>(&*message) : nullptr;
+  if (!snapshot || snapshot->version > handover::kVersion) return std::nullopt;
+  return std::move(*snapshot);
+}
+
 }  // namespace
 
 Predecessor Upgrade::ask(const std::string& folder, const std::string& name, const Log& log) {
@@ -158,13 +171,27 @@
                                                       const std::string& name) {
   std::ifstream in(path_of(folder, name, "words"), std::ios::binary);
   if (!in) return std::nullopt;
-  std::string text(handover::kMaxMessage + 1, '\0');
+  std::string text(kMaxWordsFile + 1, '\0');
   in.read(text.data(), static_cast<std::streamsize>(text.size()));
   text.resize(static_cast<std::size_t>(in.gcount()));
-  auto message = handover::decode(text);
-  auto* words = message ? std::get_if<handover::Snapshot>(&*message) : nullptr;
-  if (!words || words->version > handover::kVersion) return std::nullopt;
-  return std::move(*words);
+  if (text.size() > kMaxWordsFile) return std::nullopt;
+  // Up to version 0.7.0 the file was one message.
+  if (auto whole = snapshot_in(text)) return whole;
+  handover::Snapshot all;
+  for (std::string_view rest = text;;) {
+    std::uint32_t size = 0;
+    if (rest.size() < sizeof size) return std::nullopt;
+    std::memcpy(&size, rest.data(), sizeof size);
+    rest.remove_prefix(sizeof size);
+    size = ntohl(size);
+    if (size > rest.size()) return std::nullopt;
+    auto part = snapshot_in(rest.substr(0, size));
+    rest.remove_prefix(size);
+    if (!part) return std::nullopt;
+    const bool more = part->more;
+    if (!handover::append(all, std::move(*part))) return std::nullopt;
+    if (!more) return all;
+  }
 }
 
 Upgrade::Upgrade(boost::asio::io_context& io, const Clock& clock, std::string folder,
@@ -208,11 +235,11 @@
   if (!fd || !address.good() || ::bind(fd.get(), address.get(), sizeof(sockaddr_un)) != 0 ||
       ::chmod(fresh.c_str(), 0600) != 0 || ::listen(fd.get(), kMostCallers) != 0 ||
       std::rename(fresh.c_str(), path.c_str()) != 0) {
-    owner_.log(path + ": " + std::strerror(errno) +
-               "; the next version will not find this process, and listens beside it");
+    complain(Storage::kSocket, path, errno);
     ::unlink(fresh.c_str());
     return;
   }
+  complain(Storage::kSocket, path, 0);
   error_code ignored;
   listening_.close(ignored);
   listening_.assign(fd.release());
@@ -327,17 +354,55 @@
     if (link) link->send({encode(message), {}});
 }
 
-void Upgrade::keep_words(const handover::Snapshot& words) {
+void Upgrade::keep_words(handover::Snapshot words) {
+  unkept_words_ = std::move(words);
+  retry_delay_ = kFirstRetry;
+  write_words();
+}
+
+// The call that gave the last word has been answered with a yes, so what cannot be written now is
+// written later: until it is kept, or another word takes its place.
+void Upgrade::write_words() {
   const std::string path = path_of(folder_, name_, "words");
   const std::string fresh = path + "." + std::to_string(::getpid());
   std::ofstream out(fresh, std::ios::binary | std::ios::trunc);
-  const std::string text = encode(words);
-  out.write(text.data(), static_cast<std::streamsize>(text.size()));
+  for (const handover::Snapshot& part : handover::split(*unkept_words_)) {
+    const std::string text = encode(part);
+    const std::uint32_t size = htonl(static_cast<std::uint32_t>(text.size()));
+    out.write(reinterpret_cast<const char*>(&size), sizeof size);
+    out.write(text.data(), static_cast<std::streamsize>(text.size()));
+  }
   out.close();
-  if (!out || std::rename(fresh.c_str(), path.c_str()) != 0) {
-    owner_.log(path + ": " + std::strerror(errno) + "; operators' words are not kept there");
-    ::unlink(fresh.c_str());
+  if (out && std::rename(fresh.c_str(), path.c_str()) == 0) {
+    unkept_words_.reset();
+    return complain(Storage::kWords, path, 0);
   }
+  complain(Storage::kWords, path, errno != 0 ? errno : EIO);
+  ::unlink(fresh.c_str());
+}
+
+// One line for each cause, and one once it is over. `error`: an errno; 0: none.
+void Upgrade::complain(Storage what, const std::string& path, int error) {
+  int& last = last_error_[what];
+  if (std::exchange(last, error) == error) return;
+  const bool words = what == Storage::kWords;
+  if (error == 0) {
+    owner_.log(path + (words ? ": operators' words are kept again"
+                             : ": the next version finds this process again"));
+  } else {
+    owner_.log(path + ": " + std::strerror(error) +
+               (words ? "; operators' words are not kept there yet"
+                      : "; the next version will not find this process yet"));
+  }
+}
+
+// What could not be written to the folder, once more.
+void Upgrade::retry_storage(SteadyTime now) {
+  if (now < retry_at_) return;
+  retry_at_ = now + retry_delay_;
+  retry_delay_ = std::min(2 * retry_delay_, kMaxRetry);
+  if (unkept_words_) write_words();
+  if (serving_ && !listening_.is_open()) publish();
 }
 
 bool Upgrade::may_pass() const {
@@ -359,6 +424,7 @@
     if (e) return;
     const auto now = std::chrono::steady_clock::now();
     std::erase_if(callers_, [now](const auto& c) { return now > c.second.until; });
+    retry_storage(now);
     report();
     arm_tick();
   });
--- a/src/node/upgrade.h
+++ b/src/node/upgrade.h
@@ -63,7 +63,8 @@
   void on_term();
   // Told to the other process, and kept in the folder.
   void tell(const handover::Message& message);
-  void keep_words(const handover::Snapshot& words);
+  // Tried again until it is kept, or another takes its place.
+  void keep_words(handover::Snapshot words);
   // For a client's connection: whether it would leave at once.
   bool may_pass() const;
   void pass(handover::Connection connection, Descriptor socket);
@@ -80,7 +81,12 @@
     std::chrono::steady_clock::time_point until;
   };
 
+  enum class Storage { kWords, kSocket };
+
   void publish();
+  void write_words();
+  void retry_storage(std::chrono::steady_clock::time_point now);
+  void complain(Storage what, const std::string& path, int error);
   void arm_accept();
   void on_caller(std::uint64_t id, Packet packet);
   void on_caller_lost(std::uint64_t id);
@@ -103,6 +109,10 @@
   boost::asio::steady_timer tick_;
   bool serving_ = false;
   handover::Share told_;
+  std::optional<handover::Snapshot> unkept_words_;  // which the folder has not taken yet
+  std::map<Storage, int> last_error_;
+  std::chrono::steady_clock::time_point retry_at_{};
+  std::chrono::milliseconds retry_delay_{100};
 };
 
 }  // namespace silverpin::node
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -406,6 +406,16 @@
   EXPECT_EQ(lines_.size(), 0u) << "the host that was taken out is asked";
 }
 
+// The same of the socket by which the next version finds this one.
+TEST_F(UpgradeTest, TheNextVersionFindsAProcessWhoseFolderFailedAtItsStart) {
+  auto old = start("storage_from_ms=0,storage_until_ms=2000");
+  ASSERT_TRUE(serving(*old));
+  ASSERT_TRUE(wait([&] { return std::filesystem::exists(dir_ + "/silverpin-n%2f0.sock"); }));
+  auto next = start();
+  ASSERT_TRUE(serving(*next));
+  EXPECT_TRUE(next->logged("takes the place of a process that serves")) << next->log;
+}
+
 // As many words as a process takes are read again by the next.
 TEST_F(UpgradeTest, ManyWordsAreKeptOverAKill) {
   constexpr int kHosts = 600;
