--- a/tests/crossings_test.cc
+++ b/tests/crossings_test.cc
@@ -686,5 +686,32 @@
   ASSERT_TRUE(wait([&] { return next.calls > 0; }));
 }
 
+// The memory is full, and a client has written its whole request. It is told within its time that
+// nothing has run, and not closed unheard.
+class ShortOfMemoryTest : public CoreTest {
+ protected:
+  void SetUp() override {
+    for (RequestClass& klass : site.policy.classes) klass.deadline = milliseconds(1000);
+    begin();
+    list({listed("h", cache.server.local()), listed("o", origin.server.local(), true)});
+    hold = Lease(limits->bytes, limits->bytes.most());
+  }
+  void expect_refused(const std::string& request) {
+    auto c = client();
+    const Time from = clock.now();
+    c->send(request);
+    ASSERT_TRUE(wait([&] { return !c->in.empty() || c->closed; }));
+    EXPECT_EQ(c->in, "SERVER_ERROR busy\r\n");
+    EXPECT_LT(clock.now() - from, milliseconds(1500)) << "its client had left by then";
+    EXPECT_TRUE(origin.heads.empty() && cache.lines.empty());
+  }
+  Lease hold;
+  ScriptedCache cache{io};
+  ScriptedOrigin origin{io};
+};
+
+TEST_F(ShortOfMemoryTest, AReadIsRefused) { expect_refused(get("k", "1")); }
+TEST_F(ShortOfMemoryTest, ALongWriteIsRefused) { expect_refused(put("k", "1", 200u << 10)); }
+
 }  // namespace
 }  // namespace silverpin::node
