Refuse what cannot be read for want of memory; take answers that end with their connection

Cause: ClientSession::overdue closed a client whose request waited for memory behind 2.5 s, and a drain's end closed it as well, with no answer; OriginConnection::on_end_of_input took no read that states no length, and writes only where the close was announced. Change: a session that waits for memory refuses what it has not read: behind a quarter of the shortest deadline (50 ms to 1 s; 0.5 s by default), or half of the deadline of the body under way (2 s at most), and at a drain's end. An answer that states no length ends where the origin ends its sending in order (RFC 9112, 6.3); a reset goes on being none.

--- a/src/front/memcache/memcache_front.cc
+++ b/src/front/memcache/memcache_front.cc
@@ -60,6 +60,8 @@
   std::size_t buffered() const override { return reader_.buffered(); }
   bool between_commands() const override { return reader_.between_commands(); }
   std::size_t body_length() const override { return reader_.body_length(); }
+  std::optional<Duration> body_deadline() const override { return reader_.body_deadline(); }
+  std::string busy() const override { return "SERVER_ERROR busy\r\n"; }
 
  private:
   static std::string head_of(const Command& command, std::size_t length) {
--- a/src/front/memcache/origin_connection.cc
+++ b/src/front/memcache/origin_connection.cc
@@ -146,13 +146,11 @@
   return unparsed_.size() <= kMaxUnparsed;
 }
 
-// An answer that states no length ends with the connection, and can hardly be told from one that
-// broke off. A read is asked for again, as that does no harm; a write has run, and where the origin
-// has said that it will close its receipt is taken.
+// An answer that states no length ends where the origin ends its sending in order (RFC 9112, 6.3).
+// One that breaks off shows as a reset, and never comes here.
 void OriginConnection::on_end_of_input() {
   if (!parser_ || !parser_->is_header_done() || parser_->is_done() || !unparsed_.empty()) return;
-  const bool write = command_of(*current()->payload).kind == memcache::Command::Kind::kSet;
-  if (!write || parser_->get().keep_alive()) return;
+  if (!parser_->get().need_eof()) return;
   error_code error;
   parser_->put_eof(error);
   if (!error && parser_->is_done()) finish();
--- a/src/front/resp/conversation.h
+++ b/src/front/resp/conversation.h
@@ -60,6 +60,7 @@
   }
   bool between_commands() const override { return reader_.between_commands() && !waiting_; }
   std::size_t body_length() const override { return reader_.expected(); }
+  std::string busy() const override { return "-TRYAGAIN busy, nothing has run\r\n"; }
 
  private:
   // A command that became several requests.
--- a/src/net/client_listener.cc
+++ b/src/net/client_listener.cc
@@ -242,6 +242,11 @@
   for (const auto& session : all) give_back(*session);
 }
 
+void ClientListener::refuse_unread() {
+  const std::vector<std::shared_ptr<ClientSession>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) session->refuse_unread();
+}
+
 void ClientListener::keep() {
   give_back_.reset();
   for (const auto& session : sessions_) session->keep();
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -36,6 +36,8 @@
   // from `first` to `last`, those that come later too.
   void drain(Time first, Time last);
   // Ends a drain: connections are kept again.
+  // What waits for memory to be read is refused: this process ends.
+  void refuse_unread();
   void keep();
   // Accepts nobody for now; who comes waits, or is taken by another process that listens on the
   // same socket.
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -47,6 +47,8 @@
 constexpr int kDiscardReads = 4;
 // What has been read of a command may pass to another process: a line, and what came with it.
 constexpr std::size_t kMostHanded = 16u << 10;
+// For which a body waits for memory, where its client waits for longer.
+constexpr Duration kBodyMemoryWait = std::chrono::milliseconds(2000);
 // In a drain a new client has so long to begin.
 constexpr Duration kDrainSpeaks = std::chrono::milliseconds(300);
 
@@ -115,7 +117,7 @@
 void ClientSession::on_readable() {
   static std::array<char, kReadSize> scratch;  // one thread reads one connection at a time
   if (!limits_.bytes.room_for(kReadSize)) {
-    blocked_ = true;  // the tick looks again
+    block();  // the tick looks again
     return;
   }
   error_code error;
@@ -125,17 +127,23 @@
     return arm_read();
   if (error) return close();
   read_ = clock_.now();
+  blocked_since_ = Time{0};
   if (dialect_->between_commands()) since_ = read_;
   dialect_->feed({scratch.data(), n});
   pump();
 }
 
+void ClientSession::block() {
+  if (std::exchange(blocked_, true)) return;
+  if (blocked_since_ == Time{0}) blocked_since_ = clock_.now();
+}
+
 void ClientSession::pump() {
   blocked_ = false;
   pumping_ = true;
   for (int taken = 0; !over(); ++taken) {
     if (!may_begin() || !reserve_body()) {
-      blocked_ = true;
+      block();
       break;
     }
     if (taken == kMostPerTurn) {
@@ -144,14 +152,15 @@
     }
     const auto step = dialect_->step(*this);
     if (step == Dialect::Step::kMore) {
-      blocked_ = !reserve_body();
+      if (!reserve_body()) block();
       break;
     }
     if (step == Dialect::Step::kWait) {
-      blocked_ = true;
+      block();
       break;
     }
     since_ = clock_.now();
+    blocked_since_ = Time{0};
     // Nothing more is read; what has been taken is answered.
     if (step == Dialect::Step::kFault) fault_ = dialect_->fault();
     if (step == Dialect::Step::kLeave) leaving_ = true;
@@ -431,6 +440,29 @@
   return now - since_ > (served_ ? times_.idle : times_.first_byte);
 }
 
+bool ClientSession::waits_for_memory() const {
+  return !closed_ && blocked_since_ != Time{0} && slots_.empty() && !over() && !pump_posted_;
+}
+
+// A client that has written all of it waits as long as its request says; one that could not be read
+// at all may have any deadline.
+Duration ClientSession::memory_wait() const {
+  const auto deadline = dialect_->body_deadline();
+  return deadline ? std::min(kBodyMemoryWait, *deadline / 2) : times_.memory_wait;
+}
+
+// Its client has mostly written all of it, and would wait in vain: to close would lose the request.
+void ClientSession::refuse_unread() {
+  if (!waits_for_memory()) return;
+  fault_ = dialect_->busy();
+  fault_at_ = clock_.now();
+  blocked_ = false;
+  dialect_->forget();
+  body_.resize(0);
+  buffered_.resize(0);
+  on_all_written();
+}
+
 void ClientSession::tick(Time now) {
   if (closed_) return;
   if (lingering_) {
@@ -444,6 +476,7 @@
   if (!reading_ && has_left()) return close();
   if (blocked_) pump();  // memory may have come free
   if (closed_) return;
+  if (waits_for_memory() && now - blocked_since_ > memory_wait()) refuse_unread();
   // One that has just spoken is heard first: in this very turn its command may have become whole.
   if (overdue(now) && !over() && !blocked_ && !pump_posted_ && unwritten_ == 0 && has_input())
     on_readable();
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -26,6 +26,8 @@
   Duration first_byte{std::chrono::milliseconds(2100)};     // until a new client speaks
   Duration first_command{std::chrono::milliseconds(2600)};  // until it has written a command
   Duration idle{std::chrono::seconds(10)};                  // between requests
+  // For which a request may wait to be read where memory is short; then it is refused.
+  Duration memory_wait{std::chrono::milliseconds(500)};
 };
 
 // A client's connection on its way to another process.
@@ -94,6 +96,8 @@
   void drain(Time leave_at);
   void keep() { leave_at_.reset(); }  // takes drain() back
   void tick(Time now);
+  // What it has not read for want of memory is refused unread. Nothing of it has gone anywhere.
+  void refuse_unread();
 
  private:
   struct Slot {
@@ -124,6 +128,9 @@
   void linger();
   void discard();
   bool overdue(Time now) const;
+  bool waits_for_memory() const;
+  Duration memory_wait() const;
+  void block();
   void close_soon();
   bool may_leave();
 
@@ -145,7 +152,8 @@
   bool flush_posted_ = false;
   bool pumping_ = false;  // answers wait, to go out together
   bool blocked_ = false;  // may not begin another request now
-  std::string fault_;     // reads no further command, and sends this at the end
+  Time blocked_since_{0};
+  std::string fault_;  // reads no further command, and sends this at the end
   bool fault_sent_ = false;
   std::optional<Time> leave_at_;  // set in a drain
   bool lingering_ = false;        // all is written; waits for the client to close
--- a/src/net/dialect.h
+++ b/src/net/dialect.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "net/request.h"
+#include "structures/time.h"
 
 namespace silverpin {
 
@@ -44,6 +45,10 @@
   virtual bool between_commands() const = 0;
   // How long the body under way will be; 0 if there is none.
   virtual std::size_t body_length() const = 0;
+  // How long its client waits for the answer, where that is known.
+  virtual std::optional<Duration> body_deadline() const { return std::nullopt; }
+  // The answer to a command that is refused unread.
+  virtual std::string busy() const = 0;
 };
 
 using MakeDialect = std::function<std::unique_ptr<Dialect>()>;
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -70,6 +70,18 @@
   return text_of(local) == address;
 }
 
+// A request that nobody can read may be of any class: it is refused while its client still waits.
+SessionTimes session_times(const std::vector<RequestClass>& classes) {
+  constexpr Duration kMin = milliseconds(50), kMax = milliseconds(1000);
+  constexpr int kPart = 4;
+  SessionTimes times;
+  Duration shortest = kMax * kPart;
+  for (const RequestClass& c : classes)
+    if (c.deadline > Duration{0}) shortest = std::min(shortest, c.deadline);
+  times.memory_wait = std::clamp(shortest / kPart, kMin, kMax);
+  return times;
+}
+
 handover::Host host_of(const ListedHost& h) {
   handover::Host out;
   out.id = h.id;
@@ -182,7 +194,8 @@
     const std::string service = added_.group ? added_.group->memcache_service : "";
     memcache_->listener = std::make_unique<ClientListener>(
         io, config->listen, limits, clock_, memcache_->pool,
-        [side = memcache_.get()] { return side->front.make(); }, SessionTimes{}, gate(service));
+        [side = memcache_.get()] { return side->front.make(); },
+        session_times(memcache_->site.policy.classes), gate(service));
     longest_deadline_ = memcache_->pool.longest_deadline(kLongestDeadline);
   }
   add(config ? config->seed : std::random_device()(), limits);
@@ -522,7 +535,10 @@
       sessions += l.sessions();
     });
     // Those whose deadline lies beyond the end.
-    if (since >= longest_deadline_ + kDrainAnswer) each_pool([](ServerPool& p) { p.fail_open(); });
+    if (since >= longest_deadline_ + kDrainAnswer) {
+      each_pool([](ServerPool& p) { p.fail_open(); });
+      each_listener([](ClientListener& l) { l.refuse_unread(); });
+    }
     if (since >= longest_deadline_ + kDrainExit ||
         ((since >= kDrainAccept || succeeded()) && sessions == 0 && !more &&
          (!upgrade_ || upgrade_->flushed()))) {
--- a/src/proto/memcache.cc
+++ b/src/proto/memcache.cc
@@ -98,6 +98,13 @@
   return item;
 }
 
+std::optional<std::chrono::milliseconds> CommandReader::body_deadline() const {
+  if (!body_left_) return std::nullopt;
+  const auto ms = parse_number(command_.prop("d"));
+  if (!ms || *ms > kMaxDeadlineMs) return std::nullopt;
+  return std::chrono::milliseconds(*ms);
+}
+
 void CommandReader::compact() {
   if (at_ == in_.size()) {
     in_.clear();
--- a/src/proto/memcache.h
+++ b/src/proto/memcache.h
@@ -17,6 +17,7 @@
 inline constexpr std::size_t kMaxKey = 250;
 inline constexpr std::size_t kMaxId = 32;
 inline constexpr std::size_t kMaxValue = 4u << 20;
+inline constexpr std::uint64_t kMaxDeadlineMs = 3'600'000;  // more is no client's patience
 
 struct Command {
   enum class Kind { kGet, kSet, kNoop };
@@ -58,6 +59,8 @@
   bool between_commands() const { return !body_left_ && in_.size() == at_; }
   // How long the body under way will be; 0 if there is none.
   std::size_t body_length() const { return body_left_ ? body_length_ : 0; }
+  // What the command of that body has as `d`; nothing if it has none that can be read.
+  std::optional<std::chrono::milliseconds> body_deadline() const;
 
  private:
   using Item = std::variant<Command, ClientError>;
