--- a/src/rig/faults/fault_plan.h
+++ b/src/rig/faults/fault_plan.h
@@ -20,6 +20,7 @@
   std::int64_t storage_from_ms = 0, storage_until_ms = 0;  // in between, files fail
   std::int64_t storage_per_thousand = 1000;                // of their writes, syncs and renames
   std::int64_t calls_per_thousand = 0;                     // of the calls on sockets fail
+  std::int64_t aborted_accepts = 0;  // so many accepts meet a connection that is gone, and no other
   std::int64_t seed = 1;
 
   // Nothing where a name is unknown or a number cannot be read.
@@ -48,6 +49,7 @@
     if (name == "storage_until_ms") return &storage_until_ms;
     if (name == "storage_per_thousand") return &storage_per_thousand;
     if (name == "calls_per_thousand") return &calls_per_thousand;
+    if (name == "aborted_accepts") return &aborted_accepts;
     if (name == "seed") return &seed;
     return nullptr;
   }
--- a/src/rig/faults/preload.cc
+++ b/src/rig/faults/preload.cc
@@ -218,12 +218,27 @@
   return next(fd, to, n);
 }
 
+}  // extern "C"
+
+namespace {
+
+// Where nobody is left in the queue: who was there has been reset meanwhile.
+int after_accept(int result) {
+  static std::atomic<std::int64_t> left{state().plan.aborted_accepts};
+  if (result < 0 && errno == EAGAIN && left.fetch_sub(1) > 0) errno = ECONNABORTED;
+  return result;
+}
+
+}  // namespace
+
+extern "C" {
+
 int accept4(int fd, sockaddr* from, socklen_t* n, int flags) {
   NEXT(accept4);
   if (call_fails())
     return fail_with(
         {ECONNABORTED, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EPERM, ENETDOWN});
-  return next(fd, from, n, flags);
+  return after_accept(next(fd, from, n, flags));
 }
 
 int accept(int fd, sockaddr* from, socklen_t* n) {
@@ -231,7 +246,7 @@
   if (call_fails())
     return fail_with(
         {ECONNABORTED, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EPERM, ENETDOWN});
-  return next(fd, from, n);
+  return after_accept(next(fd, from, n));
 }
 
 int epoll_wait(int fd, epoll_event* events, int count, int timeout) {
--- a/src/rig/main.cc
+++ b/src/rig/main.cc
@@ -127,6 +127,8 @@
   std::uint64_t drawn = 0;
   CLI::App* draw = app.add_subcommand("draw", "print a scenario drawn at random, to be played");
   draw->add_option("SEED", drawn)->required()->check(CLI::PositiveNumber);
+  bool soak = false;
+  draw->add_flag("--soak", soak, "restarts in series, short deadlines and machines at fault");
   MoveOptions moves;
   CLI::App* move = app.add_subcommand(
       "moves", "a group of balancers whose service address moves, again and again");
@@ -162,7 +164,7 @@
   try {
     if (*show) return report(folder);
     if (*draw) {
-      std::printf("%s", draw_scenario(drawn).c_str());
+      std::printf("%s", (soak ? draw_soak(drawn) : draw_scenario(drawn)).c_str());
       return 0;
     }
     if (*cluster) return run_cluster(nodes, replicas);
--- a/src/rig/model/draw.cc
+++ b/src/rig/model/draw.cc
@@ -172,8 +172,117 @@
   bool news_ = false;  // hosts come and go, and discovery stays
 };
 
+// A day of restarts: signals in series while clients go on using what connections they have,
+// deadlines from 120 ms on, and machines that are at fault. Short, so that many seeds can be
+// played.
+class SoakDraw {
+ public:
+  explicit SoakDraw(std::uint64_t seed) : seed_(seed), random_(seed, 78) {}
+
+  std::string operator()() {
+    const bool crowd = random_.chance(0.25);
+    add(out_,
+        "# Drawn from seed %llu, to soak.\nname = \"soak-%llu\"\nseed = %llu\nlength_s = %.0f\n"
+        "warm_up_s = 2\n[rules]\nanswer_slack_ms = 500\n[balancers]\ncount = %d\nmemory_mb = 64\n"
+        "sockets = %d\n",
+        static_cast<unsigned long long>(seed_), static_cast<unsigned long long>(seed_),
+        static_cast<unsigned long long>(seed_ % (1u << 30)), kSoakEnd,
+        static_cast<int>(2 + random_.below(4)), crowd ? 80 : 256);
+    faults();
+    classes();
+    add(out_,
+        "[[tenant]]\nname = \"t\"\n[[kind]]\nname = \"std\"\ncount = %d\ncores = 2\n"
+        "speed = [0.85, 1.1]\nslots = 16\ncold_s = 6\nmemory_mb = 8\n"
+        "[origin]\ncores = 8\nslots = 24\nread_ms = 15\nwrite_ms = 20\n"
+        "[discovery]\nmode = \"%s\"\ndelay_ms = [100, 600]\n"
+        "[load]\nrate = %.0f\nkeys = 4000\nretries = %d\nbackoff = \"none\"\nhonour = 0.7\n"
+        "try_share = [0.5, 1.0]\nchurn = %.2f\nimpatient = %.2f\nrude_per_s = %d\n"
+        "front_notice_s = 0.5\n",
+        kSoakHosts, random_.chance(0.25) ? "ask" : "push", random_.uniform(60, 140),
+        static_cast<int>(random_.below(3)), random_.chance(0.5) ? 0.02 : 0.0,
+        random_.chance(0.5) ? 0.03 : 0.0, crowd ? 60 : 2);
+    signals();
+    hosts();
+    return out_;
+  }
+
+ private:
+  static constexpr double kSoakEnd = 18;
+  static constexpr int kSoakHosts = 5;
+
+  void faults() {
+    static constexpr int kSteps[] = {-3600, -3, 3, 3600};
+    std::string plan;
+    if (random_.chance(0.6)) {
+      add(plan, "wall_step_s=%d", kSteps[random_.below(4)]);
+      if (random_.chance(0.4)) add(plan, ",wall_step_at_ms=%d", 7000);
+    }
+    if (random_.chance(0.5))
+      add(plan, "%scalls_per_thousand=%d,seed=%llu", plan.empty() ? "" : ",",
+          static_cast<int>(2 + random_.below(19)), static_cast<unsigned long long>(seed_));
+    if (!plan.empty()) add(out_, "faults = \"%s\"\n", plan.c_str());
+  }
+
+  void classes() {
+    static constexpr int kDeadlines[] = {120, 250, 750, 3000};
+    const int read = kDeadlines[random_.below(4)], write = kDeadlines[random_.below(4)];
+    add(out_,
+        "[[class]]\nname = \"lookup\"\nshare = 88\nwork_ms = 12\ncv = 0.8\naim_ms = %d\n"
+        "deadline_ms = %d\n"
+        "[[class]]\nname = \"save\"\nshare = 6\nwork_ms = 15\ncv = 0.8\naim_ms = %d\n"
+        "deadline_ms = %d\neffect = \"keyed\"\nwindow_ms = %d\n"
+        "[[class]]\nname = \"book\"\nshare = 6\nwork_ms = 15\ncv = 0.8\naim_ms = %d\n"
+        "deadline_ms = %d\neffect = \"unsafe\"\n",
+        read / 2, read, write / 2, write, static_cast<int>(500 + random_.below(4000)), write / 2,
+        write);
+  }
+
+  // The second signal of a pair comes while the first is still being worked off.
+  void signals() {
+    for (double at = 4; at < 13; at += random_.uniform(2.5, 4)) {
+      incident("balancer-restart", at);
+      add(out_, "for_s = %.2f\nshare = %.2f\nstagger_s = %.2f\n", random_.uniform(0.1, 0.6),
+          random_.uniform(0.4, 1), random_.uniform(0.2, 1));
+      if (random_.chance(0.5)) incident("balancer-reload", at + random_.uniform(0, 0.8));
+      if (random_.chance(0.3)) incident("balancer-reload", at + random_.uniform(0, 0.3));
+    }
+    if (random_.chance(0.3)) {
+      incident("balancer-kill", random_.uniform(5, 12));
+      add(out_, "for_s = 0.5\nshare = 0.5\n");
+    }
+  }
+
+  void hosts() {
+    const auto one = [this] {
+      return static_cast<int>(random_.below(static_cast<std::size_t>(kSoakHosts)));
+    };
+    incident("hang", random_.uniform(4, 11));
+    add(out_, "for_s = %.2f\nhost = \"h%d\"\n", random_.uniform(0.5, 5), one());
+    if (random_.chance(0.6)) {
+      static constexpr const char* kLeaves[] = {"restart", "replace"};
+      incident(kLeaves[random_.below(2)], random_.uniform(4, 10));
+      add(out_, "for_s = 0.5\nhost = \"h%d\"\ndrain_s = %.2f\n", one(),
+          random_.chance(0.5) ? 0 : random_.uniform(2, 4));
+    }
+    if (random_.chance(0.5)) {
+      incident("resets", random_.uniform(4, 12));
+      add(out_, "for_s = 2\nfactor = 0.1\nhost = \"h%d\"\n", one());
+    }
+  }
+
+  void incident(const char* what, double at) {
+    add(out_, "\n[[incident]]\nwhat = \"%s\"\nat_s = %.2f\n", what, at);
+  }
+
+  const std::uint64_t seed_;
+  Random random_;
+  std::string out_;
+};
+
 }  // namespace
 
+std::string draw_soak(std::uint64_t seed) { return SoakDraw(seed)(); }
+
 std::string draw_scenario(std::uint64_t seed) { return Draw(seed)(); }
 
 }  // namespace silverpin::rig
--- a/src/rig/model/draw.h
+++ b/src/rig/model/draw.h
@@ -12,4 +12,9 @@
 // less than a third is left.
 std::string draw_scenario(std::uint64_t seed);
 
+// The same of a short day that is all restarts: SIGTERM and SIGHUP in series while clients use what
+// connections they have until the kill, deadlines from 120 ms on, in some seeds a crowd, a wall
+// clock that is wrong or steps, and system calls that fail.
+std::string draw_soak(std::uint64_t seed);
+
 }  // namespace silverpin::rig
--- /dev/null
+++ b/tests/accept_fault_test.cc
@@ -0,0 +1,24 @@
+// Connections that are reset while they wait to be accepted: accept() says ECONNABORTED, and nobody
+// else is there. Whoever has a connection must not have to wait for the next one that comes.
+#include "program_harness.h"
+
+namespace silverpin::node {
+namespace {
+
+class AcceptFaultTest : public ProcessTest {};
+
+TEST_F(AcceptFaultTest, AnAbortedConnectionHoldsUpNobody) {
+  FakeCache cache(io, [](const auto&, const auto& id) { return FakeCache::value(id, "v"); });
+  discovery.hosts = host_entry("h", cache.server.dial());
+  faults = "aborted_accepts=3";
+  make_processes(1);
+  bool ready = false;
+  processes.front()->start([&ready] { ready = true; });
+  ASSERT_TRUE(wait([&] { return ready && discovery.watches > 0; }, std::chrono::seconds(5)));
+  auto c = client();
+  c->send("mg k v O1 Pc=read,t=acme,d=5000\r\n");
+  EXPECT_TRUE(wait([&] { return c->in == FakeCache::value("1", "v"); }, std::chrono::seconds(5)));
+}
+
+}  // namespace
+}  // namespace silverpin::node
--- a/tests/rig/program_test.cc
+++ b/tests/rig/program_test.cc
@@ -135,6 +135,16 @@
   EXPECT_EQ(run("draw 0"), 2);
 }
 
+// The short form of bench/soak, whose seeds are played by hand.
+class SoakTest : public RigProgramTest, public ::testing::WithParamInterface<int> {};
+INSTANTIATE_TEST_SUITE_P(Seeds, SoakTest, ::testing::Range(1, 5));
+
+TEST_P(SoakTest, ADayOfRestartsBreaksNoRule) {
+  EXPECT_EQ(run("draw --soak " + std::to_string(GetParam())), 0);
+  write(out_);
+  EXPECT_EQ(run(rehearse()), 0) << out_;
+}
+
 // Both dialects behind the same balancers, and the RESP one alone, while slots move, a primary
 // fails over and balancers restart.
 TEST_F(RigProgramTest, RehearsalsWithClusters) {
