--- a/src/front/admin/admin_server.cc
+++ b/src/front/admin/admin_server.cc
@@ -133,6 +133,8 @@
     acceptor_.bind(listen);
     acceptor_.listen(kBacklog);
     acceptor_.non_blocking(true);
+    // Else accept() waits for the next connection behind one that was reset in the queue.
+    acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
   } catch (const boost::system::system_error& e) {
     std::ostringstream text;
     text << "admin " << listen << ": " << e.code().message();
--- a/src/net/client_listener.cc
+++ b/src/net/client_listener.cc
@@ -55,6 +55,7 @@
     acceptor_.bind(listen_);
     acceptor_.listen(kBacklog);
     acceptor_.non_blocking(true);
+    report_aborted_connections();
   } catch (...) {
     error_code ignored;
     acceptor_.close(ignored);
@@ -70,11 +71,18 @@
   acceptor_.assign(listen_.protocol(), listening.get());
   listening.release();
   acceptor_.non_blocking(true);
+  report_aborted_connections();
   local_ = acceptor_.local_endpoint();
   give_back_.reset();
   arm_accept();
 }
 
+// Without this accept() of a non-blocking acceptor waits for the next connection where one that was
+// waiting has been reset, and the whole event loop with it.
+void ClientListener::report_aborted_connections() {
+  acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
+}
+
 void ClientListener::shut(Time last) {
   stop();
   stop_listening();
--- a/src/net/client_listener.h
+++ b/src/net/client_listener.h
@@ -63,6 +63,7 @@
   void on_session_closed(const std::shared_ptr<ClientSession>& session) override;
   bool take_over(ClientSession& session) override;
   std::shared_ptr<ClientSession> make_session(boost::asio::ip::tcp::socket socket);
+  void report_aborted_connections();
   void arm_accept();
   void on_acceptable();
   void stop_listening();
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -166,6 +166,7 @@
     if (step == Dialect::Step::kLeave) leaving_ = true;
   }
   pumping_ = false;
+  if (!blocked_ && !has_input()) blocked_since_ = Time{0};  // it has waited for an earlier one
   if (over()) {
     fault_at_ = clock_.now() + kHoldFault;
     dialect_->forget();
@@ -440,8 +441,10 @@
   return now - since_ > (served_ ? times_.idle : times_.first_byte);
 }
 
-bool ClientSession::waits_for_memory() const {
-  return !closed_ && blocked_since_ != Time{0} && slots_.empty() && !over() && !pump_posted_;
+bool ClientSession::waits_for_memory() {
+  if (closed_ || blocked_since_ == Time{0} || !slots_.empty() || over() || pump_posted_)
+    return false;
+  return blocked_ || has_input();
 }
 
 // A client that has written all of it waits as long as its request says; one that could not be read
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -128,7 +128,7 @@
   void linger();
   void discard();
   bool overdue(Time now) const;
-  bool waits_for_memory() const;
+  bool waits_for_memory();
   Duration memory_wait() const;
   void block();
   void close_soon();
