A test that fails: SIGHUP in the last moment of a drain ends the program as a crash

Cause: once io.run() has returned, main() destroys its signal_set, which sets the default action again, while the process is still ending. The rig sends no SIGHUP any more to a balancer that is not ready, as the platform sends none.

--- a/src/rig/load/load.cc
+++ b/src/rig/load/load.cc
@@ -79,8 +79,11 @@
     leaving_ = call_->leaves && !request_;
     if (leaving_) at = context_.now() + from_seconds(seconds(left) * call_->random.uniform());
     timer_.expires_at(context_.steady(at));
+    // One that came due in the turn in which its call was answered is that call's, not the next
+    // one's.
     timer_.async_wait([self = shared_from_this()](const error_code& e) {
-      if (!e && !self->closed_ && self->call_) self->time_up();
+      const bool due = self->timer_.expiry() <= std::chrono::steady_clock::now();
+      if (!e && due && !self->closed_ && self->call_) self->time_up();
     });
   }
 
--- a/src/rig/rehearsal.cc
+++ b/src/rig/rehearsal.cc
@@ -381,6 +381,8 @@
   void strike_balancer(const IncidentSpec& i, int b) {
     BalancerProcess& process = *balancers_[static_cast<std::size_t>(b)];
     if (i.what == What::kBalancerReload) {
+      // The platform sends none before a balancer is ready.
+      if (phases_[static_cast<std::size_t>(b)] == Phase::kStarting) return;
       fleet_.discovery().move(b);
       process.reload();
       return;
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -353,6 +353,24 @@
   EXPECT_EQ(std::count(c->in.begin(), c->in.end(), '\n'), 2) << c->in;
 }
 
+// Reloads that go on coming until the process has gone: the last of them must not end it.
+TEST_F(ProgramTest, ReloadsUntilTheVeryEndEndItWell) {
+  FakeDiscovery discovery(io_);
+  write_config(config_text(discovery));
+  launch();
+  ASSERT_TRUE(wait([&] { return discovery.calls > 1 && logged("listening"); }));
+  ::kill(pid_, SIGTERM);
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!exited() && std::chrono::steady_clock::now() < end) {
+    ::kill(pid_, SIGHUP);
+    ::usleep(100);
+    io_.poll();
+  }
+  ASSERT_TRUE(exited());
+  EXPECT_TRUE(WIFEXITED(*status_)) << "ended by signal " << WTERMSIG(*status_);
+  EXPECT_EQ(*status_, 0);
+}
+
 TEST_F(ProgramTest, TermAnswersAndExits) {
   FakeDiscovery discovery(io_);
   write_config(config_text(discovery));
