Block signals once the event loop has ended, so that a late SIGHUP ends nothing

Cause: main() destroys its signal_set when io.run() has returned, and the default action comes back while the process is still ending.

--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -120,6 +120,14 @@
 // Descriptors of a member of a group: its datagrams, its record, its routers, those who ask.
 constexpr std::size_t kMemberSockets = 64;
 
+// Once nothing handles them any more a signal would take its default action: SIGHUP would end the
+// process as a crash while it is ending in order.
+void block_signals() {
+  sigset_t all;
+  ::sigfillset(&all);
+  ::pthread_sigmask(SIG_BLOCK, &all, nullptr);
+}
+
 // A member of the group that votes and serves nothing.
 int run_voter(const std::string& operator_file) {
   const silverpin::Operator all = silverpin::load_operator(operator_file);
@@ -156,6 +164,7 @@
   await_signal();
   log("voter, datagrams on " + all.group->listen);
   io.run();
+  block_signals();
   return 0;
 }
 
@@ -283,6 +292,7 @@
     for (std::size_t i = 0; i < listeners; ++i)
       std::fprintf(stderr, "silverpin %s: RESP on %s\n", name, text_of(balancer.local(i)).c_str());
     io.run();
+    block_signals();
     return 0;
   } catch (const std::exception& e) {
     std::fprintf(stderr, "silverpin: %s\n", e.what());
