--- /dev/null
+++ b/review/lib/group.sh
@@ -0,0 +1,183 @@
+# Functions of the cases on service addresses. Starts a small group: two members that can hold the address
+# "history" (n0 and n1), processes that only vote, and the project's emulated RESP cluster behind
+# the members. Each member stands for a machine of its own. The address is carried by commands: `claim`
+# and `release` of the operator's file run claim.sh, which keeps one file for each machine on which the
+# address is claimed, and a log of every call.
+#
+# Before: `case_dir` is set to the folder of the case, `voters` to the names of the voters, and
+# `only_voters` to those of them that hold nothing.
+
+root=$(cd "$case_dir/../.." && pwd)
+balancer=$root/build/balancer
+testbed=$root/build/balancer_testbed
+record=$case_dir/record.txt
+work=$(mktemp -d "${TMPDIR:-/tmp}/review.XXXXXX") || exit 2
+declare -A pid_of
+: >"$record"
+
+now_ms() { date +%s%3N; }
+note() { printf '%s %s\n' "$(now_ms)" "$*" >>"$record"; }
+
+cleanup() {
+  local p
+  exec 2>/dev/null
+  for p in "${pid_of[@]}"; do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
+  wait 2>/dev/null
+  rm -rf "$work"
+}
+trap cleanup EXIT
+
+cannot_run() {
+  note "cannot run: $*"
+  echo "cannot run: $*" >&2
+  exit 2
+}
+
+# Prints a port below the range of ephemeral ports that no TCP or UDP socket uses and that was not printed before.
+declare -A ports_given
+free_port() {
+  local candidate hex
+  for _ in $(seq 200); do
+    candidate=$((20000 + RANDOM % 12000))
+    hex=$(printf ':%04X ' "$candidate")
+    [ -n "${ports_given[$candidate]:-}" ] && continue
+    grep -qi -- "$hex" /proc/net/tcp /proc/net/udp && continue
+    ports_given[$candidate]=1
+    printf -v "$1" '%s' "$candidate"
+    return
+  done
+  cannot_run "no free port"
+}
+
+# write_member NAME LEASE_MS: the operator's file of a member.
+write_member() {
+  local name=$1 lease=$2
+  mkdir -p "$work/$name.folder"
+  cat >"$work/$name.toml" <<TOML
+[process]
+name = "$name"
+
+[group]
+listen = "127.0.0.1:${udp[$name]}"
+seeds = [$(for m in n0 n1 $only_voters; do printf '"127.0.0.1:%s", ' "${udp[$m]}"; done)]
+networks = ["127.0.0.0/8"]
+key_file = "$work/group.key"
+folder = "$work/$name.folder"
+voters = [$(printf '"%s", ' $voters)]
+lease_ms = $lease
+
+[[address]]
+name = "history"
+claim = ["$work/claim.sh", "claim", "$name"]
+release = ["$work/claim.sh", "release", "$name"]
+
+[[pool]]
+name = "rate-history"
+seeds = ["$seed"]
+
+[[listener]]
+name = "resp"
+address = "127.0.0.1:${tcp[$name]}"
+pool = "rate-history"
+service = "history"
+TOML
+}
+
+start_member() { # NAME
+  local name=$1
+  (cd "$root" && exec "$balancer" --operator "$work/$name.toml") >>"$work/$name.log" 2>&1 &
+  pid_of[$name]=$!
+  note "start: $name, process $!"
+}
+
+start_voter() { # NAME
+  local name=$1
+  (cd "$root" && exec "$balancer" voter --operator "$work/$name.toml") >>"$work/$name.log" 2>&1 &
+  pid_of[$name]=$!
+  note "start: $name (votes only), process $!"
+}
+
+# state_of NAME: what the running member says of the address ("holder", "idle", ...); empty: no answer.
+state_of() {
+  "$balancer" address --operator "$work/$1.toml" --json 2>/dev/null |
+    sed -n 's/.*"addresses":\[{[^]]*"state":"\([^"]*\)".*/\1/p'
+}
+
+is_claimed() { [ -e "$work/claimed.$1" ]; }
+
+# wait_until SECONDS COMMAND...: until the command succeeds.
+wait_until() {
+  local end=$(($(now_ms) + $1 * 1000))
+  shift
+  until "$@"; do
+    [ "$(now_ms)" -lt $end ] || return 1
+    sleep 0.02
+  done
+}
+
+has_holder() {
+  for holder in n0 n1; do
+    [ "$(state_of $holder)" = holder ] && is_claimed $holder && return 0
+  done
+  return 1
+}
+
+# ask NAME: one read through the member's listener; prints the answer's first line.
+ask() {
+  local answer=
+  { exec 9<>"/dev/tcp/127.0.0.1/${tcp[$1]}"; } 2>/dev/null || { echo refused; return; }
+  printf 'GET lane\r\n' >&9
+  IFS= read -r -t 2 answer <&9
+  exec 9>&-
+  echo "${answer%$'\r'}"
+}
+
+start_group() { # LEASE_MS
+  [ -x "$balancer" ] && [ -x "$testbed" ] || cannot_run "not built"
+  declare -gA udp tcp
+  local name port
+  for name in n0 n1 $only_voters; do
+    free_port port
+    udp[$name]=$port
+    free_port port
+    tcp[$name]=$port
+  done
+  head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$work/group.key"
+  echo >>"$work/group.key"
+  cat >"$work/claim.sh" <<SH
+#!/bin/sh
+# claim.sh claim|release MACHINE. The file failing.MACHINE tells how many releases are still to fail.
+PATH=/usr/bin:/bin
+say() { echo "\$(date +%s%3N) command: \$1 on the machine of \$2, term \$SILVERPIN_TERM\$3" >>"$record"; }
+if [ "\$1" = claim ]; then
+  : >"$work/claimed.\$2"
+elif [ -e "$work/failing.\$2" ] && [ "\$(cat "$work/failing.\$2")" -gt 0 ]; then
+  echo \$((\$(cat "$work/failing.\$2") - 1)) >"$work/failing.\$2"
+  say "\$1" "\$2" ": fails"
+  exit 1
+else
+  rm -f "$work/claimed.\$2"
+fi
+say "\$1" "\$2" ""
+SH
+  chmod +x "$work/claim.sh"
+  "$testbed" cluster --nodes 1 >"$work/cluster.log" 2>&1 &
+  pid_of[cluster]=$!
+  wait_until 10 grep -q '127\.[0-9.]*:[0-9]' "$work/cluster.log" || cannot_run "the emulated cluster did not start"
+  seed=$(grep -o '127\.[0-9.]*:[0-9]*' "$work/cluster.log" | head -1)
+  for name in n0 n1 $only_voters; do write_member $name "$1"; done
+  for name in $only_voters; do start_voter $name; done
+  start_member n0
+  start_member n1
+  wait_until 20 has_holder || cannot_run "no member came to hold the address"
+  note "holder: $holder; a read through it: $(ask $holder)"
+}
+
+finish() { # EXIT_CODE
+  for name in n0 n1 $only_voters; do
+    echo "--- log of $name" >>"$record"
+    cat "$work/$name.log" >>"$record" 2>/dev/null
+  done
+  sed -i "s#$work#WORK#g; s#$root#ROOT#g" "$record"
+  exit "$1"
+}
