Show that an MGET can return what a later command of its pipeline has left

Change: review/2 has a RESP cluster of two nodes with one slot on its way, and a client that sends MGET a b and DEL a in one write.

Result: the balancer asks for the keys again one by one behind the DEL and answers the MGET with nil for a, without an error; the value is handed to nobody.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 cmake -B build -DCMAKE_BUILD_TYPE=Release
 cmake --build build -j4 --target balancer_testbed
+g++ -std=c++20 -O1 -Wall -Wextra -o build/review_resp_cluster review/2/cluster.cc
