Show that a member of a group loses requests at a planned restart

Need: what a SIGKILL finds unanswered later than 0.7 s behind SIGTERM is lost, and it may come 0.7 s behind the longest deadline. With a group the drain begins only once the addresses are handed over.

Change: review/3 now has a holder that is told to end while one node of three hangs, with claim and release commands of 0.25 s and 0.14 s.

--- a/review/lib/group.sh
+++ b/review/lib/group.sh
@@ -5,7 +5,9 @@
 # address is claimed, and a log of every call.
 #
 # Before: `case_dir` is set to the folder of the case, `voters` to the names of the voters, and
-# `only_voters` to those of them that hold nothing.
+# `only_voters` to those of them that hold nothing. May be set: `claim_takes` and `release_takes` (seconds that
+# the commands take), `pool_classes` (lines for the operator's file), `nodes` (how many nodes of review/3/node.cc
+# stand for the cluster, each a process, in place of the project's emulated one).
 
 root=$(cd "$case_dir/../.." && pwd)
 balancer=$root/build/balancer
@@ -74,6 +76,7 @@
 [[pool]]
 name = "rate-history"
 seeds = ["$seed"]
+${pool_classes:-}
 
 [[listener]]
 name = "resp"
@@ -132,6 +135,21 @@
   echo "${answer%$'\r'}"
 }
 
+start_nodes() {
+  local i node_ports=()
+  [ -x "$root/build/review_resp_node" ] || cannot_run "not built"
+  for i in $(seq $nodes); do
+    free_port port
+    node_ports+=($port)
+  done
+  for i in $(seq 0 $((nodes - 1))); do
+    "$root/build/review_resp_node" $i "$record" "${node_ports[@]}" >"$work/node$i.log" 2>&1 &
+    pid_of[node$i]=$!
+    wait_until 5 grep -q listening "$work/node$i.log" || cannot_run "a node did not start"
+  done
+  seed=127.0.0.1:${node_ports[0]}
+}
+
 start_group() { # LEASE_MS
   [ -x "$balancer" ] && [ -x "$testbed" ] || cannot_run "not built"
   declare -gA udp tcp
@@ -146,25 +164,23 @@
   echo >>"$work/group.key"
   cat >"$work/claim.sh" <<SH
 #!/bin/sh
-# claim.sh claim|release MACHINE. The file failing.MACHINE tells how many releases are still to fail.
+# claim.sh claim|release MACHINE
 PATH=/usr/bin:/bin
-say() { echo "\$(date +%s%3N) command: \$1 on the machine of \$2, term \$SILVERPIN_TERM\$3" >>"$record"; }
-if [ "\$1" = claim ]; then
-  : >"$work/claimed.\$2"
-elif [ -e "$work/failing.\$2" ] && [ "\$(cat "$work/failing.\$2")" -gt 0 ]; then
-  echo \$((\$(cat "$work/failing.\$2") - 1)) >"$work/failing.\$2"
-  say "\$1" "\$2" ": fails"
-  exit 1
-else
-  rm -f "$work/claimed.\$2"
-fi
-say "\$1" "\$2" ""
+case "\$1" in
+  claim) sleep ${claim_takes:-0} && : >"$work/claimed.\$2" ;;
+  *) sleep ${release_takes:-0} && rm -f "$work/claimed.\$2" ;;
+esac
+echo "\$(date +%s%3N) command: \$1 on the machine of \$2, term \$SILVERPIN_TERM" >>"$record"
 SH
   chmod +x "$work/claim.sh"
-  "$testbed" cluster --nodes 1 >"$work/cluster.log" 2>&1 &
-  pid_of[cluster]=$!
-  wait_until 10 grep -q '127\.[0-9.]*:[0-9]' "$work/cluster.log" || cannot_run "the emulated cluster did not start"
-  seed=$(grep -o '127\.[0-9.]*:[0-9]*' "$work/cluster.log" | head -1)
+  if [ -n "${nodes:-}" ]; then
+    start_nodes
+  else
+    "$testbed" cluster --nodes 1 >"$work/cluster.log" 2>&1 &
+    pid_of[cluster]=$!
+    wait_until 10 grep -q '127\.[0-9.]*:[0-9]' "$work/cluster.log" || cannot_run "the emulated cluster did not start"
+    seed=$(grep -o '127\.[0-9.]*:[0-9]*' "$work/cluster.log" | head -1)
+  fi
   for name in n0 n1 $only_voters; do write_member $name "$1"; done
   for name in $only_voters; do start_voter $name; done
   start_member n0
