--- a/review/lib/group.sh
+++ b/review/3/group.sh
@@ -1,17 +1,14 @@
-# Functions of the cases on service addresses. Starts a small group: two members that can hold the address
-# "history" (n0 and n1), processes that only vote, and the project's emulated RESP cluster behind
-# the members. Each member stands for a machine of its own. The address is carried by commands: `claim`
-# and `release` of the operator's file run claim.sh, which keeps one file for each machine on which the
-# address is claimed, and a log of every call.
+# A small group for the case: two members that can hold the address "history" (n0 and n1), a process that only
+# votes (v0), and a RESP cluster of three nodes behind them, each a process (node.cc). Each member stands for a
+# machine of its own. The address is carried by commands: `claim` and `release` of the operator's file run
+# claim.sh, which keeps one file for each machine on which the address is claimed.
 #
-# Before: `case_dir` is set to the folder of the case, `voters` to the names of the voters, and
-# `only_voters` to those of them that hold nothing. May be set: `claim_takes` and `release_takes` (seconds that
-# the commands take), `pool_classes` (lines for the operator's file), `nodes` (how many nodes of review/3/node.cc
-# stand for the cluster, each a process, in place of the project's emulated one).
+# Before: `case_dir` is set to the folder of the case, `nodes` to the number of nodes, `claim_takes` and
+# `release_takes` to the seconds that the commands take, and `pool_classes` to lines for the operator's file.
 
 root=$(cd "$case_dir/../.." && pwd)
 balancer=$root/build/balancer
-testbed=$root/build/balancer_testbed
+node=$root/build/review_resp_node
 record=$case_dir/record.txt
 work=$(mktemp -d "${TMPDIR:-/tmp}/review.XXXXXX") || exit 2
 declare -A pid_of
@@ -28,6 +25,7 @@
   rm -rf "$work"
 }
 trap cleanup EXIT
+trap 'exit 2' HUP INT TERM
 
 cannot_run() {
   note "cannot run: $*"
@@ -61,11 +59,11 @@
 
 [group]
 listen = "127.0.0.1:${udp[$name]}"
-seeds = [$(for m in n0 n1 $only_voters; do printf '"127.0.0.1:%s", ' "${udp[$m]}"; done)]
+seeds = [$(for m in n0 n1 v0; do printf '"127.0.0.1:%s", ' "${udp[$m]}"; done)]
 networks = ["127.0.0.0/8"]
 key_file = "$work/group.key"
 folder = "$work/$name.folder"
-voters = [$(printf '"%s", ' $voters)]
+voters = ["n0", "n1", "v0"]
 lease_ms = $lease
 
 [[address]]
@@ -76,7 +74,7 @@
 [[pool]]
 name = "rate-history"
 seeds = ["$seed"]
-${pool_classes:-}
+$pool_classes
 
 [[listener]]
 name = "resp"
@@ -93,11 +91,10 @@
   note "start: $name, process $!"
 }
 
-start_voter() { # NAME
-  local name=$1
-  (cd "$root" && exec "$balancer" voter --operator "$work/$name.toml") >>"$work/$name.log" 2>&1 &
-  pid_of[$name]=$!
-  note "start: $name (votes only), process $!"
+start_voter() {
+  (cd "$root" && exec "$balancer" voter --operator "$work/v0.toml") >>"$work/v0.log" 2>&1 &
+  pid_of[v0]=$!
+  note "start: v0 (votes only), process $!"
 }
 
 # state_of NAME: what the running member says of the address ("holder", "idle", ...); empty: no answer.
@@ -137,13 +134,12 @@
 
 start_nodes() {
   local i node_ports=()
-  [ -x "$root/build/review_resp_node" ] || cannot_run "not built"
   for i in $(seq $nodes); do
     free_port port
     node_ports+=($port)
   done
   for i in $(seq 0 $((nodes - 1))); do
-    "$root/build/review_resp_node" $i "$record" "${node_ports[@]}" >"$work/node$i.log" 2>&1 &
+    "$node" $i "$record" "${node_ports[@]}" >"$work/node$i.log" 2>&1 &
     pid_of[node$i]=$!
     wait_until 5 grep -q listening "$work/node$i.log" || cannot_run "a node did not start"
   done
@@ -151,10 +147,10 @@
 }
 
 start_group() { # LEASE_MS
-  [ -x "$balancer" ] && [ -x "$testbed" ] || cannot_run "not built"
+  [ -x "$balancer" ] && [ -x "$node" ] || cannot_run "not built"
   declare -gA udp tcp
   local name port
-  for name in n0 n1 $only_voters; do
+  for name in n0 n1 v0; do
     free_port port
     udp[$name]=$port
     free_port port
@@ -167,22 +163,15 @@
 # claim.sh claim|release MACHINE
 PATH=/usr/bin:/bin
 case "\$1" in
-  claim) sleep ${claim_takes:-0} && : >"$work/claimed.\$2" ;;
-  *) sleep ${release_takes:-0} && rm -f "$work/claimed.\$2" ;;
+  claim) sleep $claim_takes && : >"$work/claimed.\$2" ;;
+  *) sleep $release_takes && rm -f "$work/claimed.\$2" ;;
 esac
 echo "\$(date +%s%3N) command: \$1 on the machine of \$2, term \$SILVERPIN_TERM" >>"$record"
 SH
   chmod +x "$work/claim.sh"
-  if [ -n "${nodes:-}" ]; then
-    start_nodes
-  else
-    "$testbed" cluster --nodes 1 >"$work/cluster.log" 2>&1 &
-    pid_of[cluster]=$!
-    wait_until 10 grep -q '127\.[0-9.]*:[0-9]' "$work/cluster.log" || cannot_run "the emulated cluster did not start"
-    seed=$(grep -o '127\.[0-9.]*:[0-9]*' "$work/cluster.log" | head -1)
-  fi
-  for name in n0 n1 $only_voters; do write_member $name "$1"; done
-  for name in $only_voters; do start_voter $name; done
+  start_nodes
+  for name in n0 n1 v0; do write_member $name "$1"; done
+  start_voter
   start_member n0
   start_member n1
   wait_until 20 has_holder || cannot_run "no member came to hold the address"
@@ -190,7 +179,7 @@
 }
 
 finish() { # EXIT_CODE
-  for name in n0 n1 $only_voters; do
+  for name in n0 n1 v0; do
     echo "--- log of $name" >>"$record"
     cat "$work/$name.log" >>"$record" 2>/dev/null
   done
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,6 @@
 # TROUBLE=0: no node hangs.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
-voters="n0 n1 v0" only_voters="v0"
 nodes=3
 deadline_ms=3000
 # What the commands take: under overlap_ms (300) and under withdraw_lead_ms (150, "what routers or commands take
@@ -16,7 +15,7 @@
 prefix = "booking:"
 effect = "unsafe"
 deadline_ms = '$deadline_ms
-. "$case_dir/../lib/group.sh"
+. "$case_dir/group.sh"
 
 clients=16
 kill_after_ms=$((deadline_ms + 700 + 20))  # SIGKILL: no sooner than the longest deadline and 0.7 s behind SIGTERM
@@ -42,7 +41,7 @@
 n=0
 while [ ${#keys[@]} -lt $clients ]; do
   n=$((n + 1))
-  slot=$("$root/build/review_resp_node" slot booking:$n)
+  slot=$("$node" slot booking:$n)
   [ $slot -ge 5461 ] && [ $slot -lt 10922 ] && keys+=(booking:$n)
 done
 for i in $(seq 0 $((clients - 1))); do
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,9 +1,10 @@
 #!/bin/bash
-# Builds the stand-ins of the cases, behind the build of deploy/balancer.toml.
+# Builds the stand-ins of the cases into build/, beside the program that the build of deploy/balancer.toml has
+# left there. They are small programs of one file; a C++ compiler is all that they need.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake -B build -DCMAKE_BUILD_TYPE=Release
-cmake --build build -j4 --target balancer_testbed
-g++ -std=c++20 -O1 -Wall -Wextra -o build/review_resp_cluster review/2/cluster.cc
-g++ -std=c++20 -O1 -Wall -Wextra -o build/review_resp_node review/3/node.cc
-g++ -std=c++20 -O1 -Wall -Wextra -o build/review_booking_node review/1/node.cc
+mkdir -p build
+compile() { "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -o "build/$1" "review/$2"; }
+compile review_booking_node 1/node.cc
+compile review_resp_cluster 2/cluster.cc
+compile review_resp_node 3/node.cc
