RESP: do not send a read again behind a later write of its client to the slot

Cause: a further attempt has lost its place on its connection, and nothing decided whether it still was in order. The one check, before the keys of an MGET are asked for one by one, looked for writes in flight and ran from the event loop, when a write answered in the same read had ended.

Change: RequestOrder, shared by a client's requests to one slot, knows which writes may have been executed. ServerPool::may_send lets no attempt of a read begin behind one, RetryPolicy::may_attempt decides on none, and the outcome of a read waits while a later write is in flight, so that both are sent again in order where both were redirected. The keys of an MGET keep its position, and the MGET counts as open until they are submitted. submit() takes its rarer parameters as one struct; two test files share the fixture of two scripted nodes.

--- a/src/dispatch/pending_request.h
+++ b/src/dispatch/pending_request.h
@@ -17,6 +17,7 @@
   RequestPayloadPtr payload;
   int request_class = 0;  // index into the pool's classes
   bool non_idempotent = false;
+  bool is_write = false;
   bool finished = false;  // answered, or withdrawn as its client has disconnected
   int attempts = 0;       // number started
   int attempts_in_flight = 0;
--- a/src/dispatch/server_pool.cc
+++ b/src/dispatch/server_pool.cc
@@ -152,6 +152,7 @@
   request.slot = slot;
   request.payload = std::move(spec.payload);
   request.request_class = spec.request_class;
+  request.is_write = spec.write;
   request.non_idempotent =
       site_.policy.classes[static_cast<std::size_t>(spec.request_class)].idempotency ==
       Idempotency::kNone;
@@ -223,6 +224,18 @@
   return true;
 }
 
+// Returns whether the answer to the request could show the effect of a later write of its client.
+bool ServerPool::is_overtaken(const PendingRequest& request) {
+  const RequestPayload& payload = *request.payload;
+  return !request.is_write && payload.order && payload.order->is_overtaken(payload.order_position);
+}
+
+void ServerPool::on_write_begun(const Attempt& attempt) {
+  const RequestPayload& payload = *attempt.payload;
+  if (payload.order && requests_.at(attempt.request).is_write)
+    payload.order->on_write_begun(payload.order_position);
+}
+
 // Checks the deadline too, as it may have passed before the time-out fires after a stall. Looks the
 // host up in the policy, which is the first component to receive changes of the endpoint list.
 SendPermission ServerPool::may_send(const Attempt& attempt) const {
@@ -233,6 +246,7 @@
       now() >= attempt.first_byte_deadline || !request.sink->may_forward() ||
       !is_connected(request))
     return SendPermission::kRequestFinished;
+  if (!attempt.write_begun && is_overtaken(request)) return SendPermission::kRequestFinished;
   const auto* host = policy_.host(attempt.host);
   const bool is_same_process = host && host->born() == attempt.host_started;
   return is_same_process && host->accepts_attempts() ? SendPermission::kGranted
@@ -271,6 +285,24 @@
   timers_.cancel_timeout(*attempt);
   result = correct_unsent(attempt, result);
   if (routing_extension_) result = routing_extension_->interpret_result(*attempt, result, value);
+  const RequestPayload& payload = *attempt->payload;
+  if (!payload.order) return handle_outcome(attempt, result, std::move(value));
+  const PendingRequest& request = requests_.at(attempt->request);
+  const bool is_write = request.is_write;
+  if (is_write && attempt->write_begun)
+    payload.order->on_write_ended(payload.order_position, !never_ran(result));
+  const bool may_be_sent_again = result != Result::kOk && !request.finished;
+  if (may_be_sent_again && deferred_outcomes_.must_wait(*attempt, is_write)) {
+    deferred_outcomes_.add({attempt, result, is_write});
+  } else {
+    handle_outcome(attempt, result, std::move(value));
+  }
+  if (!is_write) return;
+  for (const DeferredOutcome& ready : deferred_outcomes_.take_ready(*payload.order))
+    handle_outcome(ready.attempt, ready.result, {});
+}
+
+void ServerPool::handle_outcome(const AttemptPtr& attempt, Result result, std::string value) {
   const RequestId id = attempt->request;
   PendingRequest& request = requests_.at(id);
   --request.attempts_in_flight;
@@ -279,7 +311,7 @@
   if (result == Result::kOk && !request.finished)
     answer(id, {Response::Kind::kServed, std::move(value), Duration{0}, nullptr});
   if (request.finished) finished_.push_back(id);
-  policy_.on_outcome(now(), {id, attempt->number, result, request.finished});
+  policy_.on_outcome(now(), {id, attempt->number, result, request.finished, is_overtaken(request)});
   erase_finished();
 }
 
--- a/src/dispatch/server_pool.h
+++ b/src/dispatch/server_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "dispatch/attempt_timers.h"
+#include "dispatch/deferred_outcomes.h"
 #include "dispatch/host_start_times.h"
 #include "dispatch/pending_request.h"
 #include "dispatch/routing_extension.h"
@@ -104,6 +105,7 @@
   // AttemptEvents
   Time now() const override { return clock_.now(); }
   SendPermission may_send(const Attempt& attempt) const override;
+  void on_write_begun(const Attempt& attempt) override;
   void on_stream_started(const AttemptPtr& attempt, const StreamPtr& stream) override;
   void on_attempt_ended(const AttemptPtr& attempt, Result result, std::string value) override;
 
@@ -115,6 +117,8 @@
   static Result correct_unsent(const AttemptPtr& attempt, Result result);
   void on_hold_released(const std::vector<AttemptPtr>& held);
   bool is_connected(const PendingRequest& request) const;
+  static bool is_overtaken(const PendingRequest& request);
+  void handle_outcome(const AttemptPtr& attempt, Result result, std::string value);
   void answer(RequestId id, Response response);
   void mark_finished(RequestId id, PendingRequest& request);
   void erase_finished();
@@ -128,6 +132,7 @@
   Policy policy_;  // sets timers in its constructor, so it is declared after timers_
   Upstreams upstreams_;
   StallHold stall_hold_;
+  DeferredOutcomes deferred_outcomes_;
   std::unordered_map<RequestId, PendingRequest> requests_;
   std::size_t open_requests_ = 0;    // requests that are not finished
   std::vector<RequestId> finished_;  // to be erased once none of their attempts is in flight
--- a/src/frontend/resp/data_commands.cc
+++ b/src/frontend/resp/data_commands.cc
@@ -31,10 +31,9 @@
 void RespFrontend::RespSession::submit(ClientSession& session, ResponseSlot response_slot,
                                        std::string wire, std::size_t replies, Slot slot,
                                        int request_class, bool write, std::string_view key,
-                                       std::uint8_t kind, std::optional<Duration> budget,
-                                       std::string node) {
+                                       std::uint8_t kind, RespSubmitOptions options) {
   auto payload = std::make_shared<RespPayload>();
-  payload->node = std::move(node);
+  payload->node = std::move(options.node);
   payload->wire = std::move(wire);
   payload->reply_count = replies;
   payload->version = version_;
@@ -52,29 +51,48 @@
   ++open_requests_;
   open.writes += write;
   open.replicas += !front_.primary_only(request_class);
+  // A request to a node concerns all slots, and is in no order with those of one slot.
+  if (payload->node.empty()) {
+    payload->order = open.order;
+    payload->order_position = options.position ? *options.position : open.order->append();
+  }
   RequestSpec spec;
   spec.request_class = request_class;
   spec.tenant = tenant_;
   spec.write = write;
   if (payload->node.empty()) spec.key = key;
-  spec.time_left = budget.value_or(deadline_of(request_class));
+  spec.time_left = options.budget.value_or(deadline_of(request_class));
   spec.payload = std::move(payload);
   front_.core_.submit(session.shared_from_this(), response_slot, std::move(spec));
 }
 
+void RespFrontend::RespSession::close_request(Slot slot, int request_class, bool write) {
+  --open_requests_;
+  const auto it = open_by_slot_.find(slot);
+  if (it == open_by_slot_.end()) return;
+  it->second.writes -= write;
+  it->second.replicas -= !front_.primary_only(request_class);
+  if (--it->second.requests == 0) open_by_slot_.erase(it);
+}
+
 void RespFrontend::RespSession::on_response(ClientSession& session, ResponseSlot response_slot,
                                             const RequestPayload& payload, Response final) {
   const auto& p = static_cast<const RespPayload&>(payload);
-  --open_requests_;
-  if (const auto it = open_by_slot_.find(p.slot); it != open_by_slot_.end()) {
-    it->second.writes -= p.write;
-    it->second.replicas -= !front_.primary_only(p.request_class);
-    if (--it->second.requests == 0) open_by_slot_.erase(it);
+  const auto it = split_commands_.find(response_slot.slot);
+  if (it != split_commands_.end() && final.kind == Response::Kind::kRejected && p.got_tryagain &&
+      it->second.keys[response_slot.part].size() > 1) {
+    // Resubmits from the event loop, as the core may still be processing this response. The request
+    // counts as open until then, so that later commands keep their place behind it.
+    session.post([this, &session, response_slot,
+                  place = RequestPlace{p.slot, p.request_class, p.order_position}] {
+      resubmit_per_key(session, response_slot, place);
+    });
+    return;
   }
+  close_request(p.slot, p.request_class, p.write);
   std::string reply = final.kind == Response::Kind::kServed     ? std::move(final.value)
                       : final.kind == Response::Kind::kRejected ? refused(final.retry_after)
                                                                 : failed();
-  const auto it = split_commands_.find(response_slot.slot);
   if (const auto page = scan_pages_.extract(response_slot.slot);
       page && final.kind == Response::Kind::kServed)
     reply = advance_scan(session.now(), std::move(page.mapped()), std::move(reply));
@@ -82,15 +100,6 @@
     session.answer(response_slot.slot, std::move(reply));
     return session.resume_processing();
   }
-  SplitCommand& j = it->second;
-  if (final.kind == Response::Kind::kRejected && p.got_tryagain &&
-      j.keys[response_slot.part].size() > 1) {
-    // Resubmits from the event loop, as the core may still be processing this response.
-    session.post([this, &session, response_slot, slot = p.slot, request_class = p.request_class] {
-      resubmit_per_key(session, response_slot, slot, request_class);
-    });
-    return;
-  }
   complete_part(session, response_slot, std::move(reply), final.kind, final.retry_after);
 }
 
@@ -109,18 +118,19 @@
 }
 
 // Resubmits a part of an MGET as one request per key after a node answered TRYAGAIN: the slot is
-// being migrated and the keys lie on two nodes, neither of which can serve them together. Rejects
-// the part instead if a later write of this client to the slot is in flight, as the reply could
-// otherwise show the effect of a command that follows the MGET.
+// being migrated and the keys lie on two nodes, neither of which can serve them together. The
+// requests take the place of the part among the client's requests to the slot, so that they are
+// rejected if a later write may have been executed.
 void RespFrontend::RespSession::resubmit_per_key(ClientSession& session, ResponseSlot response_slot,
-                                                 Slot slot, int request_class) {
+                                                 const RequestPlace& place) {
   SplitCommand& j = split_commands_.at(response_slot.slot);
   const std::vector<std::string> keys = std::move(j.keys[response_slot.part]);
-  const auto open = open_by_slot_.find(slot);
-  if ((open != open_by_slot_.end() && open->second.writes > 0) || session.now() >= j.deadline ||
-      open_requests_ + keys.size() > kMaxOpenRequests)
+  const std::size_t other_requests = open_requests_ - 1;
+  if (session.now() >= j.deadline || other_requests + keys.size() > kMaxOpenRequests) {
+    close_request(place.slot, place.request_class, false);
     return complete_part(session, response_slot, refused(Duration{0}), Response::Kind::kRejected,
                          Duration{0});
+  }
   // The first key keeps the part's index, the others get new ones.
   const std::size_t first_new = j.replies.size() - 1;
   const auto part_of = [&](std::size_t i) { return i == 0 ? response_slot.part : first_new + i; };
@@ -138,8 +148,9 @@
   // The last response may arrive before submit() returns, and erases the split command.
   for (std::size_t i = 0; i < keys.size(); ++i)
     submit(session, {response_slot.slot, static_cast<std::uint32_t>(part_of(i))},
-           Command::from_args({"MGET", keys[i]}).wire(), 1, slot, request_class, false, keys[i],
-           kind_of(*info), budget);
+           Command::from_args({"MGET", keys[i]}).wire(), 1, place.slot, place.request_class, false,
+           keys[i], kind_of(*info), {.budget = budget, .position = place.position});
+  close_request(place.slot, place.request_class, false);
 }
 
 // Joins the replies of all parts. If a part failed, the whole command fails. The error states how
--- a/src/frontend/resp/node_commands.cc
+++ b/src/frontend/resp/node_commands.cc
@@ -93,7 +93,7 @@
   const auto response_slot = session.open_slot();
   scan_pages_[response_slot] = {id, page, std::move(plan)};
   submit(session, {response_slot}, Command::from_args(words).wire(), 1, 0,
-         front_.class_of(kScan, {}), false, {}, kScanLatencyKind, std::nullopt, step->node);
+         front_.class_of(kScan, {}), false, {}, kScanLatencyKind, {.node = step->node});
   return Step::kProcessed;
 }
 
@@ -137,7 +137,7 @@
   for (std::size_t i = 0; i < owners.size(); ++i)
     submit(session, {response_slot, static_cast<std::uint32_t>(i)},
            Command::from_args({"DBSIZE"}).wire(), 1, 0, front_.class_of(kDbsize, {}), false, {},
-           kDbsizeLatencyKind, std::nullopt, owners[i]);
+           kDbsizeLatencyKind, {.node = owners[i]});
   return Step::kProcessed;
 }
 
--- a/src/frontend/resp/resp_session.h
+++ b/src/frontend/resp/resp_session.h
@@ -2,6 +2,7 @@
 
 #include <boost/container/flat_map.hpp>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,14 @@
 // Prevents one client from using up the requests that the pool may hold for all clients.
 inline constexpr std::size_t kMaxOpenRequests = 1024;
 
+// How a request is submitted if not in the usual way.
+struct RespSubmitOptions {
+  std::optional<Duration> budget{};  // instead of the deadline of its class
+  std::string node{};                // the only node that may serve it
+  // Its place among the client's requests to the slot, if not behind all others.
+  std::optional<RequestOrder::Position> position{};
+};
+
 // The protocol handler of one RESP client. Submits data commands (data_commands.cc), transactions
 // (transactions.cc) and commands to nodes (node_commands.cc) to the core as requests. The commands
 // that the balancer answers itself are in local_commands.cc and cluster_commands.cc.
@@ -77,6 +86,13 @@
     Duration retry_after{0};
   };
 
+  // A request among those in flight of its slot.
+  struct RequestPlace {
+    cluster::Slot slot;
+    int request_class;
+    RequestOrder::Position position;
+  };
+
   Step handle_command(ClientSession& session, resp::Command& command);
   // Each answers or forwards a command of its group; returns nullopt for any other command.
   std::optional<Step> handle_unauthenticated_command(ClientSession& session,
@@ -124,8 +140,8 @@
   std::string join(SplitCommand& j) const;
   void complete_part(ClientSession& session, ResponseSlot response_slot, std::string reply,
                      Response::Kind kind, Duration retry_after);
-  void resubmit_per_key(ClientSession& session, ResponseSlot response_slot, cluster::Slot slot,
-                        int request_class);
+  void resubmit_per_key(ClientSession& session, ResponseSlot response_slot,
+                        const RequestPlace& place);
   Duration deadline_of(int request_class) const {
     return front_.pool_.site.policy.classes[static_cast<std::size_t>(request_class)].deadline;
   }
@@ -145,8 +161,9 @@
   bool may_pipeline(cluster::Slot slot, int request_class) const;
   void submit(ClientSession& session, ResponseSlot response_slot, std::string wire,
               std::size_t replies, cluster::Slot slot, int request_class, bool write,
-              std::string_view key, std::uint8_t kind,
-              std::optional<Duration> budget = std::nullopt, std::string node = {});
+              std::string_view key, std::uint8_t kind, RespSubmitOptions options = {});
+  // Counts a request as ended.
+  void close_request(cluster::Slot slot, int request_class, bool write);
 
   RespFrontend& front_;
   resp::CommandReader reader_;
@@ -163,6 +180,7 @@
   struct OpenRequests {
     int requests = 0, writes = 0;
     int replicas = 0;  // requests that a replica may serve
+    std::shared_ptr<RequestOrder> order = std::make_shared<RequestOrder>();
   };
   boost::container::flat_map<cluster::Slot, OpenRequests> open_by_slot_;  // few entries at a time
   std::size_t open_requests_ = 0;
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -35,6 +35,7 @@
   bool ended = false;               // its outcome is known; later events are ignored
   bool is_held_for_stall = false;   // held back after a process stall; not sent to its host yet
   bool assigned = false;            // to a connection
+  bool write_begun = false;         // its bytes have their place on the connection
   // Start time of the host process for which the attempt was decided. If the host has restarted
   // since, a new decision is needed.
   std::optional<UnixTime> host_started;
@@ -53,8 +54,8 @@
 // Whether the next byte of an attempt may be written.
 enum class SendPermission {
   kGranted,
-  // The client has disconnected, the deadline or the deduplication window has passed, or the lease
-  // is lost: no further byte.
+  // The client has disconnected, the deadline or the deduplication window has passed, the lease is
+  // lost, or a later write has overtaken the read: no further byte.
   kRequestFinished,
   // The host accepts no new requests or has restarted: no first byte.
   kHostChanged,
@@ -74,6 +75,9 @@
   // Returns whether the next byte of the attempt may be written. The only such check; called before
   // each write and whenever the hosts have changed.
   virtual SendPermission may_send(const Attempt& attempt) const = 0;
+  // The attempt begins to be written, behind all that its connection has been given before. Called
+  // once, after may_send() has granted the first byte.
+  virtual void on_write_begun(const Attempt& attempt) = 0;
   // A long value has begun to arrive and is delivered through the stream; on_attempt_ended()
   // follows. A receiver that does not want the value abandons the stream.
   virtual void on_stream_started(const AttemptPtr& attempt, const StreamPtr& stream) = 0;
--- a/src/net/request.h
+++ b/src/net/request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "connection_pool/connection_selector.h"
+#include "net/request_order.h"
 #include "net/value_stream.h"
 #include "policy/policy.h"
 
@@ -27,6 +28,9 @@
 
   // The request's requirements on its connection; the core adds those of its request class.
   connection_pool::AttemptTraits traits;
+  // The requests among which this one has a place, and that place; null: in no order with others.
+  std::shared_ptr<RequestOrder> order;
+  RequestOrder::Position order_position = 0;
 };
 using RequestPayloadPtr = std::shared_ptr<const RequestPayload>;
 
--- a/src/net/upstream_connection.cc
+++ b/src/net/upstream_connection.cc
@@ -97,6 +97,8 @@
     return false;
   }
   if (out.encoded) return true;
+  out.attempt->write_begun = true;
+  events_.on_write_begun(*out.attempt);
   encode(out);
   out.encoded = true;
   if (place == 0) last_read_ = events_.now();
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -327,6 +327,7 @@
   attempt.was_reset = outcome.result == Result::kReset;
   attempt.host_did_no_work = rule.next == NextStep::kResendUnbudgeted;
   request.withdrawn_attempts += outcome.result == Result::kWithdrawn;
+  request.is_overtaken = request.is_overtaken || outcome.is_overtaken;
   attempt_observer_.on_outcome(now, attempt, rule, outcome.result);
   close_idle_if_scarce(attempt.host);
   const bool from_origin = host_registry_[attempt.host].is_origin;
--- a/src/policy/request.h
+++ b/src/policy/request.h
@@ -60,6 +60,8 @@
   int attempt = 0;  // number of the attempt, from 0 in sending order
   Result result = Result::kOk;
   bool finished = false;  // the request has received its final answer
+  // The request is a read, and a later write of its client to the same data may have been executed.
+  bool is_overtaken = false;
 };
 
 }  // namespace balancer
--- a/src/policy/request_state.h
+++ b/src/policy/request_state.h
@@ -36,6 +36,7 @@
   bool exceeds_quota = false;                        // rejected because of its tenant's quota
   bool finished = false;                             // has received its final answer
   bool is_streaming = false;                         // the first byte of its answer was received
+  bool is_overtaken = false;                         // by a later write, which it must not show
   bool awaits_fetch = false;                         // waits for another request to fetch its key
   std::uint64_t deadline_timer = 0, slow_timer = 0;  // timer tags
 
--- a/src/policy/retry_policy.cc
+++ b/src/policy/retry_policy.cc
@@ -29,6 +29,7 @@
 bool RetryPolicy::may_attempt(const RequestState& request, const HostRegistry::Host& host,
                               Time now) const {
   const RequestClass& request_class = class_of(request);
+  if (request.is_overtaken) return false;
   if (!settings_.hedging && request.in_flight() > 0) return false;
   if (request_class.idempotency == Idempotency::kIdempotent) return true;
   for (const AttemptRecord& earlier : request.attempts) {
--- a/src/policy/retry_policy.h
+++ b/src/policy/retry_policy.h
@@ -25,7 +25,8 @@
   bool has_attempts_left(const RequestState& request) const;
   // Returns whether an attempt at `host` cannot repeat an effect of an earlier attempt. A second
   // execution of a request that is not idempotent, or of a keyed request on a host that does not
-  // know the first execution, could for example book or charge twice.
+  // know the first execution, could for example book or charge twice. A read that a later write of
+  // its client has overtaken would show the effect of that write.
   bool may_attempt(const RequestState& request, const HostRegistry::Host& host, Time now) const;
   // Returns whether the next attempt at a cache counts against the retry budget. The attempt of a
   // follower after a fetch does not count, nor does an attempt after one that cost no host any
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -4,8 +4,7 @@
 #include <set>
 #include <thread>
 
-#include "resp_harness.h"
-#include "scripted_node.h"
+#include "scripted_cluster.h"
 
 namespace balancer::node {
 namespace {
@@ -21,27 +20,18 @@
   return out;
 }
 
-class PipelineTest : public ::testing::Test {
+class PipelineTest : public ScriptedClusterTest {
  protected:
   void SetUp() override { begin(); }
   void begin() {
     a.on_command = b.on_command = [this](Peer& p, const Words& w) { answer(p, w); };
-    OperatorSettings added = parse_operator(
-        "[[pool]]\nname = \"p\"\nseeds = [\"" + a.server.dial() +
-            "\"]\nrefresh_interval_ms = 20\nslow_after_ms = " + std::to_string(kSlow.count()) +
-            "\n[[pool.class]]\nname = \"any\"\ncommands = "
-            "[\"HGET\"]\nreads = \"any\"\naim_ms = 20000\ndeadline_ms = "
-            "20000\n[[pool.class]]\nname "
-            "= \"reads\"\ncommands = [\"READ\"]\naim_ms = 20000\ndeadline_ms = 20000\n"
-            "[[pool.class]]\nname = \"writes\"\ncommands = [\"WRITE\"]\naim_ms = 20000\n"
-            "deadline_ms = 20000\n[[listener]]\nname = \"l\"\naddress = "
-            "\"127.0.0.1:0\"\npool = \"p\"\n",
-        "test.toml");
-    limits = std::make_unique<Limits>(config.sockets, config.memory_mb);
-    balancer = std::make_unique<Balancer>(io, config, *limits, std::move(added));
-    EXPECT_TRUE(run_until(io, [&] {
-      return balancer->cluster_pool(0).router().table().assigned() == cluster::kSlots;
-    }));
+    start("refresh_interval_ms = 20\nslow_after_ms = " + std::to_string(kSlow.count()) +
+          "\n[[pool.class]]\nname = \"any\"\ncommands = [\"HGET\"]\nreads = \"any\"\n"
+          "aim_ms = 20000\ndeadline_ms = 20000\n"
+          "[[pool.class]]\nname = \"reads\"\ncommands = [\"READ\"]\naim_ms = 20000\n"
+          "deadline_ms = 20000\n"
+          "[[pool.class]]\nname = \"writes\"\ncommands = [\"WRITE\"]\naim_ms = 20000\n"
+          "deadline_ms = 20000\n");
   }
   // Answers every command but RPUSH with its first argument. Counts the executions of each RPUSH,
   // by its value.
@@ -53,9 +43,6 @@
       p.send(bulk(w[1]));
     }
   }
-  std::unique_ptr<RespClient> client() {
-    return std::make_unique<RespClient>(io, balancer->local(0));
-  }
   // Sends requests that are answered immediately until the pool lets `depth` client requests share
   // a connection. This takes longer on a busy machine, where some answers are slow.
   ::testing::AssertionResult reach_sharing_depth(std::size_t depth) {
@@ -73,17 +60,7 @@
     }
     return ::testing::AssertionFailure() << "the pool did not reach the required sharing depth";
   }
-  ::testing::AssertionResult wait(const std::function<bool()>& done) {
-    if (run_until(io, done)) return ::testing::AssertionSuccess();
-    return ::testing::AssertionFailure() << "condition not reached in time";
-  }
-  std::unique_ptr<Limits> limits;  // outlives the loop
-  asio::io_context io{1};
-  FakeDiscovery discovery{io};
-  Config config = test_config(discovery.server.local());
-  ScriptedNode a{io}, b{io};
   std::map<std::string, int> runs;  // executions of writes, by value
-  std::unique_ptr<Balancer> balancer;
 };
 
 // 40 requests are in flight on one connection, 3 of them non-idempotent writes. Each round closes
@@ -225,6 +202,7 @@
     std::vector<std::pair<Result, std::string>> ends;
     Time now() const override { return clock.now(); }
     SendPermission may_send(const Attempt&) const override { return SendPermission::kGranted; }
+    void on_write_begun(const Attempt&) override {}
     void on_stream_started(const AttemptPtr&, const StreamPtr&) override {}
     void on_attempt_ended(const AttemptPtr& attempt, Result result, std::string value) override {
       if (!std::exchange(attempt->ended, true)) ends.emplace_back(result, std::move(value));
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -78,6 +78,22 @@
   EXPECT_NE(sink.sent[4].host, owner) << "the host was not ejected after three resets in a row";
 }
 
+// A read that a later write of its client has overtaken is rejected, whichever way its attempt
+// ended; a further attempt would return what the write has left.
+TEST_F(PolicyTest, DoesNotRetryAnOvertakenRead) {
+  RequestId id = 0;
+  for (const Result result :
+       {Result::kError, Result::kRejected, Result::kTimeout, Result::kConnectFailed, Result::kReset,
+        Result::kNotSent, Result::kRedirected, Result::kWithdrawn}) {
+    SCOPED_TRACE(static_cast<int>(result));
+    policy.on_request(seconds(2), request(++id, 0, false));
+    const std::size_t sent = sink.sent.size(), rejected = sink.rejected.size();
+    policy.on_outcome(seconds(2), {id, 0, result, false, true});
+    EXPECT_EQ(sink.sent.size(), sent);
+    EXPECT_EQ(sink.rejected.size(), rejected + 1);
+  }
+}
+
 // ---- operators' overrides
 
 std::string other(const std::string& host) { return host == "a" ? "b" : "a"; }
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -58,6 +58,7 @@
                ? SendPermission::kGranted
                : p;
   }
+  void on_write_begun(const Attempt& a) override { core_.on_write_begun(a); }
   void on_stream_started(const AttemptPtr& a, const StreamPtr& s) override {
     core_.on_stream_started(a, s);
   }
