Count all times of a drain from the signal, also while addresses are handed over

Cause: Balancer::drain started DrainCoordinator only when GroupRuntime::leave had reported the end of the hand-over, and the coordinator counted from its own start: open requests failed, and the process ended, a hand-over too late.

Change: drain_times() derives every time from that of the signal. The drain and the hand-over begin together; the process ends when both are done, at the latest at the drain's end. On the same cause: connections that a release leaves behind close by the drain's last time; the tries of a failing release go on to the end and fit into it, and an address that is still claimed then is logged; a process that gets SIGTERM before its first list opens no listener; a signal during a start that waits for a predecessor counts from the start.

--- a/src/group_runtime/group_runtime.cc
+++ b/src/group_runtime/group_runtime.cc
@@ -91,7 +91,7 @@
   if (!storage_.open(now)) return;
   // After the wall clock was set back, the other members ignore this incarnation as outdated. A
   // member that holds no lease and is not leaving starts again as a later incarnation.
-  if (storage_.incarnation() != incarnation_ && group_node_->is_idle() && !on_leave_done_) {
+  if (storage_.incarnation() != incarnation_ && group_node_->is_idle() && !is_leaving_) {
     make_group_node();
   } else {
     group_node_->restore_voter(now, storage_.remembered());
@@ -180,9 +180,6 @@
     apply_bgp_events(now);
   }
   for (const auto& line : group_node_->take_log_lines()) owner_.log(line);
-  if (on_leave_done_ && (group_node_->is_idle() || now >= leave_deadline_)) {
-    asio::post(io_, std::exchange(on_leave_done_, nullptr));
-  }
 }
 
 void GroupRuntime::apply_route_action(Time now, const lease::RouteAction& action) {
@@ -312,7 +309,6 @@
   Time next = group_node_->next_timer_at();
   for (const auto& [address, announcer] : announcers_)
     next = std::min(next, announcer.commands.next_timer_at());
-  if (on_leave_done_) next = std::min(next, leave_deadline_);
   if (next == timer_due_) return;
   timer_due_ = next;
   if (next == Time::max()) {
@@ -356,17 +352,30 @@
 
 void GroupRuntime::reload() { keys_.reload(lease_now(), group::read_keys(file_.key_file)); }
 
-void GroupRuntime::leave(std::function<void()> done) {
-  const auto& times = file_.lease_manager.times;
-  leave_deadline_ = lease_now() + times.duration + times.overlap;
-  on_leave_done_ = std::move(done);
-  eligibility_.on_condition(lease_now(), lease::Eligibility::Condition::kNotDraining, false);
-  group_node_->leave(lease_now());
+void GroupRuntime::leave(Duration time_left) {
+  const Time now = lease_now();
+  is_leaving_ = true;
+  for (auto& [address, announcer] : announcers_)
+    announcer.commands.limit_release(now, now + time_left);
+  eligibility_.on_condition(now, lease::Eligibility::Condition::kNotDraining, false);
+  group_node_->leave(now);
   run_effects();
 }
 
+bool GroupRuntime::has_left() const {
+  return is_leaving_ && group_node_->is_idle() &&
+         std::all_of(announcers_.begin(), announcers_.end(), [](const auto& entry) {
+           return entry.second.commands.state() == CommandAnnouncer::State::kIdle;
+         });
+}
+
 void GroupRuntime::shut_down() {
   if (ended_) return;
+  for (const auto& [address, announcer] : announcers_)
+    if (is_leaving_ && announcer.commands.state() != CommandAnnouncer::State::kIdle)
+      owner_.log("lease " + address +
+                 ": the process ends before its release command has succeeded: the address may "
+                 "still be claimed on this machine");
   group_node_->announce_departure(lease_now());
   for (const auto& s : group_node_->take_datagrams()) send(s);
   ended_ = true;
--- a/src/group_runtime/group_runtime.h
+++ b/src/group_runtime/group_runtime.h
@@ -52,12 +52,14 @@
   bool may_serve(const std::string& address) const;
   // Reads the key file again. Throws FileError, and then keeps the previous keys.
   void reload();
-  // Transfers all addresses to other members. `done` is posted once this member holds none, at the
-  // latest after the lease duration plus the overlap. The voter continues to vote until
-  // shut_down().
-  void leave(std::function<void()> done);
-  // Notifies members and routers that this process leaves, and closes everything. Idempotent;
-  // nothing is sent afterwards.
+  // Transfers all addresses to other members and releases them on this machine. `time_left`: until
+  // the process ends, into which the attempts of a failing release command are fitted. The voter
+  // continues to vote until shut_down().
+  void leave(Duration time_left);
+  // Returns whether leave() was called, no address is held, and no command remains to be run.
+  bool has_left() const;
+  // Notifies members and routers that this process leaves, and closes everything. Logs the
+  // addresses that could not be released before. Idempotent; nothing is sent afterwards.
   void shut_down();
 
   // Runs one command of the status socket; `answer` gets one line of JSON.
@@ -108,8 +110,7 @@
   boost::asio::steady_timer timer_, eligibility_timer_;
   Time timer_due_ = Time::max(), eligibility_check_at_{0};
   bool effects_running_ = false, effects_pending_ = false, ended_ = false;
-  std::function<void()> on_leave_done_;
-  Time leave_deadline_{0};
+  bool is_leaving_ = false;
   std::uint64_t unauthenticated_ = 0, replayed_ = 0, unreadable_ = 0;
   const Time started_at_;
 };
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -26,7 +26,7 @@
     group_ =
         std::make_unique<GroupCoordinator>(io, clock_, *operator_settings_.group, *services_, log_);
   drain_ = std::make_unique<DrainCoordinator>(io, clock_, *services_, hot_restart_.get(),
-                                              [this] { stop(); });
+                                              group_.get(), [this] { stop(); });
   if (services_->memcache()) services_->memcache()->start_discovery();
   open_when_ready();
 }
@@ -69,7 +69,7 @@
 }
 
 void Balancer::open() {
-  if (std::exchange(is_open_, true)) return;
+  if (is_terminating_ || std::exchange(is_open_, true)) return;
   open_timer_.cancel();
   const bool reuse_port = admin_ != nullptr;
   services_->for_each_listener_of("", [this, reuse_port](ClientListener& listener) {
@@ -91,11 +91,13 @@
   return operator_settings_.apply_reload(operator_settings);
 }
 
-void Balancer::drain() {
+void Balancer::drain(std::optional<Time> signalled_at) {
   if (std::exchange(is_terminating_, true)) return;
   operator_calls_->on_term();
-  if (!group_) return drain_->start();
-  group_->leave([this] { drain_->start(); });
+  const DrainTimes times =
+      drain_times(signalled_at.value_or(clock_.now()), services_->longest_deadline(kMaxDeadline));
+  drain_->start(times);
+  if (group_) group_->leave(times);
 }
 
 void Balancer::stop() {
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -57,8 +57,9 @@
   // restart. Throws FileError if the group's keys cannot be read; the previous keys stay in use
   // then.
   std::vector<std::string> reload(const OperatorSettings& operator_settings);
-  // Transfers leases, answers the requests in flight, then stops the event loop.
-  void drain();
+  // Transfers leases, answers the requests in flight, then stops the event loop. All bounds count
+  // from `signalled_at`; by default it is now. Further calls have no effect.
+  void drain(std::optional<Time> signalled_at = std::nullopt);
 
  private:
   Services::MakeForwardingCheck forwarding_checks();
--- a/src/node/drain_coordinator.h
+++ b/src/node/drain_coordinator.h
@@ -6,22 +6,25 @@
 #include <optional>
 
 #include "net/clock.h"
+#include "node/drain_times.h"
+#include "node/group_coordinator.h"
 #include "node/hot_restart_coordinator.h"
 #include "node/services.h"
 
 namespace balancer::node {
 
-// Drains the process before its exit: answers the requests in flight and closes the clients'
-// connections or passes them to a successor. Completes when no connection is left, or 0.55 s after
-// the longest deadline.
+// Drains the process before its exit: answers the requests in flight, closes the clients'
+// connections or passes them to a successor, and waits until the service addresses are released.
+// Completes when nothing of that is left, or at DrainTimes::exit_at.
 class DrainCoordinator {
  public:
-  // `hot_restart`: null if hot restarts are disabled. `on_drained` is called once, from the event
-  // loop.
+  // `hot_restart`: null if hot restarts are disabled; `group`: null without a group. `on_drained`
+  // is called once, from the event loop.
   DrainCoordinator(boost::asio::io_context& io, const Clock& clock, Services& services,
-                   HotRestartCoordinator* hot_restart, std::function<void()> on_drained);
+                   HotRestartCoordinator* hot_restart, GroupCoordinator* group,
+                   std::function<void()> on_drained);
 
-  void start();
+  void start(const DrainTimes& times);
 
  private:
   struct Progress {
@@ -31,8 +34,9 @@
 
   void arm_tick();
   void on_tick();
-  Progress advance(Duration elapsed);
-  bool is_finished(Duration elapsed, const Progress& progress) const;
+  Progress advance(Time now);
+  void stop_accepting(Time now, Progress& progress);
+  bool is_finished(Time now, const Progress& progress) const;
   // Returns whether a successor accepts the new clients and takes over the connections.
   bool has_serving_successor() const { return hot_restart_ && hot_restart_->passes_connections(); }
 
@@ -40,10 +44,10 @@
   const Clock& clock_;
   Services& services_;
   HotRestartCoordinator* const hot_restart_;
+  GroupCoordinator* const group_;
   const std::function<void()> on_drained_;
   boost::asio::steady_timer timer_;
-  Duration longest_deadline_{0};
-  Time started_at_{0};
+  DrainTimes times_{};
 };
 
 }  // namespace balancer::node
--- a/src/node/group_coordinator.cc
+++ b/src/node/group_coordinator.cc
@@ -5,8 +5,6 @@
 #include <exception>
 #include <utility>
 
-#include "node/drain_times.h"
-
 namespace balancer::node {
 namespace {
 
@@ -36,7 +34,13 @@
           },
           log) {}
 
+void GroupCoordinator::leave(const DrainTimes& times) {
+  drain_times_ = times;
+  runtime_.leave(times.exit_at - clock_.now());
+}
+
 bool GroupCoordinator::open_listeners(const std::string& service_address) {
+  if (drain_times_) return false;
   try {
     services_.for_each_listener_of(service_address,
                                    [](ClientListener& listener) { listener.open(); });
@@ -51,7 +55,8 @@
 void GroupCoordinator::close_listeners(const std::string& service_address, bool is_graceful) {
   const Duration graceful_drain =
       settings_.drain - std::min<Duration>(kLastRequestTime, settings_.drain / 2);
-  const Time last = clock_.now() + (is_graceful ? graceful_drain : Duration{kLostLeaseDrain});
+  Time last = clock_.now() + (is_graceful ? graceful_drain : Duration{kLostLeaseDrain});
+  if (drain_times_) last = std::min(last, drain_times_->last_close);
   services_.for_each_listener_of(
       service_address, [last](ClientListener& listener) { listener.stop_and_drain(last); });
 }
--- a/src/node/group_coordinator.h
+++ b/src/node/group_coordinator.h
@@ -2,11 +2,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "group_runtime/group_runtime.h"
 #include "group_runtime/status.h"
 #include "net/clock.h"
+#include "node/drain_times.h"
 #include "node/process_log.h"
 #include "node/services.h"
 #include "settings/group_file.h"
@@ -28,8 +30,11 @@
   }
   // Reads the group's keys again. Throws FileError on failure; the previous keys stay in use then.
   void reload() { runtime_.reload(); }
-  // Transfers all leases to other members; `done` is called once none is held.
-  void leave(std::function<void()> done) { runtime_.leave(std::move(done)); }
+  // Transfers all leases to other members and releases their addresses, within the times of the
+  // drain.
+  void leave(const DrainTimes& times);
+  // Returns whether no lease is held and no address remains to be released.
+  bool has_left() const { return runtime_.has_left(); }
   void stop() { runtime_.shut_down(); }
   const group_runtime::GroupRuntime& runtime() const { return runtime_; }
 
@@ -37,6 +42,7 @@
   bool open_listeners(const std::string& service_address);
   void close_listeners(const std::string& service_address, bool is_graceful);
 
+  std::optional<DrainTimes> drain_times_;  // set once the process terminates
   const Clock& clock_;
   const GroupSettings& settings_;
   Services& services_;
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -61,6 +61,8 @@
   std::optional<Limits> limits;  // outlives the event loop, whose last handlers hold reservations
   boost::asio::io_context io(1);
   ProcessSignals signals(io);  // first, because an unhandled signal would terminate the process
+  const Time started_at = Clock().now();
+  bool is_starting = true;
   ProgramSettings settings = load_settings(operator_file);
   const ProcessSettings process = settings.operator_settings.process;
   const std::size_t resp_listeners = settings.operator_settings.listeners.size();
@@ -72,9 +74,13 @@
       [&] { reload_or_keep(log, [&] { reload(operator_file, process, log, balancer); }); });
   signals.on_terminate([&](int number) {
     log("drain: begins on signal " + std::to_string(number));
-    balancer.drain();
+    balancer.drain(is_starting ? std::optional(started_at) : std::nullopt);
   });
   log_addresses(log, settings, resp_listeners, balancer);
+  // Handles a signal that arrived during the start, which may have waited seconds for a
+  // predecessor. It is unknown when, so the drain counts from the earliest possible time.
+  io.poll();
+  is_starting = false;
   io.run();
   ProcessSignals::block_all();
 }
--- a/src/route_announcement/command_announcer.cc
+++ b/src/route_announcement/command_announcer.cc
@@ -1,5 +1,7 @@
 #include "route_announcement/command_announcer.h"
 
+#include <algorithm>
+
 namespace balancer {
 namespace {
 
@@ -30,6 +32,18 @@
   actions_.push_back({Action::Kind::kRelease, {}});
 }
 
+Duration CommandAnnouncer::retry_delay(Time now) const {
+  if (release_until_ == Time::max()) return kReleaseRetryDelay;
+  // The last attempt gets as much time to run as there is between two.
+  const int intervals = kMaxReleaseAttempts - release_attempts_ + 1;
+  return std::clamp<Duration>((release_until_ - now) / intervals, Duration{0}, kReleaseRetryDelay);
+}
+
+void CommandAnnouncer::limit_release(Time now, Time until) {
+  release_until_ = until;
+  if (retry_at_ != Time::max()) retry_at_ = std::min(retry_at_, now + retry_delay(now));
+}
+
 void CommandAnnouncer::claim(Time, std::uint64_t term) {
   if (state_ == State::kAborting || state_ == State::kReleasing) {
     next_claim_term_ = term;
@@ -84,7 +98,7 @@
       return start_release();
     case State::kReleasing:
       if (!error.empty() && release_attempts_ < kMaxReleaseAttempts) {
-        retry_at_ = now + kReleaseRetryDelay;
+        retry_at_ = now + retry_delay(now);
         return;
       }
       actions_.push_back(
--- a/src/route_announcement/command_announcer.h
+++ b/src/route_announcement/command_announcer.h
@@ -33,6 +33,9 @@
   // Claims the address for the lease of this term; after the release command if that is running.
   void claim(Time now, std::uint64_t term);
   void release(Time now);
+  // The process ends at `until`: from now on the attempts of a failing release follow each other so
+  // closely that all of them fit, as far as the commands themselves are quick enough.
+  void limit_release(Time now, Time until);
   // The running command has exited; `error` is empty if it succeeded.
   void on_command_ended(Time now, const std::string& error);
   void on_timer(Time now);
@@ -60,6 +63,8 @@
 
  private:
   void start_release();
+  // Returns the time from a failed attempt to the next.
+  Duration retry_delay(Time now) const;
 
   State state_ = State::kIdle;
   bool command_running_ = false;
@@ -67,6 +72,7 @@
   std::optional<std::uint64_t> next_claim_term_;  // claim requested during a release
   int release_attempts_ = 0;
   Time retry_at_ = Time::max();
+  Time release_until_ = Time::max();  // when the process ends
   std::vector<Action> actions_;
 };
 
--- a/tests/command_announcer_test.cc
+++ b/tests/command_announcer_test.cc
@@ -103,6 +103,30 @@
 }
 
 // All 5^7 sequences of seven events.
+// Before the end of the process the attempts follow each other closely enough for all ten, also if
+// some had failed before and if the commands themselves take some of the time.
+TEST(CommandAnnouncerTest, FitsAllReleaseAttemptsIntoTheTimeLeft) {
+  constexpr Duration kCommandTime = std::chrono::milliseconds(20);
+  CommandAnnouncer announcer;
+  announcer.claim(Time{0}, 1);
+  announcer.on_command_ended(Time{0}, "");
+  announcer.release(Time{0});
+  announcer.on_command_ended(Time{0}, "exit code 1");
+  const Time until = std::chrono::seconds(1);
+  announcer.limit_release(Time{0}, until);
+  int attempts = 1;
+  while (announcer.state() == CommandAnnouncer::State::kReleasing) {
+    const Time started = announcer.next_timer_at();
+    ASSERT_LE(started + kCommandTime, until);
+    announcer.on_timer(started);
+    ++attempts;
+    announcer.on_command_ended(started + kCommandTime, "exit code 1");
+  }
+  EXPECT_EQ(attempts, CommandAnnouncer::kMaxReleaseAttempts);
+  EXPECT_EQ(announcer.take_actions().back().kind,
+            CommandAnnouncer::Action::Kind::kReleaseAbandoned);
+}
+
 TEST(CommandAnnouncerTest, EndsIdleAfterEverySequenceOfSevenEvents) {
   constexpr int kEvents = 5, kDepth = 7;
   int all = 1;
--- a/tests/group_runtime_test.cc
+++ b/tests/group_runtime_test.cc
@@ -44,7 +44,8 @@
     text = "[process]\nname = \"n0\"\n[[pool]]\nname = \"p\"\nseeds = [\"" + cluster->address(0) +
            "\"]\nrefresh_interval_ms = 20\n[[pool.class]]\nname = \"all\"\ncommands = [\"READ\", "
            "\"WRITE\"]\n"
-           "deadline_ms = 20000\n[[listener]]\nname = \"l\"\naddress = \"" +
+           "deadline_ms = " +
+           std::to_string(deadline.count()) + "\n[[listener]]\nname = \"l\"\naddress = \"" +
            here.to_string() + ":" + std::to_string(port) +
            "\"\npool = \"p\"\nservice = \"svc\"\n[group]\nlisten = " + "\"" + here.to_string() +
            ":" + std::to_string(addresses.next_port()) +
@@ -57,6 +58,26 @@
         std::make_unique<Balancer>(io, std::nullopt, *limits, parse_operator(text, "test.toml"),
                                    [this](const std::string& line) { log.push_back(line); });
   }
+  // Shuts the member down, as SIGTERM does, and lets it run until it stops or the platform could
+  // kill it: kKillAfterDeadline after the longest deadline, counted from the signal.
+  void drain_until_kill(const std::function<void()>& after_signal = [] {}) {
+    bool is_killed = false;
+    asio::steady_timer kill_timer(io, std::min(deadline, kLongestDeadline) + kKillAfterDeadline);
+    kill_timer.async_wait([&](const boost::system::error_code& error) {
+      if (error) return;
+      is_killed = true;
+      io.stop();
+    });
+    balancer->drain();
+    after_signal();
+    if (!io.stopped()) io.run();
+    stopped_in_time = !is_killed;
+  }
+  // Returns how often the command with the side effect "echo x >> $PWD/..." has run.
+  std::ptrdiff_t lines_in(const std::string& file) const {
+    std::ifstream in(folder + "/" + file);
+    return std::count(std::istreambuf_iterator<char>(in), {}, '\n');
+  }
   bool logged(const std::string& part) const {
     return std::any_of(log.begin(), log.end(),
                        [&](const std::string& l) { return l.find(part) != std::string::npos; });
@@ -101,7 +122,12 @@
     return json::parse(answer);
   }
 
+  // SIGKILL comes no sooner than this after the longest deadline (PROTOCOL, "Figures").
+  static constexpr milliseconds kKillAfterDeadline{700}, kLongestDeadline{3000};
+
   std::string folder, text;
+  milliseconds deadline{20000};
+  bool stopped_in_time = false;
   std::uint16_t port = 0;
   std::vector<std::string> log;
 };
@@ -181,6 +207,73 @@
   std::filesystem::remove("released");
 }
 
+// The release of the address takes most of a second. The drain counts from the signal all the same:
+// a request that is forwarded to a node that hangs is answered before the process can be killed. A
+// second signal changes nothing.
+TEST_F(MemberTest, AnswersBeforeTheKillWhileTheAddressIsReleased) {
+  deadline = kLongestDeadline;
+  start_member("true", "sleep 0.8");
+  auto waiting = connect_served();
+  cluster->fault = [](int, const resp::Command&) { return Fault::kSilent; };
+  drain_until_kill([&] {
+    run_for(io, milliseconds(500));
+    balancer->drain();
+    run_for(io, milliseconds(600));
+    waiting->send(wire({"RPUSH", "k", "late"}));
+  });
+  EXPECT_TRUE(stopped_in_time) << "SIGKILL came before the end of the drain";
+  EXPECT_EQ(waiting->next(), "-ERR failed, it may have run\r\n");
+  EXPECT_EQ(count_runs("late"), 1);
+}
+
+// A connection without a request is closed while a request on it could still be answered, although
+// the connections of a released address may otherwise stay for drain_ms.
+TEST_F(MemberTest, ClosesIdleConnectionsInTimeWhileTheAddressIsReleased) {
+  deadline = milliseconds(1000);
+  start_member("true", "sleep 0.6");
+  auto idle = connect_served();
+  drain_until_kill([&] {
+    run_for(io, deadline);
+    EXPECT_TRUE(idle->closed());
+  });
+  EXPECT_TRUE(stopped_in_time);
+}
+
+// A release command that hangs, and so is cut off and tried again, does not delay the end. The log
+// says that the address may still be claimed.
+TEST_F(MemberTest, EndsInTimeAndSaysSoIfTheReleaseCommandHangs) {
+  deadline = milliseconds(1000);
+  start_member("true", "sleep 30");
+  auto waiting = connect_served();
+  cluster->fault = [](int, const resp::Command&) { return Fault::kSilent; };
+  waiting->send(wire({"RPUSH", "k", "late"}));
+  ASSERT_TRUE(wait([this] { return count_runs("late") == 1; }));
+  drain_until_kill();
+  EXPECT_TRUE(stopped_in_time) << "SIGKILL came before the end of the drain";
+  EXPECT_TRUE(logged("the process ends before its release command has succeeded"));
+}
+
+// A release that fails is tried again before the process ends, although no client is connected.
+TEST_F(MemberTest, RetriesAFailedReleaseBeforeItEnds) {
+  start_member("true", "echo x >> " + folder + "/tries; [ $(wc -l < " + folder + "/tries) -ge 8 ]");
+  connect_served();
+  drain_until_kill();
+  EXPECT_TRUE(stopped_in_time);
+  EXPECT_EQ(lines_in("tries"), 8);
+  EXPECT_FALSE(logged("may still be claimed"));
+}
+
+// All ten attempts of a release that keeps failing fit into the time before the process is killed.
+TEST_F(MemberTest, FitsAllAttemptsOfAReleaseIntoTheDrain) {
+  deadline = milliseconds(1000);
+  start_member("true", "echo x >> " + folder + "/tries; exit 1");
+  connect_served();
+  drain_until_kill();
+  EXPECT_TRUE(stopped_in_time);
+  EXPECT_EQ(lines_in("tries"), CommandAnnouncer::kMaxReleaseAttempts);
+  EXPECT_TRUE(logged("release command failed 10 times and is not retried"));
+}
+
 // After the wall clock was set back, the incarnation must still grow: the other members ignore an
 // outdated incarnation. Leases do not use the wall clock.
 TEST_F(MemberTest, IncarnationGrowsAfterTheWallClockWasSetBack) {
--- a/tests/hot_restart_test.cc
+++ b/tests/hot_restart_test.cc
@@ -1,4 +1,5 @@
 // Hot restart of the built program, with clients, hosts and discovery on the test's event loop.
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -130,6 +131,24 @@
   std::unique_ptr<Process> start(const std::string& faults = "") {
     return std::make_unique<Process>(io_, dir_, addresses_.next_endpoint(), faults);
   }
+  // Listens on the socket of a predecessor that never answers.
+  Descriptor listen_as_predecessor() {
+    Descriptor fake_predecessor = bind_as_predecessor();
+    EXPECT_EQ(::listen(fake_predecessor.get(), 4), 0);
+    EXPECT_EQ(::fcntl(fake_predecessor.get(), F_SETFL, O_NONBLOCK), 0);
+    return fake_predecessor;
+  }
+  Descriptor bind_as_predecessor() {
+    const std::string path = dir_ + "/silverpin-n%2f0.sock";
+    std::filesystem::remove(path);
+    Descriptor fake_predecessor(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    std::copy(path.begin(), path.end(), address.sun_path);
+    EXPECT_EQ(::bind(fake_predecessor.get(), reinterpret_cast<sockaddr*>(&address), sizeof address),
+              0);
+    return fake_predecessor;
+  }
   // Kills the process with SIGKILL; only the files in its folder remain.
   void kill(Process& p) {
     ::kill(p.pid, SIGKILL);
@@ -501,14 +520,7 @@
     auto old = start();
     ASSERT_TRUE(serving(*old));
     EXPECT_EQ(call(*old, "POST /cache-hosts/s-1/maint"), 200);
-    const std::string path = dir_ + "/silverpin-n%2f0.sock";
-    std::filesystem::remove(path);
-    Descriptor fake_predecessor(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
-    sockaddr_un address{};
-    address.sun_family = AF_UNIX;
-    std::copy(path.begin(), path.end(), address.sun_path);
-    ASSERT_EQ(::bind(fake_predecessor.get(), reinterpret_cast<sockaddr*>(&address), sizeof address),
-              0);
+    const Descriptor fake_predecessor = bind_as_predecessor();
     if (kind > 0) {
       ASSERT_EQ(::listen(fake_predecessor.get(), 4), 0);
     }
@@ -536,6 +548,68 @@
   }
 }
 
+// The predecessor is itself still starting, so that the start waits for it. SIGTERM arrives
+// meanwhile; the time until SIGKILL counts from there, and not from when the process takes notice.
+TEST_F(HotRestartTest, CountsTheDrainFromASignalDuringTheStart) {
+  constexpr milliseconds kBusyTime{1500}, kKillTime{3700};
+  auto busy_predecessor = std::make_unique<Descriptor>(listen_as_predecessor());
+  auto p = start();
+  const auto answer_busy = [&](milliseconds time) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    std::vector<Descriptor> links;
+    while (std::chrono::steady_clock::now() < end) {
+      links.emplace_back(::accept4(busy_predecessor->get(), nullptr, nullptr, SOCK_NONBLOCK));
+      if (links.back()) send_packet(links.back().get(), encode(hot_restart::Busy{}), {});
+      run_for(io_, milliseconds(10));
+    }
+  };
+  answer_busy(milliseconds(300));
+  const auto signalled_at = std::chrono::steady_clock::now();
+  ::kill(p->pid, SIGTERM);
+  answer_busy(kBusyTime);
+  busy_predecessor.reset();
+  // A client connects as soon as it can, and its request gets no answer.
+  std::shared_ptr<Peer> c;
+  ASSERT_TRUE(wait([&] {
+    auto peer = std::make_shared<Peer>(tcp::socket(io_));
+    boost::system::error_code e;
+    peer->socket.connect(listen_, e);
+    if (!e) c = std::move(peer);
+    return c || p->exited();
+  }));
+  if (c) {
+    c->read();
+    c->send(get("held"));
+  }
+  ASSERT_TRUE(wait([&] { return p->exited(); }));
+  EXPECT_TRUE(p->exited_cleanly()) << p->log;
+  EXPECT_LT(std::chrono::steady_clock::now() - signalled_at, kKillTime) << p->log;
+}
+
+// A process that waits for its first endpoint list before it accepts clients gets SIGTERM, and then
+// the list. It accepts nobody: it would cut the connections off at its end.
+TEST_F(HotRestartTest, AcceptsNobodyAfterASignalBeforeItsFirstList) {
+  const Descriptor silent_predecessor = listen_as_predecessor();
+  discovery_.holds_answers = true;
+  auto p = start();
+  ASSERT_TRUE(wait([&] { return p->logged("presumed to hold half"); }));
+  ASSERT_TRUE(wait([&] { return discovery_.calls > 0; }));
+  ::kill(p->pid, SIGTERM);
+  ASSERT_TRUE(wait([&] { return p->logged("drain: begins"); }));
+  discovery_.holds_answers = false;
+  discovery_.answer_held();
+  bool connected = false;
+  ASSERT_TRUE(wait([&] {
+    tcp::socket socket(io_);
+    boost::system::error_code e;
+    socket.connect(listen_, e);
+    connected = connected || !e;
+    return p->exited();
+  }));
+  EXPECT_FALSE(connected);
+  EXPECT_TRUE(p->exited_cleanly()) << p->log;
+}
+
 // ---- events while a connection is being passed
 
 // The successor is stopped, so that the client's connection is in transit between the two processes
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -129,14 +129,29 @@
             p.in.erase(0, end + 4);
             const std::string body = watch ? "{\"seq\":1,\"whole\":false,\"hosts\":[]}"
                                            : "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
-            p.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-                   "\r\n\r\n" + body);
+            const std::string answer =
+                "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                body;
+            if (holds_answers) {
+              held_.emplace_back(&p, answer);
+            } else {
+              p.send(answer);
+            }
           }
         }) {}
 
+  // Sends the answers that were held back.
+  void answer_held() {
+    for (const auto& [peer, answer] : std::exchange(held_, {})) peer->send(answer);
+  }
+
   std::string hosts;
   int calls = 0;
+  bool holds_answers = false;
   Server server;
+
+ private:
+  std::vector<std::pair<Peer*, std::string>> held_;  // from peers that stay connected
 };
 
 inline std::string host_entry(const std::string& id, const std::string& dial,
