--- a/src/frontend/resp/data_commands.cc
+++ b/src/frontend/resp/data_commands.cc
@@ -77,19 +77,20 @@
 
 void RespFrontend::RespSession::on_response(ClientSession& session, ResponseSlot response_slot,
                                             const RequestPayload& payload, Response final) {
-  const auto& p = static_cast<const RespPayload&>(payload);
+  const auto& resp_payload = static_cast<const RespPayload&>(payload);
   const auto it = split_commands_.find(response_slot.slot);
-  if (it != split_commands_.end() && final.kind == Response::Kind::kRejected && p.got_tryagain &&
-      it->second.keys[response_slot.part].size() > 1) {
+  if (it != split_commands_.end() && final.kind == Response::Kind::kRejected &&
+      resp_payload.got_tryagain && it->second.keys[response_slot.part].size() > 1) {
     // Resubmits from the event loop, as the core may still be processing this response. The request
     // counts as open until then, so that later commands keep their place behind it.
     session.post([this, &session, response_slot,
-                  place = RequestPlace{p.slot, p.request_class, p.order_position}] {
+                  place = RequestPlace{resp_payload.slot, resp_payload.request_class,
+                                       resp_payload.order_position}] {
       resubmit_per_key(session, response_slot, place);
     });
     return;
   }
-  close_request(p.slot, p.request_class, p.write);
+  close_request(resp_payload.slot, resp_payload.request_class, resp_payload.write);
   std::string reply = final.kind == Response::Kind::kServed     ? std::move(final.value)
                       : final.kind == Response::Kind::kRejected ? refused(final.retry_after)
                                                                 : failed();
@@ -107,12 +108,12 @@
                                               std::string reply, Response::Kind kind,
                                               Duration retry_after) {
   const auto it = split_commands_.find(response_slot.slot);
-  SplitCommand& j = it->second;
-  j.replies[response_slot.part] = std::move(reply);
-  j.kinds[response_slot.part] = kind;
-  j.retry_after = std::max(j.retry_after, retry_after);
-  if (--j.pending_parts > 0) return;
-  session.answer(response_slot.slot, join(j));
+  SplitCommand& split_command = it->second;
+  split_command.replies[response_slot.part] = std::move(reply);
+  split_command.kinds[response_slot.part] = kind;
+  split_command.retry_after = std::max(split_command.retry_after, retry_after);
+  if (--split_command.pending_parts > 0) return;
+  session.answer(response_slot.slot, join(split_command));
   split_commands_.erase(it);
   session.resume_processing();
 }
@@ -123,27 +124,27 @@
 // rejected if a later write may have been executed.
 void RespFrontend::RespSession::resubmit_per_key(ClientSession& session, ResponseSlot response_slot,
                                                  const RequestPlace& place) {
-  SplitCommand& j = split_commands_.at(response_slot.slot);
-  const std::vector<std::string> keys = std::move(j.keys[response_slot.part]);
+  SplitCommand& split_command = split_commands_.at(response_slot.slot);
+  const std::vector<std::string> keys = std::move(split_command.keys[response_slot.part]);
   const std::size_t other_requests = open_requests_ - 1;
-  if (session.now() >= j.deadline || other_requests + keys.size() > kMaxOpenRequests) {
+  if (session.now() >= split_command.deadline || other_requests + keys.size() > kMaxOpenRequests) {
     close_request(place.slot, place.request_class, false);
     return complete_part(session, response_slot, refused(Duration{0}), Response::Kind::kRejected,
                          Duration{0});
   }
   // The first key keeps the part's index, the others get new ones.
-  const std::size_t first_new = j.replies.size() - 1;
+  const std::size_t first_new = split_command.replies.size() - 1;
   const auto part_of = [&](std::size_t i) { return i == 0 ? response_slot.part : first_new + i; };
-  for (auto& [part, index] : j.key_positions)
+  for (auto& [part, index] : split_command.key_positions)
     if (part == response_slot.part) {
       part = part_of(index);
       index = 0;
     }
-  j.pending_parts += keys.size() - 1;
-  j.replies.resize(j.replies.size() + keys.size() - 1);
-  j.kinds.resize(j.replies.size());
-  j.keys.resize(j.replies.size());
-  const Duration budget = j.deadline - session.now();
+  split_command.pending_parts += keys.size() - 1;
+  split_command.replies.resize(split_command.replies.size() + keys.size() - 1);
+  split_command.kinds.resize(split_command.replies.size());
+  split_command.keys.resize(split_command.replies.size());
+  const Duration budget = split_command.deadline - session.now();
   const CommandInfo* info = cluster::find_command("MGET");
   // The last response may arrive before submit() returns, and erases the split command.
   for (std::size_t i = 0; i < keys.size(); ++i)
@@ -155,35 +156,36 @@
 
 // Joins the replies of all parts. If a part failed, the whole command fails. The error states how
 // many parts have run, so that no client takes a partial result for a complete one.
-std::string RespFrontend::RespSession::join(SplitCommand& j) const {
+std::string RespFrontend::RespSession::join(SplitCommand& split_command) const {
   std::size_t ran = 0, refusals = 0;
-  for (const auto kind : j.kinds) {
+  for (const auto kind : split_command.kinds) {
     ran += kind == Response::Kind::kServed;
     refusals += kind == Response::Kind::kRejected;
   }
-  const std::size_t all = j.kinds.size();
-  if (refusals == all || (refusals + ran == all && refusals > 0 && j.split == Split::kGet))
-    return refused(j.retry_after);
+  const std::size_t all = split_command.kinds.size();
+  if (refusals == all ||
+      (refusals + ran == all && refusals > 0 && split_command.split == Split::kGet))
+    return refused(split_command.retry_after);
   if (ran < all)
     return error("ERR " + std::to_string(ran) + " of " + std::to_string(all) + " parts have run, " +
                  std::to_string(refusals) + " have not, " + std::to_string(all - ran - refusals) +
                  " may have");
   std::vector<resp::Value> values;
-  for (const auto& reply : j.replies) {
+  for (const auto& reply : split_command.replies) {
     auto value = resp::parse_reply(reply, front_.reply_bounds_);
     if (!value) return failed();
     if (value->is_error()) return reply;
     values.push_back(std::move(*value));
   }
-  if (j.split == Split::kSet) return j.replies.front();
+  if (split_command.split == Split::kSet) return split_command.replies.front();
   std::string out;
-  if (j.split == Split::kCount) {
+  if (split_command.split == Split::kCount) {
     std::int64_t sum = 0;
     for (const auto& v : values) sum += v.integer().value_or(0);
     return integer(sum);
   }
-  resp::append_array(out, j.key_positions.size());
-  for (const auto& [part, index] : j.key_positions) {
+  resp::append_array(out, split_command.key_positions.size());
+  for (const auto& [part, index] : split_command.key_positions) {
     if (index >= values[part].items.size()) return failed();
     out += values[part].items[index].wire;
   }
@@ -196,25 +198,25 @@
   const bool write = info.kind == CommandKind::kWrite;
   std::vector<std::string> heads(parts.size());
   std::vector<std::vector<std::string_view>> words(parts.size(), {command[0]});
-  SplitCommand j;
-  j.split = info.split;
-  j.pending_parts = parts.size();
-  j.replies.resize(parts.size());
-  j.kinds.resize(parts.size());
-  j.keys.resize(parts.size());
+  SplitCommand split_command;
+  split_command.split = info.split;
+  split_command.pending_parts = parts.size();
+  split_command.replies.resize(parts.size());
+  split_command.kinds.resize(parts.size());
+  split_command.keys.resize(parts.size());
   std::vector<std::size_t> count(parts.size());
   std::vector<std::string_view> first(parts.size());
   for (const std::size_t k : keys) {
     const std::size_t part = parts.at(cluster::slot_of(command[k]));
     if (count[part] == 0) first[part] = command[k];
-    j.key_positions.emplace_back(part, count[part]++);
+    split_command.key_positions.emplace_back(part, count[part]++);
     words[part].push_back(command[k]);
-    if (info.split == Split::kGet) j.keys[part].emplace_back(command[k]);
+    if (info.split == Split::kGet) split_command.keys[part].emplace_back(command[k]);
     if (info.step == 2) words[part].push_back(command[k + 1]);
   }
-  j.deadline = session.now() + deadline_of(front_.class_of(info, first[0]));
+  split_command.deadline = session.now() + deadline_of(front_.class_of(info, first[0]));
   const auto response_slot = session.open_slot();
-  split_commands_.emplace(response_slot, std::move(j));
+  split_commands_.emplace(response_slot, std::move(split_command));
   // The last response may arrive before submit() returns, and erases the split command.
   for (const auto& [slot, part] : parts) {
     const int request_class = front_.class_of(info, first[part]);
--- a/src/frontend/resp/resp_session.h
+++ b/src/frontend/resp/resp_session.h
@@ -137,7 +137,7 @@
   std::string cluster_nodes() const;
   std::string command_info(const resp::Command& command) const;
   std::string describe(const cluster::CommandInfo& info) const;
-  std::string join(SplitCommand& j) const;
+  std::string join(SplitCommand& split_command) const;
   void complete_part(ClientSession& session, ResponseSlot response_slot, std::string reply,
                      Response::Kind kind, Duration retry_after);
   void resubmit_per_key(ClientSession& session, ResponseSlot response_slot,
