--- a/tests/hot_restart_test.cc
+++ b/tests/hot_restart_test.cc
@@ -306,6 +306,55 @@
   bool stopped_ = false;
 };
 
+// An origin that runs each booking and answers it after 0.3 s.
+class SlowOrigin {
+ public:
+  explicit SlowOrigin(asio::io_context& io)
+      : server(io, [this, &io](Peer& p) {
+          const auto end = p.in.find("\r\n\r\n");
+          if (end == std::string::npos || p.in.size() < end + 4 + kBody.size()) return;
+          p.in.clear();
+          ++runs;
+          auto timer = std::make_shared<asio::steady_timer>(io, milliseconds(300));
+          timer->async_wait([timer, peer = p.shared_from_this()](auto) {
+            if (!peer->closed) peer->send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nr-1");
+          });
+        }) {}
+
+  static inline const std::string kBody = "book";
+  int runs = 0;
+  Server server;
+};
+
+// Guards against a booking that runs twice during an upgrade: its client leaves the old process,
+// and the same id comes again at either process, before or after its first attempt has ended.
+class RepeatedIdInUpgradeTest : public HotRestartTest, public ::testing::WithParamInterface<int> {};
+
+TEST_P(RepeatedIdInUpgradeTest, RunsTheBookingOnce) {
+  SlowOrigin origin(io_);
+  discovery_.hosts += "," + host_entry("o", origin.server.dial(), "origin");
+  auto old = start();
+  ASSERT_TRUE(serving(*old));
+  const std::string booking = "ms k 4 Obooking1 Pc=book,t=acme,d=2000\r\nbook\r\n";
+  auto next = start();
+  ASSERT_TRUE(wait([&] { return next->logged("hot restart: predecessor answered"); }));
+  auto c = Peer::connect(io_, listen_);
+  c->send(booking);
+  ASSERT_TRUE(wait([&] { return origin.runs == 1; }));
+  c->close();
+  ASSERT_TRUE(serving(*next));
+  ::kill(old->pid, SIGTERM);
+  run_for(io_, milliseconds(GetParam()));
+  auto again = Peer::connect(io_, listen_);
+  again->send(booking);
+  ASSERT_TRUE(wait([&] { return !again->in.empty() || again->closed || origin.runs > 1; }));
+  run_for(io_, milliseconds(400));
+  EXPECT_EQ(origin.runs, 1) << next->log;
+}
+
+INSTANTIATE_TEST_SUITE_P(MillisecondsBehindTheSignal, RepeatedIdInUpgradeTest,
+                         ::testing::Values(0, 100, 400, 1000));
+
 TEST_F(HotRestartTest, RejectsNoRequestInTwentyConsecutiveRestarts) {
   auto now = start();
   ASSERT_TRUE(serving(*now));
--- a/tests/scripted_node.h
+++ b/tests/scripted_node.h
@@ -28,6 +28,8 @@
 
   std::function<void(Peer&, const Arguments&)> on_command;
   std::string slot_owner;
+  std::string id = std::string(40, '1');  // as reported by CLUSTER NODES and CLUSTER MYID
+  bool answers_topology = true;           // answers CLUSTER commands other than MYID
   // CLUSTER subcommands that it supports besides INFO.
   std::vector<std::string> topology_subcommands = {"NODES"};
   std::vector<Arguments> commands;
@@ -49,8 +51,7 @@
       Arguments words;
       for (std::size_t i = 0; i < command.size(); ++i) words.emplace_back(command[i]);
       if (words[0] == "CLUSTER") {
-        const std::string reply = topology_reply(words[1]);
-        p.send(reply);
+        if (answers_topology || words[1] == "MYID") p.send(topology_reply(words[1]));
         continue;
       }
       commands.push_back(words);
@@ -70,13 +71,15 @@
       text(value);
     };
     const auto colon = slot_owner.find(':');
-    if (subcommand == "INFO") {
+    if (subcommand == "MYID") {
+      text(id);
+    } else if (subcommand == "INFO") {
       text("cluster_current_epoch:1\r\n");
     } else if (std::find(topology_subcommands.begin(), topology_subcommands.end(), subcommand) ==
                topology_subcommands.end()) {
       resp::append_error(reply, "ERR unknown subcommand");
     } else if (subcommand == "NODES") {
-      text(std::string(40, '1') + " " + slot_owner + "@1 " +
+      text(id + " " + slot_owner + "@1 " +
            (slot_owner == server.dial() ? "myself,master" : "master") +
            " - 0 0 1 connected 0-16383\n");
     } else if (subcommand == "SHARDS") {
@@ -97,7 +100,7 @@
       reply = "*1\r\n*3\r\n:0\r\n:16383\r\n*3\r\n";
       text(slot_owner.substr(0, colon));
       reply += ":" + slot_owner.substr(colon + 1) + "\r\n";
-      text(std::string(40, '1'));
+      text(id);
     }
     return reply;
   }
