Policy: bound the counts by key, and keep nothing behind the oldest timer or follower

What callers saw: one client that reads ever new keys with d=1 made the process grow by 5 MB a second, beyond its limit, until it was killed.

Cause: RecentCounts stored every key for 15 to 30 s. Two more holders had the same form: NumberedQueue and the deque of policy timers kept a slot for every timer behind the oldest pending one, and FetchCoalescer kept followers that had ended until their leader's fetch ended.

Change: RecentCounts stores 16,384 keys a period, exactly up to there and as a Misra-Gries summary beyond; NumberedValues and AttemptTimers store pending values only; a follower that ends is removed.

--- a/src/dispatch/attempt_timers.cc
+++ b/src/dispatch/attempt_timers.cc
@@ -31,23 +31,13 @@
 }
 
 void AttemptTimers::set_policy_timer(Time at, std::uint64_t tag) {
-  if (policy_timers_.empty()) first_tag_ = tag;
-  policy_timers_.resize(tag - first_tag_);  // no timers for skipped tags
-  policy_timers_.push_back(wheel_.set(at, {nullptr, tag}));
+  policy_timers_.emplace(tag, wheel_.set(at, {nullptr, tag}));
   arm();
 }
 
 void AttemptTimers::cancel_policy_timer(std::uint64_t tag) {
-  if (tag - first_tag_ >= policy_timers_.size()) return;
-  if (const auto& handle = policy_timers_[tag - first_tag_]) wheel_.cancel(*handle);
-  erase_policy_timer(tag);
-}
-
-void AttemptTimers::erase_policy_timer(std::uint64_t tag) {
-  if (tag - first_tag_ >= policy_timers_.size()) return;
-  policy_timers_[tag - first_tag_].reset();
-  for (; !policy_timers_.empty() && !policy_timers_.front(); ++first_tag_)
-    policy_timers_.pop_front();
+  const auto pending = policy_timers_.extract(tag);
+  if (pending) wheel_.cancel(pending.mapped());
 }
 
 // Only moves the event loop's timer to an earlier time; on_wheel_due() sets it again when it fires.
@@ -76,7 +66,7 @@
     if (due.attempt) {
       handlers_.on_timeout(due.attempt);
     } else {
-      erase_policy_timer(due.tag);
+      policy_timers_.erase(due.tag);
       handlers_.on_policy_timer(due.tag);
     }
   }
--- a/src/dispatch/attempt_timers.h
+++ b/src/dispatch/attempt_timers.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <optional>
+#include <unordered_map>
 
 #include "dispatch/timing_wheel.h"
 #include "net/attempt.h"
@@ -32,7 +32,7 @@
   // Has no effect on a time-out that has fired.
   void cancel_timeout(const Attempt& attempt);
 
-  // Schedules a timer of the policy. Tags must ascend from call to call.
+  // Schedules a timer of the policy. No other pending timer may have this tag.
   void set_policy_timer(Time at, std::uint64_t tag);
   // Has no effect on a timer that has fired.
   void cancel_policy_timer(std::uint64_t tag);
@@ -48,7 +48,6 @@
   void arm();
   void on_wheel_due();
   void run_due();
-  void erase_policy_timer(std::uint64_t tag);
 
   boost::asio::io_context& io_;
   const Clock& clock_;
@@ -56,9 +55,7 @@
   Wheel wheel_;
   std::deque<DueTimer> due_;
   bool is_run_posted_ = false;
-  // Indexed by tag - first_tag_; empty for timers that have fired or were cancelled.
-  std::deque<std::optional<Wheel::Handle>> policy_timers_;
-  std::uint64_t first_tag_ = 0;
+  std::unordered_map<std::uint64_t, Wheel::Handle> policy_timers_;  // pending ones, by tag
   boost::asio::steady_timer loop_timer_;
   Time loop_timer_due_ = Time::max();
 };
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -286,8 +286,7 @@
 // cache again.
 void Policy::fetch_after_miss(RequestState& request) {
   if (fetches_.has_other_leader(request.key, request.id)) {
-    if (!request.awaits_fetch) fetches_.follow(request.key, request.id);
-    request.awaits_fetch = true;
+    if (request.fetch_place == 0) request.fetch_place = fetches_.follow(request.key, request.id);
     return;
   }
   if (!send_admitted_fetch(request)) return reject_or_fail_if_idle(request);
@@ -396,7 +395,7 @@
     const auto at = requests_.find(id);
     if (at == requests_.end() || at->second.finished) continue;
     RequestState& follower = at->second;
-    follower.awaits_fetch = false;
+    follower.fetch_place = 0;
     if (stored) {
       send_to_cache(follower, stored_at);
     } else {
@@ -466,6 +465,7 @@
 void Policy::erase_if_done(RequestId id) {
   const auto it = requests_.find(id);
   if (it == requests_.end() || !it->second.finished || it->second.in_flight() > 0) return;
+  if (it->second.fetch_place > 0) fetches_.unfollow(it->second.key, it->second.fetch_place);
   const std::vector<AttemptRecord> attempts = std::move(it->second.attempts);
   for (const std::uint64_t tag : {it->second.deadline_timer, it->second.slow_timer})
     if (timers_.take(tag)) sink_.cancel_timer(tag);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -27,7 +27,7 @@
 #include "policy/tenant_quota.h"
 #include "policy/uniform_random.h"
 #include "policy/zone_failure_detector.h"
-#include "structures/numbered_queue.h"
+#include "structures/numbered_values.h"
 
 namespace balancer {
 
@@ -164,8 +164,8 @@
   FetchCoalescer fetches_;
   PollBackoff poll_backoff_;
   std::unordered_map<RequestId, RequestState> requests_;
-  NumberedQueue<Timer> timers_;  // by tag
-  double mean_work_;             // seconds, for requests without a hint
+  NumberedValues<Timer> timers_;  // by tag
+  double mean_work_;              // seconds, for requests without a hint
 };
 
 }  // namespace balancer
--- a/tests/decision_modules_test.cc
+++ b/tests/decision_modules_test.cc
@@ -12,6 +12,8 @@
 #include "policy/retry_policy.h"
 #include "policy/tenant_quota.h"
 #include "policy/zone_failure_detector.h"
+#include "structures/numbered_values.h"
+#include "structures/recent_counts.h"
 
 namespace balancer {
 namespace {
@@ -19,6 +21,48 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// ---- counts by key
+
+// Guards against memory that grows with the number of keys that clients name.
+TEST(RecentCountsTest, StoresABoundedNumberOfKeys) {
+  RecentCounts counts(seconds(15), Time{0});
+  for (std::uint64_t key = 0; key < 10 * RecentCounts::kMaxKeys; ++key) counts.add(key, Time{0});
+  EXPECT_LE(counts.size(), RecentCounts::kMaxKeys);
+  EXPECT_EQ(counts.total(), 10 * RecentCounts::kMaxKeys);
+}
+
+TEST(RecentCountsTest, KeepsAFrequentKeyAmongManyRareOnes) {
+  RecentCounts counts(seconds(15), Time{0});
+  constexpr std::uint64_t kFrequent = UINT64_MAX, kOneIn = 100;
+  std::uint64_t times = 0;
+  for (std::uint64_t key = 0; key < 10 * RecentCounts::kMaxKeys; ++key) {
+    counts.add(key, Time{0});
+    if (key % kOneIn != 0) continue;
+    counts.add(kFrequent, Time{0});
+    ++times;
+  }
+  EXPECT_LE(counts.count(kFrequent), times);
+  EXPECT_GE(counts.count(kFrequent), times - 2 * counts.total() / RecentCounts::kMaxKeys);
+}
+
+TEST(RecentCountsTest, IsExactForFewKeys) {
+  RecentCounts counts(seconds(15), Time{0});
+  for (int i = 0; i < 5; ++i)
+    for (std::uint64_t key = 0; key < RecentCounts::kMaxKeys; ++key) counts.add(key, Time{0});
+  EXPECT_EQ(counts.count(3), 5u);
+  EXPECT_EQ(counts.size(), RecentCounts::kMaxKeys);
+}
+
+// Guards against memory that grows with the time for which the oldest timer is pending.
+TEST(NumberedValuesTest, KeepsNothingBehindAnOldValue) {
+  NumberedValues<int> values;
+  const auto oldest = values.push(1);
+  for (int i = 0; i < 1000; ++i) EXPECT_EQ(values.take(values.push(i)), i);
+  EXPECT_EQ(values.size(), 1u);
+  EXPECT_EQ(values.take(oldest), 1);
+  EXPECT_EQ(values.take(oldest), std::nullopt);
+}
+
 // ---- outcome table
 
 TEST(OutcomeTableTest, ReportsNeverRanOnlyForResultsThatProveIt) {
@@ -73,6 +117,17 @@
 
 // ---- fetches of one key
 
+// A client that leaves must not be kept until the fetch of its key ends, which may take seconds.
+TEST(FetchCoalescerTest, ForgetsAFollowerThatHasEnded) {
+  FetchCoalescer fetches;
+  fetches.lead(7, 1);
+  const auto second = fetches.follow(7, 2);
+  fetches.follow(7, 3);
+  fetches.unfollow(7, second);
+  EXPECT_EQ(fetches.complete(7, 1), std::vector<RequestId>{3});
+  fetches.unfollow(7, second);
+}
+
 TEST(FetchCoalescerTest, AllowsOneFetchPerKeyAndReturnsFollowersInOrder) {
   FetchCoalescer fetches;
   EXPECT_FALSE(fetches.has_other_leader(7, 1));
