Memory: account for all that requests, input and answers hold, and refuse by use

What callers saw: a balancer with hundreds of clients at once passed its memory limit and was killed; nothing was logged.

Cause: the byte budget counted bodies, collected values, stream windows and unwritten responses, by their length and mostly without asking for room. A request in flight, its line, properties and attempts, the capacity of input buffers, a place in the order of responses were in no budget; values were collected and windows opened whether or not there was room; the allocator kept what was freed.

Change: MemoryPlan derives from memory_mb and descriptors what may be accounted, and says which use is refused first: pipelining, bulk, requests, input, answers. Each reservation names its holder. ServerPool reserves for every request of every dialect, and refuses it as busy without room; sessions count the capacity of their buffers; connections to servers read a piece at a time where memory is short and pause without room; streams open a small window then. The resident memory of the process, measured every 2 ms, refuses the same uses; freed memory goes back to the system (malloc_trim, blocks from 32 KB by mmap). A shortage and its end are logged with the holders.

--- a/bench/attack.cc
+++ b/bench/attack.cc
@@ -25,6 +25,7 @@
 struct Options {
   std::string program = BALANCER_PROGRAM, only;
   int memory_mb = 32, sockets = 1024, at_once = 4;
+  bool prints_log = false, plays_floods = true;
 };
 
 void print(const Shape& shape, const AttackFigures& figures) {
@@ -50,6 +51,7 @@
       if (figures.peak_mb > options.memory_mb || figures.has_ended) holds = false;
       const std::lock_guard lock(output);
       print(shape, figures);
+      if (options.prints_log) std::printf("%s", figures.last_log_lines.c_str());
     }
   };
   std::vector<std::thread> workers;
@@ -82,12 +84,14 @@
       ->check(CLI::Range(32, 4096));
   app.add_option("--sockets", options.sockets, "limit of descriptors")->check(CLI::Range(64, 4096));
   app.add_option("--at-once", options.at_once, "shapes played at once")->check(CLI::Range(1, 16));
+  app.add_flag("--log", options.prints_log, "print the last lines of the balancer's log");
+  app.add_flag("!--no-floods", options.plays_floods, "play no floods");
   CLI11_PARSE(app, argc, argv);
   rlimit descriptors{};
   ::getrlimit(RLIMIT_NOFILE, &descriptors);
   descriptors.rlim_cur = descriptors.rlim_max;
   ::setrlimit(RLIMIT_NOFILE, &descriptors);
   const bool holds = play_shapes(options);
-  play_floods(options);
+  if (options.plays_floods) play_floods(options);
   return holds ? 0 : 1;
 }
--- a/src/dispatch/pending_request.h
+++ b/src/dispatch/pending_request.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 
+#include "net/limits.h"
 #include "net/request.h"
 #include "structures/time.h"
 
@@ -15,6 +16,7 @@
   ResponseSlot slot;
   std::size_t sink_index = 0;  // index in the sink's list of open requests
   RequestPayloadPtr payload;
+  Reservation memory;     // of the request's state, its payload and its attempts
   int request_class = 0;  // index into the pool's classes
   bool non_idempotent = false;
   bool is_write = false;
--- a/src/dispatch/server_pool.cc
+++ b/src/dispatch/server_pool.cc
@@ -15,6 +15,10 @@
 // close.
 constexpr Duration kConnectedFor = std::chrono::milliseconds(50);
 
+std::size_t memory_of(const RequestPayload& payload) {
+  return kRequestBytes + payload.held_bytes();
+}
+
 UpstreamSettings upstream_settings(const SiteSettings& site) {
   const Duration idle_close = site.idle_close > Duration{0} ? site.idle_close : kDefaultIdleClose;
   UpstreamSettings settings;
@@ -36,6 +40,7 @@
                        std::function<void()> subscribe, RoutingExtension* routing_extension)
     : clock_(clock),
       site_(site),
+      limits_(limits),
       subscribe_(std::move(subscribe)),
       routing_extension_(routing_extension),
       host_start_times_(clock.wall_offset()),
@@ -142,12 +147,14 @@
   if (site_.max_open_requests > 0 &&
       open_requests_ >= static_cast<std::size_t>(site_.max_open_requests))
     return false;
+  if (!limits_.has_memory(MemoryUse::kRequest, memory_of(*spec.payload))) return false;
   return sink.may_forward() && sink.is_connected();
 }
 
 void ServerPool::register_request(RequestId id, const std::shared_ptr<ResponseSink>& sink,
                                   ResponseSlot slot, RequestSpec spec) {
   PendingRequest& request = requests_[id];
+  request.memory = Reservation(limits_.bytes, memory_of(*spec.payload), MemoryHolder::kRequests);
   request.sink = sink;
   request.slot = slot;
   request.payload = std::move(spec.payload);
--- a/src/dispatch/server_pool.h
+++ b/src/dispatch/server_pool.h
@@ -125,6 +125,7 @@
 
   const Clock& clock_;
   const SiteSettings& site_;
+  Limits& limits_;
   const std::function<void()> subscribe_;
   RoutingExtension* const routing_extension_;
   HostStartTimes host_start_times_;
--- a/src/frontend/memcache/memcache_frontend.h
+++ b/src/frontend/memcache/memcache_frontend.h
@@ -16,6 +16,12 @@
 struct MemcachePayload : RequestPayload {
   MemcachePayload(memcache::Command c, Reservation b) : command(std::move(c)), body(std::move(b)) {}
   void on_released() const override;
+  // The line is held once by the command and once by each of two attempts.
+  std::size_t held_bytes() const override {
+    return command.head_bytes() + kMaxAttemptsInFlight * command.line.capacity();
+  }
+
+  static constexpr std::size_t kMaxAttemptsInFlight = 2;
 
   memcache::Command command;
   Reservation body;  // reservation of the body's bytes
--- a/src/frontend/resp/replies.cc
+++ b/src/frontend/resp/replies.cc
@@ -4,6 +4,8 @@
 
 namespace balancer::reply {
 
+bool is_error(std::string_view reply) { return reply.starts_with('-') || reply.starts_with('!'); }
+
 std::string lower(std::string_view text) {
   std::string out(text);
   for (char& c : out)
--- a/src/frontend/resp/replies.h
+++ b/src/frontend/resp/replies.h
@@ -9,6 +9,7 @@
 // Replies that the balancer creates itself, in the encoding that RESP2 and RESP3 share.
 namespace balancer::reply {
 
+bool is_error(std::string_view reply);     // whether a server's reply is an error
 std::string lower(std::string_view text);  // ASCII only
 std::string error(std::string_view text);
 std::string simple(std::string_view text);
--- a/src/frontend/resp/resp_connection.cc
+++ b/src/frontend/resp/resp_connection.cc
@@ -4,12 +4,11 @@
 #include <utility>
 #include <vector>
 
-namespace balancer {
-namespace {
+#include "frontend/resp/replies.h"
 
-bool is_error(std::string_view reply) { return reply.starts_with('-') || reply.starts_with('!'); }
+namespace balancer {
 
-}  // namespace
+using reply::is_error;
 
 std::string login_command(const RespLogin& login) {
   if (login.password.empty()) return {};
@@ -68,7 +67,7 @@
   std::string error = std::move(e.error);
   const bool had_error = e.had_error;
   expected_.pop_front();
-  reserve_bytes(0);
+  release_answer();
   if (had_error) {
     if (!answer.starts_with("-EXECABORT")) {
       // MULTI was rejected but the commands after it were not: they may have run one by one.
@@ -89,7 +88,7 @@
         return false;
       case resp::ReplyReader::Event::kData:
         reply_ += reader_.data();
-        reserve_bytes(reply_.size());
+        hold_answer(reply_, reply_.size() + reader_.expected());
         break;
       case resp::ReplyReader::Event::kEnd:
         if (!on_reply()) return false;
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -27,6 +27,8 @@
   bool write = false;
   mutable bool got_tryagain = false;  // a node answered TRYAGAIN: the keys lie on two nodes
   Reservation bytes;                  // reservation for `wire` in the byte budget
+
+  std::size_t held_bytes() const override { return node.capacity(); }
 };
 
 // A connection to a RESP server. Sends the setup commands (AUTH, HELLO, READONLY, ASKING) that a
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -60,8 +60,8 @@
       times_(times),
       may_forward_(may_forward),
       descriptor_(limits.clients, 1),
-      body_(limits.bytes),
-      buffered_(limits.bytes),
+      body_(limits.bytes, 0, MemoryHolder::kBodies),
+      buffered_(limits.bytes, 0, MemoryHolder::kInput),
       responses_(socket_, limits.bytes, clock),
       accepted_at_(clock.now()),
       state_since_(accepted_at_) {}
@@ -111,7 +111,7 @@
 
 void ClientSession::on_readable() {
   static std::array<char, kReadSize> buffer;  // one thread reads one connection at a time
-  if (!limits_.bytes.room_for(kReadSize)) {
+  if (!limits_.has_memory(MemoryUse::kInput, kReadSize)) {
     block();  // resumed by a tick once memory is available
     return;
   }
@@ -144,11 +144,17 @@
     error_response_at_ = clock_.now() + kErrorDelay;
     discard_input();
   }
-  buffered_.resize(protocol_handler_->buffered_bytes());
+  account_input();
   flush();
   arm_read();
 }
 
+// A short body has no reservation of its own, so it counts as input.
+void ClientSession::account_input() {
+  const std::size_t body = body_.size() > 0 ? 0 : protocol_handler_->body_length();
+  buffered_.resize(protocol_handler_->buffered_bytes() + body);
+}
+
 void ClientSession::take_commands() {
   for (int taken = 0; !has_stopped_reading(); ++taken) {
     if (!may_begin_request() || !reserve_body()) return block();
@@ -183,7 +189,7 @@
 bool ClientSession::reserve_body() {
   const auto length = protocol_handler_->body_length();
   if (length <= kSmallBody || body_.size() >= length) return true;
-  if (!limits_.bytes.room_for(length - body_.size())) return false;
+  if (!limits_.has_memory(MemoryUse::kBulk, length - body_.size())) return false;
   body_.resize(length);
   return true;
 }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -87,7 +87,9 @@
   void post(std::function<void()> then);
   Time now() const { return clock_.now(); }
   // Transfers the reservation of the body that was just read to the caller.
-  Reservation take_body() { return std::exchange(body_, Reservation(limits_.bytes)); }
+  Reservation take_body() {
+    return std::exchange(body_, Reservation(limits_.bytes, 0, MemoryHolder::kBodies));
+  }
 
   // ---- ResponseSink
 
@@ -129,6 +131,7 @@
   bool has_stopped_reading() const { return close_when_written_ || !error_response_.empty(); }
   bool may_begin_request() const;
   bool reserve_body();
+  void account_input();
   void block();
   void discard_input();
 
--- a/src/net/protocol_handler.h
+++ b/src/net/protocol_handler.h
@@ -42,7 +42,8 @@
   // Discards unprocessed input.
   virtual void discard_input() = 0;
 
-  // Returns the bytes of unprocessed input, without a body that is being read.
+  // Returns the memory that is held for unprocessed input, in bytes, without a body that is being
+  // read. What a session always has, about a kilobyte, may be left out.
   virtual std::size_t buffered_bytes() const = 0;
   virtual bool between_commands() const = 0;
   // Returns the length in bytes of the body that is being read; 0 if there is none.
--- a/src/net/request.h
+++ b/src/net/request.h
@@ -25,6 +25,9 @@
   // Called when no attempt of the request is in flight and none will follow, so that the frontend
   // may reuse the request's id.
   virtual void on_released() const {}
+  // Returns the memory that the payload and the encoded forms of its attempts take, in bytes,
+  // without what has a reservation of its own.
+  virtual std::size_t held_bytes() const = 0;
 
   // The request's requirements on its connection; the core adds those of its request class.
   connection_pool::AttemptTraits traits;
--- a/src/net/response_queue.cc
+++ b/src/net/response_queue.cc
@@ -20,7 +20,13 @@
 }  // namespace
 
 std::uint64_t ResponseQueue::open_slot() {
-  slots_.push_back({next_slot_, {}, 0, false, Reservation(budget_), nullptr, {}});
+  slots_.push_back({next_slot_,
+                    {},
+                    0,
+                    false,
+                    Reservation(budget_, sizeof(Slot), MemoryHolder::kResponses),
+                    nullptr,
+                    {}});
   return next_slot_++;
 }
 
@@ -34,7 +40,7 @@
   if (!slot || slot->is_complete) return false;
   if (unwritten_bytes_ == 0) last_progress_ = clock_.now();
   slot->text = std::move(text);
-  slot->bytes.resize(slot->text.size());
+  slot->bytes.resize(sizeof(Slot) + slot->text.capacity());
   slot->is_complete = true;
   unwritten_bytes_ += slot->text.size();
   return true;
--- a/src/net/upstream_connection.cc
+++ b/src/net/upstream_connection.cc
@@ -15,8 +15,9 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr std::size_t kReadSize = 64u << 10;   // bytes read in one call
-constexpr std::size_t kWriteSize = 64u << 10;  // bytes gathered for one write call
+constexpr std::size_t kReadSize = 64u << 10;      // bytes read in one call
+constexpr std::size_t kShortReadSize = 4u << 10;  // the same where memory is short
+constexpr std::size_t kWriteSize = 64u << 10;     // bytes gathered for one write call
 // Pieces of at least this size, in bytes, are written without a copy.
 constexpr std::size_t kLargePiece = 16u << 10;
 // An answer that has begun and then makes no progress for this time is given up: its stated length
@@ -36,7 +37,7 @@
       events_(events),
       owner_(owner),
       descriptor_(limits.upstreams, 1),
-      bytes_(limits.bytes) {}
+      bytes_(limits.bytes, 0, MemoryHolder::kAnswers) {}
 
 void UpstreamConnection::connect(const Endpoint& endpoint, Duration timeout) {
   error_code error;
@@ -242,6 +243,36 @@
                      });
 }
 
+// Returns how many bytes may be read now. Where memory is short, what is accounted for already may
+// be filled, and a connection that holds little can read short answers, so that requests end and
+// release memory.
+std::size_t UpstreamConnection::read_size() const {
+  const bool is_short = limits_.is_memory_short();
+  const std::size_t size = is_short ? kShortReadSize : kReadSize;
+  if (stream_) return std::min(size, stream_->room());
+  if (!is_short) return size;
+  const std::size_t room = bytes_.size() - std::min(bytes_.size(), held_bytes_);
+  if (room > 0) return std::min(kReadSize, room);
+  if (held_bytes_ < kShortReadSize) return size;
+  // The text grows to what is expected, or to twice its size.
+  const std::size_t growth = std::max(expected_bytes_, 2 * held_bytes_) - held_bytes_;
+  return limits_.has_memory(MemoryUse::kAnswer, growth) ? size : 0;
+}
+
+void UpstreamConnection::hold_answer(std::string& text, std::size_t expected) {
+  held_bytes_ = text.size();
+  expected_bytes_ = std::max(expected, held_bytes_);
+  const bool grows = expected_bytes_ > text.capacity();
+  if (grows && limits_.has_memory(MemoryUse::kAnswer, expected_bytes_ - text.capacity()))
+    text.reserve(expected_bytes_);
+  bytes_.resize(std::max(text.capacity(), held_bytes_));
+}
+
+void UpstreamConnection::release_answer() {
+  bytes_.resize(0);
+  held_bytes_ = expected_bytes_ = 0;
+}
+
 bool UpstreamConnection::may_read() const {
   return !memory_full_ && (!stream_ || stream_->room() > 0);
 }
@@ -249,8 +280,10 @@
 void UpstreamConnection::on_readable() {
   static std::array<char, kReadSize> buffer;  // one thread reads one connection at a time
   if (!may_read()) return;                    // the stream's window has filled up meanwhile
+  const std::size_t max_bytes = read_size();
+  memory_full_ = max_bytes == 0;  // resumed by a tick once memory is available
+  if (memory_full_) return;
   error_code error;
-  const auto max_bytes = stream_ ? std::min(kReadSize, stream_->room()) : kReadSize;
   const auto n = socket_.read_some(asio::buffer(buffer.data(), max_bytes), error);
   if (error == asio::error::would_block || error == asio::error::try_again ||
       error == asio::error::interrupted)
@@ -271,8 +304,6 @@
   if (queue_.empty() && !between_answers()) return fail(), false;
   partial_since_ = between_answers() ? std::optional<Time>() : partial_since_.value_or(last_read_);
   if (stream_ && stream_->abandoned()) return fail(), false;
-  // Values are collected within the byte budget; beyond it, input waits in the kernel's buffer.
-  memory_full_ = !value_.empty() && !limits_.bytes.room_for(kMaxCollectedValue);
   return true;
 }
 
@@ -284,8 +315,12 @@
 }
 
 void UpstreamConnection::begin_value(std::size_t length) {
-  if (length <= kMaxCollectedValue || current()->ended) return;
-  stream_ = std::make_shared<ValueStream>(length, limits_.bytes);
+  if (current()->ended) return;
+  if (length <= kMaxCollectedValue) {
+    hold_answer(value_, length);
+    return;
+  }
+  stream_ = std::make_shared<ValueStream>(length, limits_);
   stream_->on_room = [self = weak_from_this()] {
     if (const auto c = self.lock()) c->on_stream_room();
   };
@@ -308,10 +343,10 @@
 bool UpstreamConnection::append_value(std::string_view piece, std::optional<std::size_t> length) {
   if (stream_) return stream_->push(piece), true;
   if (current()->ended) return true;  // the answer is not wanted; discard it
-  if (value_.size() + piece.size() > max_value()) return false;
-  if (length && value_.empty()) value_.reserve(*length);
+  const std::size_t max_length = length ? kMaxCollectedValue : limits_.plan.max_unsized_answer;
+  if (value_.size() + piece.size() > max_length) return false;
   value_ += piece;
-  bytes_.resize(value_.size());
+  hold_answer(value_, length.value_or(0));
   return true;
 }
 
@@ -320,7 +355,7 @@
   queue_.pop_front();
   if (first_unsent_ > 0) --first_unsent_;
   std::string value = std::exchange(value_, {});
-  bytes_.resize(0);
+  release_answer();
   if (const auto stream = std::exchange(stream_, nullptr)) stream->finish();
   if (!out.is_sent()) {
     // The answer arrived before the request was completely written: only a rejection is valid then.
@@ -335,7 +370,7 @@
 void UpstreamConnection::tick() {
   withdraw_unsendable();
   if (closed_) return;
-  if (memory_full_ && limits_.bytes.room_for(kMaxCollectedValue)) {
+  if (memory_full_ && read_size() > 0) {
     memory_full_ = false;
     last_read_ = events_.now();  // the pause was caused by this process, not by the host
     arm_read();
@@ -403,7 +438,7 @@
   connect_timer_.cancel();
   socket_.close(ignored);
   descriptor_ = Reservation();
-  bytes_.resize(0);
+  release_answer();
   if (const auto stream = std::exchange(stream_, nullptr)) stream->finish();
   for (Outgoing& out : queue_) end(out, out.is_sent() ? sent_result : Result::kConnectFailed);
   queue_.clear();
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -91,8 +92,6 @@
   virtual bool on_bytes(std::string_view bytes) = 0;
   // The peer has shut down its side. May complete an answer that is terminated by the close.
   virtual void on_end_of_input() {}
-  // Returns the maximum length in bytes of a value that is collected.
-  virtual std::size_t max_value() const { return kMaxCollectedValue; }
   // Whether no part of a further answer has been received.
   virtual bool between_answers() const = 0;
 
@@ -103,10 +102,12 @@
   // kMaxCollectedValue is streamed.
   void begin_value(std::size_t length);
   // Adds a piece of the value. `length`: length of the complete value, if known. Returns false if
-  // the value is too long.
+  // the value is too long: without a length, MemoryPlan::max_unsized_answer bounds it.
   bool append_value(std::string_view piece, std::optional<std::size_t> length);
-  // Reserves bytes for the current answer if the subclass collects it itself.
-  void reserve_bytes(std::size_t bytes) { bytes_.resize(bytes); }
+  // Accounts for `text`, which collects the current answer, and reserves room in it for `expected`
+  // bytes in all if there is memory for them. Reading pauses where there is none.
+  void hold_answer(std::string& text, std::size_t expected);
+  void release_answer();
   // Completes the current answer. Returns false if the connection cannot be used any further.
   bool complete_answer(Result result, std::string receipt = {});
   bool reusable_ = true;  // the protocol allows further answers on this connection
@@ -132,6 +133,7 @@
   void on_readable();
   void on_stream_room();
   bool may_read() const;
+  std::size_t read_size() const;
   bool handle_input(std::string_view bytes);
   // Closes the connection. `sent_result`: the outcome of attempts that were completely written.
   void fail(Result sent_result = Result::kReset);
@@ -149,9 +151,10 @@
   bool connected_ = false;
   bool closed_ = false;
   bool retired_ = false;
-  bool read_pending_ = false;   // an async wait for input is pending
-  bool write_pending_ = false;  // an async wait for writability is pending
-  bool memory_full_ = false;
+  bool read_pending_ = false;                        // an async wait for input is pending
+  bool write_pending_ = false;                       // an async wait for writability is pending
+  bool memory_full_ = false;                         // reading has paused because memory is short
+  std::size_t held_bytes_ = 0, expected_bytes_ = 0;  // of the current answer
   std::deque<Outgoing> queue_;
   std::size_t first_unsent_ = 0;  // queue index of the first attempt that is not completely written
   std::vector<PendingEvent> pending_events_;  // to be reported from the event loop
--- a/src/net/value_stream.h
+++ b/src/net/value_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -16,20 +17,25 @@
 // writing while it is empty. Not thread-safe; handlers may be called from inside a member function.
 class ValueStream {
  public:
-  // Maximum bytes buffered.
-  static constexpr std::size_t kWindow = 128u << 10;
+  // Maximum bytes buffered, and the same where memory is short.
+  static constexpr std::size_t kWindow = 128u << 10, kSmallWindow = 16u << 10;
 
-  // `length`: length of the complete value in bytes. Reserves the window even if the budget has no
-  // room.
-  ValueStream(std::size_t length, Budget& budget)
-      : length_(length), reservation_(budget, kWindow) {}
+  // `length`: length of the complete value in bytes. Reserves the window even if the limits leave
+  // no room.
+  ValueStream(std::size_t length, Limits& limits)
+      : length_(length),
+        window_(limits.has_memory(MemoryUse::kBulk, kWindow) ? kWindow : kSmallWindow),
+        reservation_(limits.bytes, window_, MemoryHolder::kStreams) {}
 
   std::size_t length() const { return length_; }
 
   // ---- called by the connection that reads the value
 
-  std::size_t room() const { return abandoned_ ? kWindow : kWindow - buffered(); }
-  // Appends a piece. It may have at most room() bytes, and all pieces together at most length().
+  std::size_t room() const {
+    return abandoned_ ? window_ : window_ - std::min(window_, buffered());
+  }
+  // Appends a piece. All pieces together may have at most length() bytes, and each at most room();
+  // the first, which was read with the head of the answer, may have more.
   void push(std::string_view piece) {
     pushed_ += piece.size();
     if (abandoned_) return;
@@ -37,7 +43,7 @@
       buffer_.erase(0, at_);
       at_ = 0;
     }
-    if (buffer_.capacity() < kWindow) buffer_.reserve(kWindow);
+    if (buffer_.capacity() < window_) buffer_.reserve(window_);
     buffer_ += piece;
     if (on_data) on_data();
   }
@@ -84,6 +90,7 @@
   std::size_t buffered() const { return buffer_.size() - at_; }
 
   const std::size_t length_;
+  const std::size_t window_;
   Reservation reservation_;
   std::string buffer_;
   std::size_t at_ = 0;  // bytes of buffer_ already consumed
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -12,6 +12,7 @@
 #include "node/command_line.h"
 #include "node/endpoint_text.h"
 #include "node/group_commands.h"
+#include "node/memory_watch.h"
 #include "node/process_log.h"
 #include "node/process_signals.h"
 #include "node/program_settings.h"
@@ -22,8 +23,9 @@
 // Descriptors of a group member, for datagrams, the voter's record, routers and status queries.
 constexpr std::size_t kGroupDescriptors = 64;
 
-// Memory of large values is returned to the system once they have been forwarded.
-constexpr int kMmapThresholdBytes = 256 << 10, kTrimThresholdBytes = 1 << 20;
+// Memory of values is returned to the system once they have been forwarded. What remains of many
+// short objects could not hold it.
+constexpr int kMmapThresholdBytes = 32 << 10, kTrimThresholdBytes = 1 << 20;
 
 std::size_t reserved_descriptors(const ProgramSettings& settings) {
   std::size_t count = 0;
@@ -69,6 +71,8 @@
   open_log(process.log);
   const Log log = make_log(process.name);
   limits.emplace(process.sockets, process.memory_mb, reserved_descriptors(settings));
+  limits->watch_resident_memory();
+  const MemoryWatch memory_watch(io, *limits, log);
   Balancer balancer(io, settings.config, *limits, std::move(settings.operator_settings), log);
   signals.on_reload(
       [&] { reload_or_keep(log, [&] { reload(operator_file, process, log, balancer); }); });
--- a/src/proto/memcache.cc
+++ b/src/proto/memcache.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kMaxProperties = 32;
+// Bytes of an input buffer that are kept for a client without input.
+constexpr std::size_t kMaxIdleBuffer = 1024;
 
 std::vector<std::string_view> split(std::string_view text, char separator) {
   std::vector<std::string_view> parts;
@@ -106,16 +108,19 @@
   return std::chrono::milliseconds(*ms);
 }
 
+std::size_t CommandReader::buffered() const {
+  const std::size_t input =
+      buffer_.capacity() > kMaxIdleBuffer ? buffer_.capacity() : buffer_.size();
+  return input + (body_left_ ? command_.head_bytes() : 0);
+}
+
+// A client that has little input left must not keep a large buffer.
 void CommandReader::compact() {
-  if (consumed_ == buffer_.size()) {
-    buffer_.clear();
-    if (buffer_.capacity() > 4 * kMaxLine)
-      buffer_.shrink_to_fit();  // an idle client must not keep a large buffer
-    consumed_ = 0;
-  } else if (consumed_ > buffer_.size() / 2) {
-    buffer_.erase(0, consumed_);
-    consumed_ = 0;
-  }
+  if (consumed_ < buffer_.size() && consumed_ <= buffer_.size() / 2) return;
+  buffer_.erase(0, consumed_);
+  consumed_ = 0;
+  if (buffer_.capacity() > kMaxIdleBuffer && buffer_.size() < buffer_.capacity() / 4)
+    buffer_.shrink_to_fit();
 }
 
 std::optional<CommandReader::Item> CommandReader::take_line() {
@@ -175,6 +180,7 @@
   c.line = line;
   if (!is_set) return c;
   command_ = std::move(c);
+  command_.body.reserve(length);
   body_length_ = length;
   body_left_ = length;
   return std::nullopt;
--- a/src/proto/memcache.h
+++ b/src/proto/memcache.h
@@ -32,6 +32,10 @@
   std::size_t props_offset = 0;  // offset of `props` in `line`
   std::string body;
 
+  // Returns the memory that the command takes without its body, in bytes.
+  std::size_t head_bytes() const {
+    return line.capacity() + key.capacity() + id.capacity() + props.capacity();
+  }
   std::string_view prop(std::string_view name) const;  // empty if absent
   // Returns `props` with the value of the deadline property `d`, if the client sent one, replaced
   // by `remaining`. All other bytes are unchanged.
@@ -53,8 +57,9 @@
   // Returns the next command or error, or nullopt if more input is needed.
   std::optional<std::variant<Command, ClientError>> next();
 
-  // Returns the number of bytes held in the input buffer; a body that is being read is not counted.
-  std::size_t buffered() const { return buffer_.size(); }
+  // Returns the memory held for the input and for the head of a command whose body is being read,
+  // in bytes; the body itself is not counted.
+  std::size_t buffered() const;
   // Returns the unparsed input, or nullopt while a body is being read.
   std::optional<std::string> unread() const {
     if (body_left_) return std::nullopt;
--- a/src/proto/resp.cc
+++ b/src/proto/resp.cc
@@ -18,9 +18,9 @@
   wire_.replace(0, header_length_, header);
   header_length_ = header.size();
   if (shift > 0)
-    for (Arg& a : args_) a.offset += shift;
+    for (Arg& a : args_) a.offset += static_cast<std::uint32_t>(shift);
   wire_ += "$" + std::to_string(arg.size()) + "\r\n";
-  args_.push_back({wire_.size(), arg.size()});
+  add_arg(wire_.size(), arg.size());
   wire_ += arg;
   wire_ += kLineEnd;
 }
--- a/src/proto/resp.h
+++ b/src/proto/resp.h
@@ -51,6 +51,8 @@
     return std::string_view(wire_).substr(args_[i].offset, args_[i].length);
   }
   const std::string& wire() const { return wire_; }  // ready to be forwarded
+  // Returns the memory that the command takes, in bytes.
+  std::size_t held_bytes() const { return wire_.capacity() + args_.capacity() * sizeof(Arg); }
   std::string take_wire() && { return std::move(wire_); }
   void push_back(std::string_view arg);  // appends an argument to a command under construction
   static Command from_args(const std::vector<std::string_view>& args);
@@ -58,8 +60,11 @@
  private:
   friend class CommandReader;
   struct Arg {
-    std::size_t offset, length;
+    std::uint32_t offset, length;  // InputLimits::total keeps a command far below 4 GiB
   };
+  void add_arg(std::size_t offset, std::size_t length) {
+    args_.push_back({static_cast<std::uint32_t>(offset), static_cast<std::uint32_t>(length)});
+  }
   std::string wire_;
   std::vector<Arg> args_;
   std::size_t header_length_ = 0;  // bytes of the array header line in `wire_`
@@ -80,8 +85,8 @@
   // Returns the next command or fault, or nullopt if more input is needed.
   std::optional<std::variant<Command, ProtocolError>> next();
 
-  // Returns the number of bytes that were fed and not yet returned as commands, without the part of
-  // the current command that expected() accounts for.
+  // Returns the memory held for bytes that were fed and not yet returned as commands, without the
+  // part of the current command that expected() accounts for.
   std::size_t buffered() const;
   // Returns the size in bytes of the current command up to the end of the string that is being
   // read, as announced by the string's header; 0 if no string is being read.
@@ -117,8 +122,8 @@
   std::size_t scanned_ = 0;        // there is no line end between the cursor and this offset
   std::optional<std::size_t> strings_left_;   // strings of the current array not read yet
   std::optional<std::size_t> string_length_;  // length of the string that is being read
+  std::size_t strings_ = 0;                   // strings of the current array
   std::size_t body_begin_ = 0;                // offset of the header of the array's first string
-  std::vector<Command::Arg> args_;
 };
 
 // Finds the ends of replies, and returns the replies' bytes unchanged.
@@ -132,6 +137,8 @@
   // the reply that follows them.
   Event next(std::string_view& input);
   std::string_view data() const { return data_; }
+  // Returns how many bytes of the string that is being read are still to come.
+  std::size_t expected() const { return state_ == State::kBulk ? bulk_left_ : 0; }
   // Returns the type of the current or just completed reply, disregarding attributes.
   Type type() const { return type_; }
   bool between_replies() const {
@@ -179,6 +186,11 @@
   std::optional<std::int64_t> integer() const;
 };
 
+// Returns the encodings of the elements of exactly one array or set, without building a tree;
+// refers to `wire`. Returns nullopt if `wire` is anything else.
+std::optional<std::vector<std::string_view>> array_elements(std::string_view wire,
+                                                            const InputLimits& bounds);
+
 // Parses exactly one reply, skipping attributes. Returns nullopt if `wire` is anything else.
 std::optional<Value> parse_reply(std::string_view wire, const InputLimits& bounds);
 
--- a/src/proto/resp_command_reader.cc
+++ b/src/proto/resp_command_reader.cc
@@ -9,6 +9,8 @@
 
 // Bytes of a header line: type, sign and digits.
 constexpr std::size_t kMaxLengthLine = 32;
+// Bytes of an input buffer that are kept for a client without input.
+constexpr std::size_t kMaxIdleBuffer = 1024;
 
 int hex_digit(char c) {
   if (c >= '0' && c <= '9') return c - '0';
@@ -75,7 +77,8 @@
 
 std::size_t CommandReader::buffered() const {
   const std::size_t unreturned = buffer_.size() - command_begin_;
-  return unreturned - std::min(unreturned, expected());
+  const std::size_t held = buffer_.capacity() > kMaxIdleBuffer ? buffer_.capacity() : unreturned;
+  return held - std::min(held, expected());
 }
 
 void CommandReader::compact() {
@@ -88,10 +91,11 @@
   cursor_ -= command_begin_;
   scanned_ = scanned_ > command_begin_ ? scanned_ - command_begin_ : 0;
   body_begin_ = body_begin_ > command_begin_ ? body_begin_ - command_begin_ : 0;
-  for (auto& a : args_) a.offset -= command_begin_;
   command_begin_ = 0;
-  // An idle client must not keep the memory of a long command.
-  if (buffer_.empty() && buffer_.capacity() > 4096) buffer_.shrink_to_fit();
+  // A client that has little input left must not keep the memory of a long command.
+  if (buffer_.capacity() > kMaxIdleBuffer && buffer_.size() < buffer_.capacity() / 4 &&
+      !string_length_)
+    buffer_.shrink_to_fit();
 }
 
 std::optional<CommandReader::Item> CommandReader::take_inline() {
@@ -148,9 +152,8 @@
     command_begin_ = cursor_;
     return Progress::kEmpty;
   }
-  strings_left_ = static_cast<std::size_t>(*count);
+  strings_left_ = strings_ = static_cast<std::size_t>(*count);
   body_begin_ = cursor_;
-  args_.clear();
   return Progress::kRead;
 }
 
@@ -183,7 +186,6 @@
   if (buffer_.size() - cursor_ < *string_length_ + kLineEnd.size()) return Progress::kNeedsMore;
   if (std::string_view(buffer_).substr(cursor_ + *string_length_, kLineEnd.size()) != kLineEnd)
     return ProtocolError{"Protocol error: a bulk string does not end where its length says"};
-  args_.push_back({cursor_, *string_length_});
   cursor_ += *string_length_ + kLineEnd.size();
   string_length_.reset();
   --*strings_left_;
@@ -198,16 +200,26 @@
   return line;
 }
 
+// The places of the arguments are determined only now: an unfinished command of very many short
+// strings would need a multiple of its length for them.
 Command CommandReader::assemble() {
   // The array header is rewritten, because the received one may have a plus sign or leading zeros.
   Command command;
-  const std::string header = "*" + std::to_string(args_.size()) + "\r\n";
+  const std::string header = "*" + std::to_string(strings_) + "\r\n";
   command.wire_.reserve(header.size() + cursor_ - body_begin_);
   command.wire_ = header;
   command.wire_.append(buffer_, body_begin_, cursor_ - body_begin_);
   command.header_length_ = header.size();
-  command.args_ = std::exchange(args_, {});
-  for (auto& arg : command.args_) arg.offset = arg.offset - body_begin_ + header.size();
+  command.args_.reserve(strings_);
+  std::size_t at = header.size();
+  for (std::size_t i = 0; i < strings_; ++i) {
+    const auto line_end = command.wire_.find('\n', at);
+    std::string_view line(command.wire_.data() + at + 1, line_end - at - 1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    const auto length = static_cast<std::size_t>(parse_int64(line).value_or(0));
+    command.add_arg(line_end + 1, length);
+    at = line_end + 1 + length + kLineEnd.size();
+  }
   strings_left_.reset();
   command_begin_ = cursor_;
   return command;
--- a/src/proto/resp_reply_reader.cc
+++ b/src/proto/resp_reply_reader.cc
@@ -212,6 +212,49 @@
 
 namespace {
 
+// Returns whether `wire` is exactly one reply.
+bool is_one_reply(std::string_view wire, const InputLimits& bounds) {
+  ReplyReader reader(bounds);
+  std::string_view input = wire;
+  while (true) {
+    const auto event = reader.next(input);
+    if (event == ReplyReader::Event::kData) continue;
+    return event == ReplyReader::Event::kEnd && input.empty();
+  }
+}
+
+// Returns the length of the first value in `wire`, which a ReplyReader must have accepted.
+std::size_t length_of_value(std::string_view wire) {
+  const auto line_end = wire.find(kLineEnd);
+  std::size_t used = line_end + kLineEnd.size();
+  const auto line = wire.substr(1, line_end - 1);
+  const auto skip_values = [&](std::int64_t count) {
+    for (; count > 0; --count) used += length_of_value(wire.substr(used));
+  };
+  switch (static_cast<Type>(wire.front())) {
+    case Type::kBulk:
+    case Type::kBulkError:
+    case Type::kVerbatim:
+      if (const auto length = parse_int64(line).value_or(-1); length >= 0)
+        used += static_cast<std::size_t>(length) + kLineEnd.size();
+      break;
+    case Type::kArray:
+    case Type::kSet:
+    case Type::kPush:
+      skip_values(parse_int64(line).value_or(0));
+      break;
+    case Type::kMap:
+      skip_values(2 * parse_int64(line).value_or(0));
+      break;
+    case Type::kAttribute:  // followed by the value that it belongs to
+      skip_values(2 * parse_int64(line).value_or(0) + 1);
+      break;
+    default:
+      break;
+  }
+  return used;
+}
+
 // Builds the tree of the first value in `wire` and returns the number of bytes used. A ReplyReader
 // must have accepted `wire`, so that it is well formed and of bounded depth.
 std::size_t build_value(std::string_view wire, Value& value) {
@@ -269,15 +312,25 @@
 
 }  // namespace
 
-std::optional<Value> parse_reply(std::string_view wire, const InputLimits& bounds) {
-  ReplyReader reader(bounds);
-  std::string_view input = wire;
-  while (true) {
-    const auto event = reader.next(input);
-    if (event == ReplyReader::Event::kData) continue;
-    if (event != ReplyReader::Event::kEnd || !input.empty()) return std::nullopt;
-    break;
+std::optional<std::vector<std::string_view>> array_elements(std::string_view wire,
+                                                            const InputLimits& bounds) {
+  if (wire.empty() || !is_one_reply(wire, bounds)) return std::nullopt;
+  const auto type = static_cast<Type>(wire.front());
+  if (type != Type::kArray && type != Type::kSet) return std::nullopt;
+  std::size_t at = wire.find(kLineEnd) + kLineEnd.size();
+  const auto count = parse_int64(wire.substr(1, at - 1 - kLineEnd.size())).value_or(-1);
+  if (count < 0) return std::nullopt;
+  std::vector<std::string_view> elements;
+  elements.reserve(static_cast<std::size_t>(count));
+  for (std::int64_t i = 0; i < count; ++i) {
+    elements.push_back(wire.substr(at, length_of_value(wire.substr(at))));
+    at += elements.back().size();
   }
+  return elements;
+}
+
+std::optional<Value> parse_reply(std::string_view wire, const InputLimits& bounds) {
+  if (!is_one_reply(wire, bounds)) return std::nullopt;
   Value value;
   build_value(wire, value);
   return value;
