RESP: count split commands, queued commands, scans and slot maps; parse no tree for arrays

What callers saw: 350 clients with an array of 60,000 short elements each took 65 MB at a limit of 32 MB, 650 clients 260 to 309 MB at 192; long replies read slowly 110 MB.

Cause: an unfinished array kept 16 bytes an element beside its wire form; a split MGET kept its keys, their places and a parsed tree of the replies (72 bytes and more an element) in no budget; SCAN kept 16 KB a scan; a slot map could take 16 MB and a tree of a million elements whatever the limit.

Change: the places of arguments are determined when a command is complete; split commands, scans and their pages reserve memory or are refused with TRYAGAIN; replies to MGET and SCAN are cut into views of their elements; slot maps are bounded by the memory plan; COMMAND and CLUSTER are refused while memory is short.

--- a/src/frontend/resp/cluster_pool.cc
+++ b/src/frontend/resp/cluster_pool.cc
@@ -1,5 +1,6 @@
 #include "frontend/resp/cluster_pool.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -16,9 +17,19 @@
 
 // Time limit of one slot map query to a node, including connection setup.
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(500);
-// Large enough for a reply with one range per slot.
-constexpr resp::InputLimits kReplyBounds{
-    .bulk = 4u << 20, .elements = 1u << 20, .total = 16u << 20, .line = 64u << 10, .depth = 8};
+// Large enough for a reply with one range per slot, where the memory limit allows it.
+constexpr std::size_t kMaxReply = 16u << 20;
+// A parsed element takes about this many bytes.
+constexpr std::size_t kBytesPerElement = 128;
+
+resp::InputLimits reply_bounds(const Limits& limits) {
+  const std::size_t total = std::min(kMaxReply, limits.plan.max_unsized_answer);
+  return {.bulk = total,
+          .elements = limits.plan.accounted / 4 / kBytesPerElement,
+          .total = total,
+          .line = 64u << 10,
+          .depth = 8};
+}
 
 }  // namespace
 
@@ -33,7 +44,9 @@
         socket_(pool.io_),
         timer_(pool.io_),
         descriptor_(pool.limits_.upstreams, 1),
-        bytes_(pool.limits_.bytes) {}
+        bytes_(pool.limits_.bytes, 0, MemoryHolder::kSlotMaps),
+        bounds_(reply_bounds(pool.limits_)),
+        reader_(bounds_) {}
 
   void start() {
     const auto to = parse_endpoint(node_);
@@ -83,7 +96,7 @@
           return false;
         case resp::ReplyReader::Event::kData:
           reply_ += reader_.data();
-          bytes_.resize(reply_.size());
+          bytes_.resize(reply_.capacity());
           break;
         case resp::ReplyReader::Event::kEnd:
           if (!on_reply(std::exchange(reply_, {}))) return false;
@@ -94,7 +107,7 @@
   bool on_reply(const std::string& reply) {
     // The reply to the login command is ignored, even if it is an error.
     if (replies_to_skip_ > 0) return --replies_to_skip_, true;
-    const auto value = resp::parse_reply(reply, kReplyBounds);
+    const auto value = resp::parse_reply(reply, bounds_);
     if (!value) return false;
     switch (replies_++) {
       case 0:
@@ -134,7 +147,8 @@
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
   Reservation descriptor_, bytes_;
-  resp::ReplyReader reader_{kReplyBounds};
+  const resp::InputLimits bounds_;
+  resp::ReplyReader reader_;
   std::array<char, 16384> chunk_;
   std::string reply_;
   std::optional<View> view_;
@@ -235,6 +249,7 @@
     host.endpoint = parse_endpoint(node);
     list.hosts.push_back(std::move(host));
   }
+  limits_.change_hosts(std::exchange(node_count_, list.hosts.size()), list.hosts.size());
   servers_.on_list(list);
 }
 
--- a/src/frontend/resp/cluster_pool.h
+++ b/src/frontend/resp/cluster_pool.h
@@ -53,6 +53,7 @@
   boost::asio::steady_timer timer_;
   Time timer_at_ = Time::max();
   std::uint64_t applied_revision_ = 0;  // revision of the router's nodes that was applied last
+  std::size_t node_count_ = 0;          // nodes that were applied last
   std::shared_ptr<SlotMapQuery> query_;
   bool stopped_ = false;
 };
--- a/src/frontend/resp/data_commands.cc
+++ b/src/frontend/resp/data_commands.cc
@@ -18,6 +18,11 @@
   return static_cast<std::uint8_t>(&info - cluster::all_commands().data());
 }
 
+// Memory of a key of a split command beside its text, in bytes: its places in command, part and
+// reply, and its copy for a repetition.
+constexpr std::size_t kBytesPerSplitKey = 128;
+constexpr std::size_t kArrayHeaderBytes = 32;
+
 }  // namespace
 
 // ---- requests
@@ -40,7 +45,8 @@
   payload->slot = slot;
   payload->request_class = request_class;
   payload->write = write;
-  payload->bytes = Reservation(front_.limits_.bytes, payload->wire.size());
+  payload->bytes =
+      Reservation(front_.limits_.bytes, payload->wire.capacity(), MemoryHolder::kRequests);
   // The address of this object identifies the client; it has at most 47 bits.
   payload->traits.client_id = reinterpret_cast<std::uintptr_t>(this);
   payload->traits.order_group = payload->traits.client_id ^ (slot + 1ull) << 48;
@@ -170,24 +176,36 @@
     return error("ERR " + std::to_string(ran) + " of " + std::to_string(all) + " parts have run, " +
                  std::to_string(refusals) + " have not, " + std::to_string(all - ran - refusals) +
                  " may have");
-  std::vector<resp::Value> values;
+  for (const auto& reply : split_command.replies)
+    if (is_error(reply)) return reply;
+  if (split_command.split == Split::kGet) return join_values(split_command);
+  std::int64_t sum = 0;
   for (const auto& reply : split_command.replies) {
-    auto value = resp::parse_reply(reply, front_.reply_bounds_);
+    const auto value = resp::parse_reply(reply, front_.reply_bounds_);
     if (!value) return failed();
     if (value->is_error()) return reply;
-    values.push_back(std::move(*value));
+    sum += value->integer().value_or(0);
   }
   if (split_command.split == Split::kSet) return split_command.replies.front();
-  std::string out;
-  if (split_command.split == Split::kCount) {
-    std::int64_t sum = 0;
-    for (const auto& v : values) sum += v.integer().value_or(0);
-    return integer(sum);
+  return integer(sum);
+}
+
+// Joins the replies to the parts of an MGET in the order of its keys.
+std::string RespFrontend::RespSession::join_values(const SplitCommand& split_command) const {
+  std::vector<std::vector<std::string_view>> values;
+  std::size_t bytes = 0;
+  for (const auto& reply : split_command.replies) {
+    auto elements = resp::array_elements(reply, front_.reply_bounds_);
+    if (!elements) return failed();
+    values.push_back(std::move(*elements));
+    bytes += reply.size();
   }
+  std::string out;
+  out.reserve(bytes + kArrayHeaderBytes);
   resp::append_array(out, split_command.key_positions.size());
   for (const auto& [part, index] : split_command.key_positions) {
-    if (index >= values[part].items.size()) return failed();
-    out += values[part].items[index].wire;
+    if (index >= values[part].size()) return failed();
+    out += values[part][index];
   }
   return out;
 }
@@ -195,10 +213,12 @@
 ProtocolHandler::Step RespFrontend::RespSession::handle_split_command(
     ClientSession& session, const CommandInfo& info, const Command& command,
     const std::vector<std::size_t>& keys, const std::map<Slot, std::size_t>& parts) {
+  auto memory = reserve(keys.size() * kBytesPerSplitKey + 2 * command.wire().size());
+  if (!memory) return reply_with(session, refused(Duration{0}));
   const bool write = info.kind == CommandKind::kWrite;
-  std::vector<std::string> heads(parts.size());
   std::vector<std::vector<std::string_view>> words(parts.size(), {command[0]});
   SplitCommand split_command;
+  split_command.memory = std::move(*memory);
   split_command.split = info.split;
   split_command.pending_parts = parts.size();
   split_command.replies.resize(parts.size());
@@ -253,7 +273,7 @@
       mark_multi_failed();
       return reply_with(session, error("ERR too many commands in a transaction"));
     }
-    queued_bytes_ += command.wire().size();
+    queued_bytes_ += command.held_bytes() + sizeof(queued_[0]);
     queued_.emplace_back(&info, std::move(command));
     return reply_with(session, simple("QUEUED"));
   }
--- a/src/frontend/resp/local_commands.cc
+++ b/src/frontend/resp/local_commands.cc
@@ -121,6 +121,9 @@
     return reply_if_arity_fits(words == 1, session, command, [] { return simple("OK"); });
   if (is("CLIENT"))
     return reply_if_arity_fits(words >= 2, session, command, [&] { return client(command); });
+  // These replies are long. A client that reads none may have one of them.
+  const bool is_long = is("COMMAND") || is("CLUSTER");
+  if (is_long && front_.limits_.is_memory_short()) return reply_with(session, refused(Duration{0}));
   if (is("COMMAND")) return reply_with(session, command_info(command));
   if (is("CLUSTER"))
     return reply_if_arity_fits(words >= 2, session, command, [&] { return cluster(command); });
--- a/src/frontend/resp/node_commands.cc
+++ b/src/frontend/resp/node_commands.cc
@@ -42,7 +42,7 @@
 
 // ---- scans in progress
 
-std::uint64_t RespFrontend::begin_scan(Time now) {
+std::optional<std::uint64_t> RespFrontend::begin_scan(Time now) {
   std::erase_if(scans_,
                 [now](const auto& s) { return now - s.second.last_used > kScanIdleTimeout; });
   // Finished scans are kept too, as a client may request the last page again. At the limit, a new
@@ -51,10 +51,13 @@
     scans_.erase(std::min_element(scans_.begin(), scans_.end(), [](const auto& a, const auto& b) {
       return a.second.last_used < b.second.last_used;
     }));
+  if (!limits_.has_memory(MemoryUse::kRequest, sizeof(Scan))) return std::nullopt;
   std::uint64_t id = 0;
   // At most 42 bits, so that a cursor with its page number has at most 62 bits.
   while (id == 0 || scans_.count(id) > 0) id = random_() >> (kPageBits + 2);
-  scans_[id].last_used = now;
+  Scan& scan = scans_[id];
+  scan.last_used = now;
+  scan.memory = Reservation(limits_.bytes, sizeof(Scan), MemoryHolder::kRequests);
   return id;
 }
 
@@ -74,9 +77,11 @@
   const auto cursor = read_cursor(command[1]);
   if (!cursor) return reply_with(session, error("ERR invalid cursor"));
   if (open_requests_ >= kMaxOpenRequests) return Step::kBlocked;
-  const std::uint64_t id = *cursor == 0 ? front_.begin_scan(session.now()) : *cursor >> kPageBits;
+  auto memory = reserve(sizeof(ScanPage));
+  const auto id = *cursor == 0 ? front_.begin_scan(session.now()) : *cursor >> kPageBits;
+  if (!memory || !id) return reply_with(session, refused(Duration{0}));
   const std::uint64_t page = *cursor & kPageMask;
-  Scan* const state = front_.find_scan(id, session.now());
+  Scan* const state = front_.find_scan(*id, session.now());
   // A client that did not receive a reply may repeat the request for the previous page.
   if (!state || (page != state->page && page + 1 != state->page))
     return reply_with(session, error("ERR invalid cursor"));
@@ -91,7 +96,7 @@
   words.push_back(node_cursor);
   for (std::size_t i = 2; i < command.size(); ++i) words.push_back(command[i]);
   const auto response_slot = session.open_slot();
-  scan_pages_[response_slot] = {id, page, std::move(plan)};
+  scan_pages_[response_slot] = {*id, page, std::move(plan), std::move(*memory)};
   submit(session, {response_slot}, Command::from_args(words).wire(), 1, 0,
          front_.class_of(kScan, {}), false, {}, kScanLatencyKind, {.node = step->node});
   return Step::kProcessed;
@@ -100,11 +105,11 @@
 // Advances the scan after a node's reply. Returns the reply for the client, which has the
 // balancer's cursor in place of the node's, or an error.
 std::string RespFrontend::RespSession::advance_scan(Time now, ScanPage page, std::string reply) {
-  const auto value = resp::parse_reply(reply, front_.reply_bounds_);
-  if (!value) return failed();
-  if (value->is_error()) return reply;
-  if (value->items.size() != 2) return failed();
-  const auto cursor = read_cursor(value->items[0].text);
+  if (is_error(reply)) return reply;
+  const auto elements = resp::array_elements(reply, front_.reply_bounds_);
+  if (!elements || elements->size() != 2) return failed();
+  const auto next = resp::parse_reply(elements->front(), front_.reply_bounds_);
+  const auto cursor = next ? read_cursor(next->text) : std::nullopt;
   Scan* const scan = front_.find_scan(page.scan, now);
   if (!cursor || !scan) return error("ERR invalid cursor");
   scan->previous = page.plan;
@@ -113,8 +118,7 @@
   const bool more = page.plan.next(front_.slots_).has_value() || page.plan.aborted();
   scan->plan = std::move(page.plan);
   scan->page = (page.page + 1) & kPageMask;
-  std::string out =
-      scan_reply(more ? page.scan << kPageBits | scan->page : 0, value->items[1].wire);
+  std::string out = scan_reply(more ? page.scan << kPageBits | scan->page : 0, elements->back());
   return out;
 }
 
--- a/src/frontend/resp/resp_frontend.h
+++ b/src/frontend/resp/resp_frontend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -54,10 +55,12 @@
     cluster::ScanPlan plan, previous;  // for the current page and the one before
     std::uint64_t page = 0;
     Time last_used{0};
+    Reservation memory;
   };
   static constexpr std::size_t kMaxScans = 256;
   static constexpr Duration kScanIdleTimeout = std::chrono::minutes(10);  // then a scan is dropped
-  std::uint64_t begin_scan(Time now);
+  // Returns nothing if memory is short.
+  std::optional<std::uint64_t> begin_scan(Time now);
   Scan* find_scan(std::uint64_t id, Time now);
 
   const RespListener& settings_;
--- a/src/frontend/resp/resp_session.h
+++ b/src/frontend/resp/resp_session.h
@@ -65,7 +65,7 @@
     in_multi_ = false;
   }
   std::size_t buffered_bytes() const override {
-    return reader_.buffered() + (pending_command_ ? pending_command_->wire().size() : 0) +
+    return reader_.buffered() + (pending_command_ ? pending_command_->held_bytes() : 0) +
            queued_bytes_;
   }
   bool between_commands() const override { return reader_.between_commands() && !pending_command_; }
@@ -84,6 +84,7 @@
     std::vector<std::vector<std::string>> keys;  // of each part of an MGET
     Time deadline{0};
     Duration retry_after{0};
+    Reservation memory;
   };
 
   // A request among those in flight of its slot.
@@ -118,10 +119,16 @@
   struct ScanPage {
     std::uint64_t scan, page;
     cluster::ScanPlan plan;
+    Reservation memory;
   };
   Step scan(ClientSession& session, const resp::Command& command);
   std::string advance_scan(Time now, ScanPage page, std::string reply);
   Step dbsize(ClientSession& session);
+  // Reserves memory for a request beside that of the core. Returns nothing if memory is short.
+  std::optional<Reservation> reserve(std::size_t bytes) {
+    if (!front_.limits_.has_memory(MemoryUse::kRequest, bytes)) return std::nullopt;
+    return Reservation(front_.limits_.bytes, bytes, MemoryHolder::kRequests);
+  }
   Step reply_with(ClientSession& session, std::string text) {
     session.answer(session.open_slot(), std::move(text));
     return Step::kProcessed;
@@ -138,6 +145,7 @@
   std::string command_info(const resp::Command& command) const;
   std::string describe(const cluster::CommandInfo& info) const;
   std::string join(SplitCommand& split_command) const;
+  std::string join_values(const SplitCommand& split_command) const;
   void complete_part(ClientSession& session, ResponseSlot response_slot, std::string reply,
                      Response::Kind kind, Duration retry_after);
   void resubmit_per_key(ClientSession& session, ResponseSlot response_slot,
