Origin: bound the fields of a head, and keep none of them on an idle connection

What callers saw: an origin whose heads have very many short fields took a balancer with a limit of 32 MB to 217 MB.

Cause: the parser makes an object of some 100 bytes for each field, of a head of up to 64 KB, and an idle connection kept those of its last answer.

Change: a head has at most 8 KB and 100 lines; it is parsed in pieces, so that no more fields are made; they count as memory and are released with the answer.

--- a/src/frontend/memcache/origin_connection.cc
+++ b/src/frontend/memcache/origin_connection.cc
@@ -1,5 +1,6 @@
 #include "frontend/memcache/origin_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <sstream>
@@ -14,7 +15,13 @@
 namespace http = boost::beast::http;
 using boost::beast::error_code;
 
-constexpr std::uint32_t kMaxHeader = 64u << 10;
+constexpr std::uint32_t kMaxHeader = 8u << 10;
+// Each field takes about 100 bytes beside its text, so that a head of very many short fields would
+// need a multiple of its length.
+constexpr std::size_t kMaxHeadLines = 100;
+constexpr std::size_t kBytesPerField = 100;
+// Bytes of a head that are parsed at once, so that no more fields are created than are allowed.
+constexpr std::size_t kHeadPiece = 512;
 // Maximum number of bytes that the parser has not consumed yet: a header or the line of a chunk.
 constexpr std::size_t kMaxUnparsed = kMaxHeader + (64u << 10);
 constexpr std::size_t kMaxReceipt = 250;
@@ -74,7 +81,8 @@
 
 OriginConnection::OriginConnection(asio::io_context& io, Limits& limits, AttemptEvents& events,
                                    UpstreamOwner& owner)
-    : UpstreamConnection(io, limits, events, owner) {}
+    : UpstreamConnection(io, limits, events, owner),
+      head_bytes_(limits.bytes, 0, MemoryHolder::kAnswers) {}
 
 OriginConnection::~OriginConnection() = default;
 
@@ -86,6 +94,11 @@
   parser_->body_limit(memcache::kMaxValue);
   is_success_ = false;
   receipt_.clear();
+  head_lines_ = 0;
+}
+
+void OriginConnection::account_head() {
+  head_bytes_.resize(unparsed_.capacity() + head_lines_ * kBytesPerField);
 }
 
 void OriginConnection::encode(Outgoing& out) {
@@ -131,20 +144,41 @@
   return receipt_.size() <= kMaxReceipt;
 }
 
+// Parses the next piece of the input: of a head a few lines, of a body all. Returns the number of
+// bytes that were consumed, 0 if more input is needed, or nullopt if the input is malformed.
+std::optional<std::size_t> OriginConnection::parse() {
+  std::size_t size = parser_->is_header_done() ? unparsed_.size() : kHeadPiece;
+  while (true) {
+    size = std::min(size, unparsed_.size());
+    const bool in_head = !parser_->is_header_done();
+    error_code error;
+    const auto used = parser_->put(asio::buffer(unparsed_.data(), size), error);
+    if (error && error != http::error::need_more) return std::nullopt;
+    if (in_head)
+      head_lines_ +=
+          static_cast<std::size_t>(std::count(unparsed_.data(), unparsed_.data() + used, '\n'));
+    if (!parser_->is_header_done() && head_lines_ > kMaxHeadLines) return std::nullopt;
+    if (used > 0 || size == unparsed_.size() || parser_->is_done()) return used;
+    size *= 2;  // a line that is longer than the piece
+  }
+}
+
 bool OriginConnection::on_bytes(std::string_view bytes) {
   unparsed_ += bytes;
   while (!unparsed_.empty()) {
     if (!is_awaiting_answer()) return false;
-    error_code error;
-    const auto used = parser_->put(asio::buffer(unparsed_), error);
-    unparsed_.erase(0, used);
-    if (error && error != http::error::need_more) return false;
+    const auto used = parse();
+    if (!used) return false;
+    unparsed_.erase(0, *used);
     if (parser_->is_done()) {
       if (!finish_response()) return false;
-    } else if (error == http::error::need_more || used == 0) {
+      if (!is_awaiting_answer()) parser_.reset();  // an idle connection keeps no fields
+    } else if (*used == 0) {
       break;
     }
   }
+  if (unparsed_.empty()) unparsed_ = {};
+  account_head();
   return unparsed_.size() <= kMaxUnparsed;
 }
 
--- a/src/frontend/memcache/origin_connection.h
+++ b/src/frontend/memcache/origin_connection.h
@@ -29,6 +29,8 @@
   void on_end_of_input() override;
   bool between_answers() const override;
   void reset_parser();
+  std::optional<std::size_t> parse();
+  void account_head();
   void on_header(const boost::optional<std::uint64_t>& length);
   bool on_body(std::string_view piece);
   bool matches_request() const;
@@ -36,6 +38,8 @@
 
   std::unique_ptr<Parser> parser_;
   std::string unparsed_;
+  std::size_t head_lines_ = 0;              // lines of the current head that have been parsed
+  Reservation head_bytes_;                  // memory of unparsed_ and of the parsed fields
   std::optional<std::size_t> body_length_;  // if the header states it
   bool is_success_ = false;                 // whether the status is 200
   std::string receipt_;                     // the body of the response to a write
