Hosts and nodes: bound their number by the memory limit, and their names

What callers saw: discovery that lists ever new hosts took a balancer with a limit of 32 MB to 432 MB; redirections to ever new nodes with long names 64 MB.

Cause: changes of the endpoint list were applied without a bound on the hosts, and names had none; 40,000 hosts of 31 bytes fit into the longest list that was read.

Change: a list that brings more hosts than the memory limit allows (3,640 at 32 MB, 21,845 at 192 MB) is logged and not applied, and the complete list is requested; host ids have at most 256 bytes, nodes' host names 255; hosts are taken off what reservations may hold.

No change of the check in discovery_test: its handlers now return that the list was applied.

--- a/src/cluster/view.cc
+++ b/src/cluster/view.cc
@@ -7,6 +7,8 @@
 namespace balancer::cluster {
 namespace {
 
+constexpr std::size_t kMaxHostName = 255;  // bytes, as in DNS
+
 std::optional<std::uint64_t> number(std::string_view text) {
   std::uint64_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -52,7 +54,7 @@
 
 std::string node_address(std::string_view host, std::string_view port, std::string_view from) {
   const auto p = number(port);
-  if (!p || *p == 0 || *p > 65535 || host == "?") return {};
+  if (!p || *p == 0 || *p > 65535 || host == "?" || host.size() > kMaxHostName) return {};
   if (host.empty()) host = host_of(from);
   std::string address(host);
   // Replies contain IPv6 addresses without brackets.
--- a/src/cluster/view.h
+++ b/src/cluster/view.h
@@ -33,7 +33,7 @@
 
 // Returns the address "host:port" of a node that is named in a reply of `from`. An empty host
 // stands for the host of `from`, as the specification defines. Returns an empty string if the host
-// is "?" or the port is missing, 0 or out of range.
+// is "?" or longer than 255 bytes, or the port is missing, 0 or out of range.
 std::string node_address(std::string_view host, std::string_view port, std::string_view from);
 
 // Parse replies to CLUSTER NODES, SLOTS and SHARDS. Return nullopt if the reply as a whole cannot
--- a/src/node/discovery.cc
+++ b/src/node/discovery.cc
@@ -16,9 +16,8 @@
 using recovery::DiscoveryPollScheduler;
 
 constexpr std::uint32_t kMaxHeadBytes = 64u << 10;
-constexpr std::size_t kMemoryPerListByte = 24;
 // The parser's memory is released at once after a list longer than this.
-constexpr std::size_t kMaxKeptParserBytes = 256u << 10;
+constexpr std::size_t kMaxKeptParserBytes = 64u << 10;
 // A cause is logged again if it has not occurred for this long.
 constexpr Duration kCauseExpiry = std::chrono::seconds(60);
 
@@ -26,8 +25,6 @@
 
 }  // namespace
 
-std::size_t max_list_bytes(std::size_t memory_mb) { return (memory_mb << 20) / kMemoryPerListByte; }
-
 Discovery::Discovery(boost::asio::io_context& io, const Endpoint& endpoint,
                      const SiteSettings& site, std::uint64_t known_seq, std::uint64_t seed,
                      std::size_t max_list_bytes, Handlers handlers)
@@ -194,7 +191,8 @@
     if (body.size() > kMaxKeptParserBytes) json_ = simdjson::dom::parser();
     const bool is_new = schedule_.on_list(list.seq, list.is_complete);
     if (!is_new) list.hosts.clear();
-    if (is_new || is_polled_) handlers_.on_list(list);
+    if ((is_new || is_polled_) && !handlers_.on_list(list))
+      return "it brings more hosts than the memory limit allows";
     return std::nullopt;
   } catch (const FieldError& error) {
     return error.what();
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -20,17 +20,13 @@
 
 namespace balancer::node {
 
-// Returns the maximum size in bytes of an endpoint list that a process with this memory limit
-// reads. Parsing needs up to 16 times the size of the body, at most two thirds of the memory; the
-// list of hosts needs about 4 times.
-std::size_t max_list_bytes(std::size_t memory_mb);
-
 // The HTTP client of the discovery service. DiscoveryPollScheduler decides when to call; at most
 // one call is in flight. Answers that cannot be used are logged and have no other effect.
 class Discovery {
  public:
   struct Handlers {
-    std::function<void(const HostList&)> on_list;
+    // Applies the list. Returns false if it has more hosts than this process has memory for.
+    std::function<bool(const HostList&)> on_list;
     std::function<void()> on_rejected;  // a call has failed; only where lists are polled
     // A call was answered after `took`, and on_list has been called with the answer.
     std::function<void(Duration took)> on_answered;
@@ -38,6 +34,7 @@
     std::function<void(const std::string& line)> log;
   };
 
+  // `max_list_bytes`: bytes of the longest answer that is read; see MemoryPlan.
   Discovery(boost::asio::io_context& io, const Endpoint& endpoint, const SiteSettings& site,
             std::uint64_t known_seq, std::uint64_t seed, std::size_t max_list_bytes,
             Handlers handlers);
--- a/src/node/discovery_list.cc
+++ b/src/node/discovery_list.cc
@@ -12,6 +12,7 @@
 
 // Later times would overflow when converted to nanoseconds.
 constexpr std::int64_t kMaxUnixMilliseconds = 9'000'000'000'000;
+constexpr std::size_t kMaxHostId = 256;  // bytes
 
 // Returns names.size() for unknown names.
 int index_of(const std::vector<std::string>& names, std::string_view name) {
@@ -30,6 +31,7 @@
   EndpointListEntry host;
   host.id = require<std::string_view>(o, "host");
   if (host.id.empty()) throw_field_error("host", "is empty");
+  if (host.id.size() > kMaxHostId) throw_field_error("host", "is too long");
   host.state = read_state(require<std::string_view>(o, "health"));
   host.endpoint = parse_endpoint(get_or<std::string_view>(o, "dial", ""));
   if (!host.endpoint && host.state == HostState::kServing)
--- a/src/node/memcache_service.cc
+++ b/src/node/memcache_service.cc
@@ -39,14 +39,15 @@
                                  const Clock& clock, Limits& limits, ForwardingCheck may_forward,
                                  const Log& log)
     : site_(config.site),
+      limits_(limits),
       pool_(io, clock, site_, config.seed, limits, dial_hosts(io, limits),
             [this] { discovery_.start(); }),
       front_(site_, pool_),
-      discovery_(
-          io, config.discovery, site_, config.known ? config.known->seq : 0, config.seed,
-          max_list_bytes(config.memory_mb),
-          {[this](const HostList& list) { apply(list); }, [this] { pool_.on_list_rejected(); },
-           [this](Duration took) { pool_.on_discovery_answer(took); }, log}),
+      discovery_(io, config.discovery, site_, config.known ? config.known->seq : 0, config.seed,
+                 limits.plan.endpoint_list,
+                 {[this](const HostList& list) { return apply(list); },
+                  [this] { pool_.on_list_rejected(); },
+                  [this](Duration took) { pool_.on_discovery_answer(took); }, log}),
       log_(log) {
   if (config.known) apply(*config.known);
   listener_ = std::make_unique<ClientListener>(
@@ -60,7 +61,18 @@
   pool_.enable_stall_guard([this] { discovery_.refetch(); }, log_);
 }
 
-void MemcacheService::apply(const HostList& list) {
+bool MemcacheService::has_memory_for(const HostList& list) const {
+  const auto is_added = [this, &list](const EndpointListEntry& host) {
+    return host.state != HostState::kGone && (list.is_complete || hosts_.count(host.id) == 0);
+  };
+  const auto added =
+      static_cast<std::size_t>(std::count_if(list.hosts.begin(), list.hosts.end(), is_added));
+  return (list.is_complete ? 0 : hosts_.size()) + added <= limits_.plan.max_hosts;
+}
+
+bool MemcacheService::apply(const HostList& list) {
+  if (!has_memory_for(list)) return false;
+  const std::size_t hosts_before = hosts_.size();
   if (list.is_complete) {
     serving_caches_.clear();
     hosts_.clear();
@@ -79,8 +91,10 @@
       serving_caches_.erase(host.id);
     }
   }
+  limits_.change_hosts(hosts_before, hosts_.size());
   pool_.on_list(list);
   if (!std::exchange(has_list_, true) && on_first_list_) on_first_list_();
+  return true;
 }
 
 }  // namespace balancer::node
--- a/src/node/memcache_service.h
+++ b/src/node/memcache_service.h
@@ -38,8 +38,9 @@
   // Uses the discovery service at `endpoint` from now on.
   void move_discovery(const Endpoint& endpoint) { discovery_.move_to(endpoint); }
 
-  // Applies an endpoint list, or the changes in it.
-  void apply(const HostList& list);
+  // Applies an endpoint list, or the changes in it. Returns false and changes nothing if there
+  // would be more hosts than MemoryPlan::max_hosts.
+  bool apply(const HostList& list);
   // `callback` is called once, after the first list was applied.
   void set_on_first_list(std::function<void()> callback) { on_first_list_ = std::move(callback); }
 
@@ -55,7 +56,10 @@
   std::uint64_t list_sequence() const { return list_sequence_; }
 
  private:
+  bool has_memory_for(const HostList& list) const;
+
   const SiteSettings site_;
+  Limits& limits_;
   ServerPool pool_;
   MemcacheFrontend front_;
   Discovery discovery_;
