Cut no answer, request or reader off that goes on slowly

Cause: an answer that had begun was closed after 250 ms without progress, whatever was still to come and however much time its client had; a value without a length was bounded by 64 KiB; the first command of a connection had 2.6 s from the accept to be complete; progress of a reader was seen only where its socket took bytes, which is in steps of megabytes on a full buffer; time spent unread was not taken off the deadline.

Change: an answer that is wanted is cut only behind its attempt's deadline; where it has stalled for 250 ms the policy may send the request elsewhere beside it, within the retry budget. What the client's system acknowledges counts as progress of a reader; it has 15 s, or 5 s where memory is short. Time that input may have waited for memory comes off the deadline, for every dialect.

--- a/src/dispatch/server_pool.cc
+++ b/src/dispatch/server_pool.cc
@@ -130,7 +130,7 @@
   request.key = spec.key;
   request.is_write = spec.write;
   request.work = spec.work;
-  request.time_left = spec.time_left - stall_hold_.max_unread_age();
+  request.time_left = spec.time_left - unread_age(*sink);
   if (drain_end_)
     request.time_left = std::max(Duration{0}, std::min(request.time_left, *drain_end_ - now()));
   const RequestPayloadPtr payload = spec.payload;
@@ -143,7 +143,7 @@
 // Returns whether a request may be accepted. If not, it is rejected, which is safe as no attempt of
 // it has run. After a stall it may have waited in the socket until the client's deadline was over.
 bool ServerPool::may_accept(const ResponseSink& sink, const RequestSpec& spec) const {
-  if (stall_hold_.max_unread_age() >= spec.time_left) return false;
+  if (unread_age(sink) >= spec.time_left) return false;
   if (site_.max_open_requests > 0 &&
       open_requests_ >= static_cast<std::size_t>(site_.max_open_requests))
     return false;
@@ -151,6 +151,11 @@
   return sink.may_forward() && sink.is_connected();
 }
 
+// Returns how long a request that is read now may have waited in its socket.
+Duration ServerPool::unread_age(const ResponseSink& sink) const {
+  return std::max(stall_hold_.max_unread_age(), sink.unread_age());
+}
+
 void ServerPool::register_request(RequestId id, const std::shared_ptr<ResponseSink>& sink,
                                   ResponseSlot slot, RequestSpec spec) {
   PendingRequest& request = requests_[id];
@@ -287,6 +292,16 @@
   return is_unsent ? Result::kNotSent : result;
 }
 
+bool ServerPool::is_answer_wanted(const Attempt& attempt) const {
+  const auto it = requests_.find(attempt.request);
+  return it != requests_.end() && !it->second.finished;
+}
+
+void ServerPool::on_answer_stalled(const AttemptPtr& attempt) {
+  policy_.on_answer_stalled(now(), attempt->request, attempt->number);
+  erase_finished();
+}
+
 void ServerPool::on_attempt_ended(const AttemptPtr& attempt, Result result, std::string value) {
   if (std::exchange(attempt->ended, true)) return;
   timers_.cancel_timeout(*attempt);
--- a/src/dispatch/server_pool.h
+++ b/src/dispatch/server_pool.h
@@ -106,10 +106,13 @@
   Time now() const override { return clock_.now(); }
   SendPermission may_send(const Attempt& attempt) const override;
   void on_write_begun(const Attempt& attempt) override;
+  bool is_answer_wanted(const Attempt& attempt) const override;
+  void on_answer_stalled(const AttemptPtr& attempt) override;
   void on_stream_started(const AttemptPtr& attempt, const StreamPtr& stream) override;
   void on_attempt_ended(const AttemptPtr& attempt, Result result, std::string value) override;
 
   bool may_accept(const ResponseSink& sink, const RequestSpec& spec) const;
+  Duration unread_age(const ResponseSink& sink) const;
   void register_request(RequestId id, const std::shared_ptr<ResponseSink>& sink, ResponseSlot slot,
                         RequestSpec spec);
   AttemptPtr make_attempt(RequestId id, PendingRequest& request, std::string_view host,
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -78,6 +78,10 @@
   // The attempt begins to be written, behind all that its connection has been given before. Called
   // once, after may_send() has granted the first byte.
   virtual void on_write_begun(const Attempt& attempt) = 0;
+  // Whether the answer to the attempt can still be used: its request has no final answer yet.
+  virtual bool is_answer_wanted(const Attempt& attempt) const = 0;
+  // The answer has begun and has made no progress for a while. It may still be completed.
+  virtual void on_answer_stalled(const AttemptPtr& attempt) = 0;
   // A long value has begun to arrive and is delivered through the stream; on_attempt_ended()
   // follows. A receiver that does not want the value abandons the stream.
   virtual void on_stream_started(const AttemptPtr& attempt, const StreamPtr& stream) = 0;
--- a/src/net/client_listener.cc
+++ b/src/net/client_listener.cc
@@ -21,6 +21,8 @@
 constexpr Duration kFirstByteGrace = std::chrono::milliseconds(300);
 // Time within which most clients have written a complete command.
 constexpr Duration kCommandGrace = std::chrono::milliseconds(1000);
+// The same for a client that goes on writing one.
+constexpr Duration kSlowCommandGrace = std::chrono::seconds(10);
 // An actively used connection sends its next request within this time.
 constexpr Duration kReuseInterval = std::chrono::seconds(2);
 
@@ -48,7 +50,10 @@
     case ClientSession::State::kIdle:
       return in_state > kReuseInterval ? ClosePriority::kLongIdle : ClosePriority::kIdle;
     case ClientSession::State::kReadingCommand:
-      return in_state > kCommandGrace ? ClosePriority::kSlowCommand : ClosePriority::kKeep;
+      // A client that goes on writing may be sound.
+      return now - session.last_read() > kCommandGrace || in_state > kSlowCommandGrace
+                 ? ClosePriority::kSlowCommand
+                 : ClosePriority::kKeep;
     default:
       return ClosePriority::kKeep;
   }
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -1,6 +1,8 @@
 #include "net/client_session.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -24,12 +26,21 @@
 // Maximum unprocessed input that is transferred to another process with its connection, in bytes.
 constexpr std::size_t kMaxTransferredInput = 16u << 10;
 
-// Time within which a client must write a complete command.
-constexpr Duration kCommandTimeout = std::chrono::milliseconds(2500);
-// Time within which a body whose memory is reserved must be read, provided that it keeps arriving.
-constexpr Duration kBodyTimeout = std::chrono::seconds(30);
-// Time without progress after which a client that does not read its response is closed.
-constexpr Duration kWriteTimeout = std::chrono::seconds(5);
+// A client that stops in the middle of a command is ended after this time.
+constexpr Duration kCommandPause = std::chrono::milliseconds(2500);
+// The same for the first command of a connection that was accepted some time ago: clients that
+// never complete one are owed an end within 3 s of connecting.
+constexpr Duration kFirstCommandPause = std::chrono::milliseconds(1000);
+// Time within which a command must be read, provided that it keeps arriving; a body has more, at
+// this rate.
+constexpr Duration kCommandTimeout = std::chrono::seconds(30);
+constexpr std::size_t kMinBodyBytesPerSecond = 4u << 10;
+// Time without progress after which a client that does not read its response is closed, and the
+// same where memory is short. The window of a client that reads slowly opens in steps of 64 KB.
+constexpr Duration kWriteTimeout = std::chrono::seconds(15);
+constexpr Duration kShortWriteTimeout = std::chrono::seconds(5);
+// Progress is looked for in the socket only after this time without a write.
+constexpr Duration kWriteObservation = std::chrono::seconds(1);
 // Idle timeout for a client that has sent only one request, when descriptors are short: the client
 // may itself be limited in connections, and other clients wait for the descriptor. Clients that
 // have reused their connection keep the normal timeout.
@@ -111,21 +122,31 @@
 
 void ClientSession::on_readable() {
   static std::array<char, kReadSize> buffer;  // one thread reads one connection at a time
-  if (!limits_.has_memory(MemoryUse::kInput, kReadSize)) {
-    block();  // resumed by a tick once memory is available
-    return;
-  }
+  if (!limits_.has_memory(MemoryUse::kInput, kReadSize)) return wait_for_memory();
   error_code error;
   const auto n = socket_.read_some(asio::buffer(buffer), error);
   if (error == asio::error::would_block || error == asio::error::try_again ||
-      error == asio::error::interrupted)
+      error == asio::error::interrupted) {
+    unread_since_ = Time{0};
     return arm_read();
+  }
   if (error) return close();
   last_read_ = clock_.now();
   blocked_since_ = Time{0};
   if (protocol_handler_->between_commands()) state_since_ = last_read_;
   protocol_handler_->feed({buffer.data(), n});
   process_commands();
+  if (n < kReadSize && !blocked_) unread_since_ = Time{0};  // the socket is empty
+}
+
+// Resumed by a tick once memory is available.
+void ClientSession::wait_for_memory() {
+  if (unread_since_ == Time{0}) unread_since_ = clock_.now();
+  block();
+}
+
+Duration ClientSession::unread_age() const {
+  return unread_since_ == Time{0} ? Duration{0} : clock_.now() - unread_since_;
 }
 
 void ClientSession::block() {
@@ -157,11 +178,12 @@
 
 void ClientSession::take_commands() {
   for (int taken = 0; !has_stopped_reading(); ++taken) {
-    if (!may_begin_request() || !reserve_body()) return block();
+    if (!may_begin_request()) return block();
+    if (!reserve_body()) return wait_for_memory();
     if (taken == kMaxCommandsPerTurn) return schedule_processing();
     const auto step = protocol_handler_->step(*this);
     if (step == ProtocolHandler::Step::kNeedMoreInput) {
-      if (!reserve_body()) block();
+      if (!reserve_body()) wait_for_memory();
       return;
     }
     if (step == ProtocolHandler::Step::kBlocked) return block();
@@ -346,19 +368,41 @@
 }
 
 bool ClientSession::is_overdue(Time now) const {
-  if (responses_.unwritten_bytes() > 0 || responses_.is_streaming())
-    return write_pending_ && now - responses_.last_progress() > kWriteTimeout;
+  if (responses_.unwritten_bytes() > 0 || responses_.is_streaming()) return is_write_overdue(now);
   if (!responses_.empty()) return false;  // in flight: bounded by the request's own deadline
+  if (blocked_ || !protocol_handler_->between_commands()) return is_command_overdue(now);
   if (!has_answered() && now - accepted_at_ > times_.first_command) return true;
   const Duration in_state = now - state_since_;
-  if (protocol_handler_->body_length() > 0)
-    return now - last_read_ > kCommandTimeout || in_state > kBodyTimeout;
-  if (blocked_ || !protocol_handler_->between_commands()) return in_state > kCommandTimeout;
   if (answered_ == 1 && limits_.are_client_descriptors_short())
     return in_state > kSingleUseIdleTimeout;
   return in_state > (has_answered() ? times_.idle : times_.first_byte);
 }
 
+// A client that goes on writing is not ended, however slowly it writes: it may be sound.
+bool ClientSession::is_command_overdue(Time now) const {
+  const Duration pause = now - std::max(last_read_, state_since_);
+  if (pause > kCommandPause) return true;
+  if (!has_answered() && now - accepted_at_ > times_.first_command && pause > kFirstCommandPause)
+    return true;
+  const auto body_time =
+      std::chrono::seconds(protocol_handler_->body_length() / kMinBodyBytesPerSecond);
+  return now - state_since_ > kCommandTimeout + body_time;
+}
+
+bool ClientSession::is_write_overdue(Time now) const {
+  if (!write_pending_) return false;
+  const Duration timeout = limits_.is_memory_short() ? kShortWriteTimeout : kWriteTimeout;
+  return now - std::max(responses_.last_progress(), acknowledged_at_) > timeout;
+}
+
+// While the socket is full, the client may still be reading what the socket holds.
+void ClientSession::observe_write_progress(Time now) {
+  if (!write_pending_ || now - responses_.last_progress() < kWriteObservation) return;
+  int unacknowledged = 0;
+  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) != 0) return;
+  if (std::exchange(unacknowledged_, unacknowledged) != unacknowledged) acknowledged_at_ = now;
+}
+
 bool ClientSession::is_waiting_for_memory() {
   if (closed_ || blocked_since_ == Time{0} || !responses_.empty() || has_stopped_reading() ||
       processing_posted_)
@@ -376,7 +420,10 @@
 // Sends a response instead of closing, as the client has mostly written its request already and
 // would otherwise lose it without a response.
 void ClientSession::reject_unread() {
-  if (!is_waiting_for_memory()) return;
+  if (is_waiting_for_memory()) reject_input();
+}
+
+void ClientSession::reject_input() {
   error_response_ = protocol_handler_->busy_response();
   error_response_at_ = clock_.now();
   blocked_ = false;
@@ -395,6 +442,7 @@
   // While reading is suspended, a close by the client goes unnoticed, and its requests would still
   // be sent much later.
   if (!read_pending_ && has_disconnected()) return close();
+  observe_write_progress(now);
   if (blocked_) process_commands();  // memory may be available now
   if (closed_) return;
   if (is_waiting_for_memory() && now - blocked_since_ > memory_wait()) reject_unread();
@@ -403,8 +451,9 @@
       responses_.unwritten_bytes() == 0 && has_input())
     on_readable();
   if (closed_) return;
-  if (is_overdue(now) && (state() == State::kReadingCommand || responses_.unwritten_bytes() > 0 ||
-                          blocked_ || !has_input()))
+  // The client may complete its command in this moment, so it gets an answer.
+  if (is_overdue(now) && state() == State::kReadingCommand) return reject_input();
+  if (is_overdue(now) && (responses_.unwritten_bytes() > 0 || blocked_ || !has_input()))
     return close();
   if (responses_.empty()) on_all_written();
 }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -25,7 +25,8 @@
 struct SessionTimeouts {
   // From the accept to the first byte. Default: 2.1 s.
   Duration first_byte{std::chrono::milliseconds(2100)};
-  // From the accept to the first complete command. Default: 2.6 s.
+  // From the accept to the first complete command, unless the client goes on writing it. Default:
+  // 2.6 s.
   Duration first_command{std::chrono::milliseconds(2600)};
   // Between requests. Default: 10 s.
   Duration idle{std::chrono::seconds(10)};
@@ -96,6 +97,7 @@
   void on_response(ResponseSlot slot, const RequestPayload& payload, Response response) override;
   bool may_forward() const override { return !may_forward_ || may_forward_(); }
   bool is_connected() const override { return !has_disconnected(); }
+  Duration unread_age() const override;
 
   // ---- called by the owner
 
@@ -108,6 +110,8 @@
   };
   State state() const;
   Time state_since() const { return state_since_; }
+  // Returns when the client last sent something; the epoch if it has sent nothing.
+  Time last_read() const { return last_read_; }
   // Whether the socket has unread input.
   bool has_input();
   // Whether the client has closed its side, even if unread input precedes the close.
@@ -133,6 +137,7 @@
   bool reserve_body();
   void account_input();
   void block();
+  void wait_for_memory();
   void discard_input();
 
   // writing
@@ -144,6 +149,10 @@
   // ending
   bool has_answered() const { return answered_ > 0; }
   bool is_overdue(Time now) const;
+  bool is_command_overdue(Time now) const;
+  bool is_write_overdue(Time now) const;
+  void observe_write_progress(Time now);
+  void reject_input();
   bool is_waiting_for_memory();
   Duration memory_wait() const;
   bool may_close_for_drain();
@@ -170,6 +179,8 @@
   bool processing_ = false;  // inside process_commands(), which calls flush() afterwards
   bool blocked_ = false;     // processing is suspended; the next command may not begin
   Time blocked_since_{0};    // 0: not blocked
+  // Since when input may have been in the socket, unread because memory was short; 0: not at all.
+  Time unread_since_{0};
   // Final response if the input was malformed or could not be read; empty otherwise.
   std::string error_response_;
   bool error_response_sent_ = false;
@@ -182,6 +193,8 @@
   const Time accepted_at_;
   Time state_since_{0};
   Time last_read_{0};
+  int unacknowledged_ = 0;   // bytes that the client's system had not acknowledged
+  Time acknowledged_at_{0};  // when that number last changed
 };
 
 }  // namespace balancer
--- a/src/net/request.h
+++ b/src/net/request.h
@@ -73,6 +73,9 @@
   // been read yet. Checked on arrival, and before a byte is written if the last check is not
   // recent. Costs a system call.
   virtual bool is_connected() const { return true; }
+  // Returns how long the request that is being submitted may have waited in its socket because this
+  // process had no memory for it. Its client has that much less time.
+  virtual Duration unread_age() const { return Duration{0}; }
 
  private:
   friend class ServerPool;
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -60,8 +60,8 @@
   // Accepts no further attempts, and closes once those in flight have been answered. Called when
   // the host has restarted, has moved to another address or is no longer listed.
   void retire();
-  // Called periodically. Resumes reading when memory is available, and fails the connection if an
-  // answer has stopped arriving.
+  // Called periodically. Resumes reading when memory is available, reports an answer that has
+  // stopped arriving, and fails the connection if that answer is no longer wanted.
   void tick();
   // Closes the connection if nothing is in flight.
   void close();
@@ -135,6 +135,7 @@
   bool may_read() const;
   std::size_t read_size() const;
   bool handle_input(std::string_view bytes);
+  void check_progress();
   // Closes the connection. `sent_result`: the outcome of attempts that were completely written.
   void fail(Result sent_result = Result::kReset);
   void close_or_read();
@@ -164,6 +165,7 @@
   StreamPtr stream_;         // set while a long value is being read
   Time last_read_{0};
   std::optional<Time> partial_since_;  // when the current, incomplete answer began
+  bool is_stall_reported_ = false;     // that it has stopped arriving
 };
 
 }  // namespace balancer
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -419,6 +419,24 @@
   if (host_registry_[attempt.host].is_origin) complete_fetch(request, true);
 }
 
+// The budget of retries bounds what stalled answers add to the load.
+void Policy::on_answer_stalled(Time now, RequestId id, int number) {
+  now_ = now;
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  RequestState& request = it->second;
+  if (request.finished || request.is_streaming ||
+      number >= static_cast<int>(request.attempts.size()))
+    return;
+  if (!retry_policy_.may_send_beside_stalled(request) || !retry_policy_.has_budget()) return;
+  if (!host_registry_[request.attempts[number].host].is_origin) {
+    send_to_cache(request);
+  } else if (send_admitted_fetch(request)) {
+    retry_policy_.spend_budget();
+  }
+  erase_if_done(id);
+}
+
 void Policy::on_request_cancelled(Time now, RequestId id) {
   now_ = now;
   const auto it = requests_.find(id);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -72,6 +72,9 @@
   // known. The remaining duration of that attempt depends on how fast the client reads and is not
   // counted for its host.
   void on_first_byte(Time now, RequestId id, std::optional<int> attempt = std::nullopt);
+  // Handles an answer that has begun and stopped arriving. It may still be completed, so the
+  // attempt goes on; the request may be sent elsewhere beside it.
+  void on_answer_stalled(Time now, RequestId id, int attempt);
   // Handles the cancellation of the request by its client.
   void on_request_cancelled(Time now, RequestId id);
   void on_timer(Time now, std::uint64_t tag);
--- a/src/policy/retry_policy.cc
+++ b/src/policy/retry_policy.cc
@@ -64,8 +64,12 @@
 }
 
 bool RetryPolicy::may_hedge(const RequestState& request, Time now) const {
-  return request.in_flight() == 1 && now < request.objective_at &&
-         class_of(request).idempotency == Idempotency::kIdempotent && settings_.hedging;
+  return now < request.objective_at && may_send_beside_stalled(request);
+}
+
+bool RetryPolicy::may_send_beside_stalled(const RequestState& request) const {
+  return request.in_flight() == 1 && settings_.hedging &&
+         class_of(request).idempotency == Idempotency::kIdempotent;
 }
 
 bool RetryPolicy::may_reject(const RequestState& request) const {
--- a/src/policy/retry_policy.h
+++ b/src/policy/retry_policy.h
@@ -39,6 +39,9 @@
   bool retries_same_host(const RequestState& request) const;
   // Returns whether a hedged request may be sent in addition to the slow attempt.
   bool may_hedge(const RequestState& request, Time now) const;
+  // Returns whether the request may be sent elsewhere while the answer to its only attempt has
+  // stopped in the middle.
+  bool may_send_beside_stalled(const RequestState& request) const;
   // Returns whether the request may be rejected rather than failed. A rejection tells the client
   // that a retry is safe.
   bool may_reject(const RequestState& request) const;
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -203,6 +203,8 @@
     Time now() const override { return clock.now(); }
     SendPermission may_send(const Attempt&) const override { return SendPermission::kGranted; }
     void on_write_begun(const Attempt&) override {}
+    bool is_answer_wanted(const Attempt&) const override { return true; }
+    void on_answer_stalled(const AttemptPtr&) override {}
     void on_stream_started(const AttemptPtr&, const StreamPtr&) override {}
     void on_attempt_ended(const AttemptPtr& attempt, Result result, std::string value) override {
       if (!std::exchange(attempt->ended, true)) ends.emplace_back(result, std::move(value));
--- a/tests/storm_test.cc
+++ b/tests/storm_test.cc
@@ -59,6 +59,8 @@
                : p;
   }
   void on_write_begun(const Attempt& a) override { core_.on_write_begun(a); }
+  bool is_answer_wanted(const Attempt& a) const override { return core_.is_answer_wanted(a); }
+  void on_answer_stalled(const AttemptPtr& a) override { core_.on_answer_stalled(a); }
   void on_stream_started(const AttemptPtr& a, const StreamPtr& s) override {
     core_.on_stream_started(a, s);
   }
