Floods: one client's window, shares in overload, and no work that cannot be answered in time

What callers saw: beside one client that reads new keys at full speed with d=5 or d=20, ordinary clients were served 297 and 151 of 800 requests in nine seconds, the rest refused or late (p95 0.70 s); 581 at d=500; 512 beside a flood of bookings.

Cause: a client had 256 requests in flight whatever became of them; a request was sent though no server answers in the time that it had left, and its time-out counted as a failure of the origin and of its zone, so that admission closed for everybody; while it was closed, the flood took its part of what was admitted.

Change: RequestWindow halves with each request of a client that is not served, down to four, and grows by one a served window. ServiceTimeFloor keeps the shortest service times of caches and origin; requests with less time left are refused, but for ten a second. A time-out shorter than the origin's target says nothing about a server. Where admission is not whole, a client with over one and a half times the mean requests in flight is refused first. All of it sits in session, pool and policy, for both dialects.

--- a/src/dispatch/server_pool.cc
+++ b/src/dispatch/server_pool.cc
@@ -8,6 +8,8 @@
 
 constexpr Duration kDefaultConnectTimeout = std::chrono::seconds(1);
 constexpr Duration kDefaultIdleClose = std::chrono::seconds(15);
+// A client with so many requests in flight exceeds no share, however few the others have.
+constexpr std::size_t kMaxOrdinaryRequests = 2;
 // Idle connections are closed after 1/kIdleCloseDivisor of the time after which hosts close them.
 constexpr int kIdleCloseDivisor = 3;
 // How long a client is assumed to be connected after a successful check. No attempt begins later
@@ -133,6 +135,7 @@
   request.time_left = spec.time_left - unread_age(*sink);
   if (drain_end_)
     request.time_left = std::max(Duration{0}, std::min(request.time_left, *drain_end_ - now()));
+  request.exceeds_client_share = exceeds_share(*sink);
   const RequestPayloadPtr payload = spec.payload;
   register_request(request.id, sink, slot, std::move(spec));
   if (routing_extension_) routing_extension_->on_request(request.id, *payload);
@@ -156,6 +159,14 @@
   return std::max(stall_hold_.max_unread_age(), sink.unread_age());
 }
 
+// Returns whether the client, with one further request, has over one and a half times as many
+// requests in flight as the clients with any have on average.
+bool ServerPool::exceeds_share(const ResponseSink& sink) const {
+  const std::size_t own = sink.open_requests_.size() + 1;
+  const std::size_t clients = active_clients_ + (own == 1 ? 1 : 0);
+  return own > kMaxOrdinaryRequests && 2 * own * clients > 3 * (open_requests_ + 1);
+}
+
 void ServerPool::register_request(RequestId id, const std::shared_ptr<ResponseSink>& sink,
                                   ResponseSlot slot, RequestSpec spec) {
   PendingRequest& request = requests_[id];
@@ -169,6 +180,7 @@
       site_.policy.classes[static_cast<std::size_t>(spec.request_class)].idempotency ==
       Idempotency::kNone;
   request.connected_at = now();
+  if (sink->open_requests_.empty()) ++active_clients_;
   request.sink_index = sink->open_requests_.size();
   sink->open_requests_.push_back(id);
   ++open_requests_;
@@ -211,6 +223,7 @@
   requests_.at(open.back()).sink_index = request.sink_index;
   open[request.sink_index] = open.back();
   open.pop_back();
+  if (open.empty()) --active_clients_;
   request.sink = nullptr;
   finished_.push_back(id);
 }
--- a/src/dispatch/server_pool.h
+++ b/src/dispatch/server_pool.h
@@ -113,6 +113,7 @@
 
   bool may_accept(const ResponseSink& sink, const RequestSpec& spec) const;
   Duration unread_age(const ResponseSink& sink) const;
+  bool exceeds_share(const ResponseSink& sink) const;
   void register_request(RequestId id, const std::shared_ptr<ResponseSink>& sink, ResponseSlot slot,
                         RequestSpec spec);
   AttemptPtr make_attempt(RequestId id, PendingRequest& request, std::string_view host,
@@ -139,6 +140,7 @@
   DeferredOutcomes deferred_outcomes_;
   std::unordered_map<RequestId, PendingRequest> requests_;
   std::size_t open_requests_ = 0;    // requests that are not finished
+  std::size_t active_clients_ = 0;   // clients with such requests
   std::vector<RequestId> finished_;  // to be erased once none of their attempts is in flight
   RequestId next_id_ = 1;
   std::optional<Time> drain_end_;
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -17,8 +17,6 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadSize = 16u << 10;  // bytes read in one call
-// Maximum requests that one client may have in flight.
-constexpr std::size_t kMaxPipelined = 256;
 // Unwritten response bytes at which a client may not begin another request.
 constexpr std::size_t kMaxUnwritten = 256u << 10;
 // Commands processed per event-loop turn, so that other clients are not starved.
@@ -202,7 +200,7 @@
 
 bool ClientSession::may_begin_request() const {
   if (responses_.empty()) return true;
-  return responses_.size() < kMaxPipelined && responses_.unwritten_bytes() < kMaxUnwritten &&
+  return responses_.size() < window_.size() && responses_.unwritten_bytes() < kMaxUnwritten &&
          !limits_.is_memory_short();
 }
 
@@ -253,6 +251,11 @@
 
 void ClientSession::on_response(ResponseSlot slot, const RequestPayload& payload,
                                 Response response) {
+  if (response.kind == Response::Kind::kServed) {
+    window_.on_served();
+  } else {
+    window_.on_not_served();
+  }
   if (!closed_) return protocol_handler_->on_response(*this, slot, payload, std::move(response));
   if (response.stream) response.stream->abandon();
 }
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -12,6 +12,7 @@
 #include "net/limits.h"
 #include "net/protocol_handler.h"
 #include "net/request.h"
+#include "net/request_window.h"
 #include "net/response_queue.h"
 
 namespace balancer {
@@ -181,6 +182,7 @@
   Time blocked_since_{0};    // 0: not blocked
   // Since when input may have been in the socket, unread because memory was short; 0: not at all.
   Time unread_since_{0};
+  RequestWindow window_;
   // Final response if the input was malformed or could not be read; empty otherwise.
   std::string error_response_;
   bool error_response_sent_ = false;
--- a/src/policy/attempt_observer.cc
+++ b/src/policy/attempt_observer.cc
@@ -29,10 +29,16 @@
 void AttemptObserver::on_outcome(Time now, const AttemptRecord& attempt, const OutcomeRule& rule,
                                  Result result) {
   const HostRegistry::Host& host = targets_.hosts[attempt.host];
+  // A time-out shorter than what the origin may take says nothing about the server: the client gave
+  // it too little time.
+  const bool is_client_impatient =
+      result == Result::kTimeout && now - attempt.sent_at < targets_.origin_admission.target();
   if (host.is_origin) {
-    if (!attempt.is_answering) observe_origin(now, attempt, rule.origin);
+    if (!attempt.is_answering)
+      observe_origin(now, attempt, is_client_impatient ? OriginSignal::kNone : rule.origin);
   } else {
-    targets_.zones.on_outcome(now, host.zone, rule.zone, targets_.random);
+    targets_.zones.on_outcome(now, host.zone, is_client_impatient ? ZoneSignal::kNone : rule.zone,
+                              targets_.random);
     if (!attempt.is_answering || rule.host != HostSignal::kInTime)
       observe_host(now, attempt, rule.host);
   }
--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -211,6 +211,7 @@
   request.request_class = arrived.request_class;
   request.key = arrived.key ? placement_.point(*arrived.key) : mix(arrived.id, 0);
   request.write = arrived.is_write;
+  request.exceeds_client_share = arrived.exceeds_client_share;
   if (arrived.work) mean_work_ += kMeanWorkGain * (seconds(*arrived.work) - mean_work_);
   request.work = arrived.work ? std::max(seconds(*arrived.work), 0.0) : mean_work_;
   request.objective_at = now + settings_.classes[arrived.request_class].latency_objective;
@@ -243,7 +244,7 @@
   origin_admission_.on_read(now_);
   hot_keys_.on_read(request.key, now_);
   cache_admission_.on_read(now_);
-  if (cache_admission_.admit(now_)) {
+  if (!is_shed_first(request, cache_admission_) && cache_admission_.admit(now_)) {
     send_to_cache(request);
   } else {
     fetch_bypassing_caches(request);
@@ -252,12 +253,23 @@
 
 void Policy::send_write(RequestState& request) {
   const auto origin = host_registry_.origin();
-  if (!origin || !send(request, *origin, request.deadline)) reject_or_fail_if_idle(request);
+  const bool is_shed = request.attempts.empty() && is_shed_first(request, origin_admission_);
+  if (is_shed || !origin || !send(request, *origin, request.deadline))
+    reject_or_fail_if_idle(request);
+}
+
+// While not everything is admitted, one client that sends more than the others must not take their
+// places: its further requests are rejected before theirs, and take no part of what is admitted.
+bool Policy::is_shed_first(const RequestState& request,
+                           const AdmissionController& admission) const {
+  return request.exceeds_client_share && !admission.admits_all();
 }
 
 // Sends the request to a cache host, the regular path. `stored_at`: the host that has just stored
 // the fetched key, if any.
 void Policy::send_to_cache(RequestState& request, std::optional<HostIndex> stored_at) {
+  if (!request.write && cache_service_time_.is_too_short(now_, time_left(request)))
+    return reject_or_fail_if_idle(request);
   HostQuery query;
   query.now = now_;
   query.spread = hot_keys_.spread(request.key, host_registry_.size());
@@ -303,6 +315,8 @@
 
 bool Policy::send_admitted_fetch(RequestState& request) {
   const auto origin = host_registry_.origin();
+  if (is_shed_first(request, origin_admission_)) return false;
+  if (fetch_service_time_.is_too_short(now_, time_left(request))) return false;
   // When not everything is admitted, only requests that can still meet their latency objective are
   // fetched.
   const bool would_be_late = now_ + origin_admission_.target() >= request.objective_at;
@@ -331,6 +345,8 @@
   close_idle_if_scarce(attempt.host);
   const bool from_origin = host_registry_[attempt.host].is_origin;
   const bool served = rule.next == NextStep::kAnswered;
+  if (served && !request.write && !attempt.is_answering)
+    (from_origin ? fetch_service_time_ : cache_service_time_).on_served(now - attempt.sent_at);
   if (outcome.finished || served) request.finished = true;
   const AttemptRecord ended = attempt;  // a copy: a further attempt may reallocate the list
   const bool refetches = !request.finished && continue_request(request, ended, rule.next);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -24,6 +24,7 @@
 #include "policy/request.h"
 #include "policy/request_state.h"
 #include "policy/retry_policy.h"
+#include "policy/service_time_floor.h"
 #include "policy/tenant_quota.h"
 #include "policy/uniform_random.h"
 #include "policy/zone_failure_detector.h"
@@ -133,6 +134,7 @@
   void fetch_after_miss(RequestState& request);
   void fetch_bypassing_caches(RequestState& request);
   bool send_admitted_fetch(RequestState& request);
+  bool is_shed_first(const RequestState& request, const AdmissionController& admission) const;
 
   // ---- handling of ended and slow attempts
   bool continue_request(RequestState& request, const AttemptRecord& attempt, NextStep step);
@@ -144,6 +146,7 @@
 
   void close_idle_if_scarce(HostIndex host);
   Duration slow_threshold(const RequestState& request) const;
+  Duration time_left(const RequestState& request) const { return request.deadline - now_; }
 
   std::uint64_t add_timer(Time at, TimerKind kind, RequestId id = 0);  // returns its tag
 
@@ -164,6 +167,7 @@
   AttemptObserver attempt_observer_;
   HotKeySpread hot_keys_;
   TenantQuota tenant_quota_;
+  ServiceTimeFloor cache_service_time_, fetch_service_time_;
   FetchCoalescer fetches_;
   PollBackoff poll_backoff_;
   std::unordered_map<RequestId, RequestState> requests_;
--- a/src/policy/request.h
+++ b/src/policy/request.h
@@ -37,6 +37,8 @@
   bool is_write = false;
   std::optional<Duration> work;  // execution time on an idle host, an approximate hint
   Duration time_left{0};         // until the client abandons this request
+  // The client has clearly more requests in flight than others have on average.
+  bool exceeds_client_share = false;
 };
 
 // How an attempt ended. outcome_table.h defines the consequences of each result.
--- a/src/policy/request_state.h
+++ b/src/policy/request_state.h
@@ -33,10 +33,11 @@
   Time objective_at{0}, deadline{0};
   std::vector<AttemptRecord> attempts;
   int withdrawn_attempts = 0;
-  bool exceeds_quota = false;  // rejected because of its tenant's quota
-  bool finished = false;       // has received its final answer
-  bool is_streaming = false;   // the first byte of its answer was received
-  bool is_overtaken = false;   // by a later write, which it must not show
+  bool exceeds_quota = false;         // rejected because of its tenant's quota
+  bool exceeds_client_share = false;  // see Request
+  bool finished = false;              // has received its final answer
+  bool is_streaming = false;          // the first byte of its answer was received
+  bool is_overtaken = false;          // by a later write, which it must not show
   // Place among the requests that wait for another request to fetch their key; 0: does not wait.
   std::uint64_t fetch_place = 0;
   std::uint64_t deadline_timer = 0, slow_timer = 0;  // timer tags
--- a/tests/decision_modules_test.cc
+++ b/tests/decision_modules_test.cc
@@ -4,12 +4,14 @@
 
 #include <vector>
 
+#include "net/request_window.h"
 #include "policy/client_retry_after.h"
 #include "policy/fetch_coalescer.h"
 #include "policy/hot_key_spread.h"
 #include "policy/outcome_table.h"
 #include "policy/poll_backoff.h"
 #include "policy/retry_policy.h"
+#include "policy/service_time_floor.h"
 #include "policy/tenant_quota.h"
 #include "policy/zone_failure_detector.h"
 #include "structures/numbered_values.h"
@@ -63,6 +65,49 @@
   EXPECT_EQ(values.take(oldest), std::nullopt);
 }
 
+// ---- service times
+
+// Guards against work for requests that no server can answer in the time that they have left.
+TEST(ServiceTimeFloorTest, FindsTimesThatAreTooShort) {
+  ServiceTimeFloor floor;
+  EXPECT_FALSE(floor.is_too_short(seconds(1), milliseconds(1))) << "nothing is known yet";
+  for (int i = 0; i < 500; ++i) floor.on_served(milliseconds(20 + i % 40));
+  EXPECT_FALSE(floor.is_too_short(seconds(1), milliseconds(60)));
+  EXPECT_FALSE(floor.is_too_short(seconds(1), milliseconds(5))) << "one is let through";
+  EXPECT_TRUE(floor.is_too_short(seconds(1), milliseconds(5)));
+  EXPECT_FALSE(floor.is_too_short(seconds(1), milliseconds(40)));
+}
+
+TEST(ServiceTimeFloorTest, LetsSomeThroughInCaseTheServersHaveBecomeFaster) {
+  ServiceTimeFloor floor;
+  for (int i = 0; i < 500; ++i) floor.on_served(milliseconds(40));
+  int sent = 0;
+  for (int ms = 0; ms < 1000; ++ms)
+    sent += !floor.is_too_short(seconds(1) + milliseconds(ms), milliseconds(10));
+  EXPECT_EQ(sent, 10);
+  for (int i = 0; i < 30; ++i) floor.on_served(milliseconds(5));
+  EXPECT_FALSE(floor.is_too_short(seconds(3), milliseconds(10)));
+  EXPECT_FALSE(floor.is_too_short(seconds(3), milliseconds(10)));
+}
+
+// ---- one client's window
+
+TEST(RequestWindowTest, HalvesWithEachRequestThatIsNotServed) {
+  RequestWindow window;
+  EXPECT_EQ(window.size(), 256u);
+  window.on_not_served();
+  EXPECT_EQ(window.size(), 128u);
+  for (int i = 0; i < 20; ++i) window.on_not_served();
+  EXPECT_EQ(window.size(), 4u);
+}
+
+TEST(RequestWindowTest, GrowsByOneWithEachServedWindow) {
+  RequestWindow window;
+  for (int i = 0; i < 20; ++i) window.on_not_served();
+  for (int i = 0; i < 4 + 5 + 6; ++i) window.on_served();
+  EXPECT_EQ(window.size(), 7u);
+}
+
 // ---- outcome table
 
 TEST(OutcomeTableTest, ReportsNeverRanOnlyForResultsThatProveIt) {
