Ids: remember those of requests that must not run again, also across an upgrade

What callers saw: a booking whose client left ran a second time when its id came again, as soon as the first attempt had ended; the same at the other process of an upgrade; a keyed write behind the end of its window.

Cause: the front end forgot an id with its last attempt, and no process told another of its ids.

Change: RequestIds remembers the ids of requests that are not idempotent once they may have run, by hash, for 30 s to 60 s (or twice to four times the longest deadline), whether or not their clients are there; such an id is answered CLIENT_ERROR id in use, as that of an open request was. An id that never ran may come again. The table has a 32nd of the memory limit (26,214 ids at 32 MB); without room a request is refused before it runs, and one client may take a 64th of the room once half is used. In an upgrade each process tells the other of an id when it takes it, before the request is sent, and the old one sends what it remembers at the start (message RecentIds).

--- a/src/dispatch/server_pool.cc
+++ b/src/dispatch/server_pool.cc
@@ -121,7 +121,7 @@
                         RequestSpec spec) {
   stall_hold_.observe();
   if (!may_accept(*sink, spec)) {
-    spec.payload->on_released();
+    spec.payload->on_released(false);
     sink->on_response(slot, *spec.payload, {Response::Kind::kRejected, {}, Duration{0}, nullptr});
     return;
   }
@@ -234,7 +234,7 @@
   for (const RequestId id : std::exchange(finished_, {})) {
     const auto it = requests_.find(id);
     if (it == requests_.end() || it->second.attempts_in_flight > 0) continue;
-    it->second.payload->on_released();
+    it->second.payload->on_released(it->second.may_have_run);
     if (routing_extension_) routing_extension_->on_request_erased(id);
     requests_.erase(it);
   }
--- a/src/frontend/memcache/memcache_frontend.cc
+++ b/src/frontend/memcache/memcache_frontend.cc
@@ -13,17 +13,30 @@
 using memcache::Command;
 using std::chrono::milliseconds;
 
+constexpr char kBusy[] = "SERVER_ERROR busy\r\n";
+
 int index_of(const std::vector<std::string>& names, std::string_view name) {
   const auto it = std::find(names.begin(), names.end(), name);
   return it == names.end() ? -1 : static_cast<int>(it - names.begin());
 }
 
+Duration longest_deadline(const SiteSettings& site) {
+  Duration longest{0};
+  for (const RequestClass& request_class : site.policy.classes)
+    longest = std::max(longest, request_class.deadline);
+  return longest;
+}
+
 }  // namespace
 
-void MemcachePayload::on_released() const {
-  if (ids) ids->erase(command.id);
+void MemcachePayload::on_released(bool may_have_run) const {
+  if (ids) ids->release(command.id, may_have_run);
 }
 
+MemcacheFrontend::MemcacheFrontend(const SiteSettings& site, RequestSink& core,
+                                   std::size_t max_remembered_ids)
+    : site_(site), core_(core), ids_(max_remembered_ids, longest_deadline(site)) {}
+
 class MemcacheFrontend::MemcacheSession : public ProtocolHandler {
  public:
   explicit MemcacheSession(MemcacheFrontend& front) : front_(front) {}
@@ -44,7 +57,7 @@
                      front_.is_draining_ ? "SERVER_ERROR draining\r\n" : "MN\r\n");
       return Step::kProcessed;
     }
-    error_reason_ = front_.submit(session, std::move(command));
+    error_reason_ = front_.submit(session, id_share_, std::move(command));
     return error_reason_.empty() ? Step::kProcessed : Step::kProtocolError;
   }
   std::string error_response() const override {
@@ -64,7 +77,7 @@
   bool between_commands() const override { return reader_.between_commands(); }
   std::size_t body_length() const override { return reader_.body_length(); }
   std::optional<Duration> body_deadline() const override { return reader_.body_deadline(); }
-  std::string busy_response() const override { return "SERVER_ERROR busy\r\n"; }
+  std::string busy_response() const override { return kBusy; }
 
  private:
   static std::string value_header(const Command& command, std::size_t length) {
@@ -86,6 +99,7 @@
   }
 
   MemcacheFrontend& front_;
+  RequestIds::ClientShare id_share_;
   memcache::CommandReader reader_;
   std::string_view error_reason_;
 };
@@ -94,11 +108,8 @@
   return std::make_unique<MemcacheSession>(*this);
 }
 
-std::string_view MemcacheFrontend::submit(ClientSession& session, Command command) {
-  // Hosts distinguish requests by the ids that clients assign. Two open requests with the same id,
-  // whether by mistake or to steal an answer, could receive each other's answers.
-  if (ids_.count(command.id) > 0) return "id in use";
-  RequestSpec spec;
+std::string_view MemcacheFrontend::read_properties(const Command& command,
+                                                   RequestSpec& spec) const {
   spec.request_class = index_of(site_.classes, command.prop("c"));
   if (spec.request_class < 0) return "unknown class";
   const RequestClass& request_class =
@@ -125,10 +136,30 @@
   }
   const auto tenant = command.prop("t");
   spec.tenant = tenant.empty() ? 0 : index_of(site_.tenants, tenant);
+  return {};
+}
+
+std::string_view MemcacheFrontend::submit(ClientSession& session, RequestIds::ClientShare& share,
+                                          Command command) {
+  RequestSpec spec;
+  if (const auto reason = read_properties(command, spec); !reason.empty()) return reason;
+  const bool must_not_repeat =
+      site_.policy.classes[static_cast<std::size_t>(spec.request_class)].idempotency !=
+      Idempotency::kIdempotent;
+  switch (ids_.take(command.id, must_not_repeat, share, session.now())) {
+    case RequestIds::Result::kInUse:
+      return "id in use";
+    case RequestIds::Result::kNoRoom:
+      session.take_body();
+      session.answer(session.open_slot(), kBusy);
+      return {};
+    case RequestIds::Result::kTaken:
+      break;
+  }
   auto payload = std::make_shared<MemcachePayload>(std::move(command), session.take_body());
   payload->body.resize(payload->command.body.size());
   payload->ids = &ids_;
-  ids_.insert(payload->command.id);
+  ids_.hold(payload->command.id);
   spec.key = payload->command.key;
   spec.payload = std::move(payload);
   core_.submit(session.shared_from_this(), {session.open_slot()}, std::move(spec));
--- a/src/hot_restart/hot_restart.cc
+++ b/src/hot_restart/hot_restart.cc
@@ -41,6 +41,7 @@
       retry_delay_(kMinRetryDelay) {
   if (predecessor.link) {
     state_.on_predecessor(predecessor.snapshot.resources_held);
+    predecessor_takes_ids_ = predecessor.snapshot.takes_ids;
     connect_predecessor(std::move(predecessor.link));
   } else if (predecessor.is_presumed) {
     state_.on_predecessor_presumed(clock.now() + kUnqueriedPredecessorLifetime);
@@ -66,6 +67,12 @@
     if (link) link->send({encode(message), {}});
 }
 
+void HotRestart::notify_id(std::uint64_t hash) {
+  const Packet packet{encode(RecentIds{{hash}}), {}};
+  if (predecessor_ && predecessor_takes_ids_) predecessor_->send({packet.bytes, {}});
+  if (successor_ && successor_takes_ids_) successor_->send({packet.bytes, {}});
+}
+
 void HotRestart::persist_overrides(std::vector<OperatorOverride> overrides) {
   retry_delay_ = kMinRetryDelay;
   overrides_.write(std::move(overrides));
@@ -122,7 +129,7 @@
   const auto message = decode(packet.bytes);
   const auto* hello = message ? std::get_if<Hello>(&*message) : nullptr;
   if (!hello || hello->name != name_) return drop_candidate(id);
-  accept_successor(at->second);
+  accept_successor(at->second, *hello);
   if (!at->second.link) candidates_.erase(at);
 }
 
@@ -138,7 +145,7 @@
 
 // Reduces this process's share, sends its state, and promotes the candidate to successor. If this
 // process cannot be replaced now, answers Busy, and the candidate stays a candidate.
-void HotRestart::accept_successor(Candidate& candidate) {
+void HotRestart::accept_successor(Candidate& candidate, const Hello& hello) {
   if (!is_serving_ || !state_.on_successor(clock_.now())) {
     candidate.link->send({encode(Busy{}), {}});
     return;  // the peer closes the link, or it is closed at the candidate's deadline
@@ -146,6 +153,7 @@
   callbacks_.log("hot restart: successor connected; both processes now share the limits");
   callbacks_.on_state_change();
   Snapshot snapshot = callbacks_.snapshot();
+  snapshot.takes_ids = true;
   reported_share_ = snapshot.resources_held = share();
   auto parts = split(std::move(snapshot));
   auto sockets = callbacks_.sockets();
@@ -153,6 +161,17 @@
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) candidate.link->send({encode(parts[i]), {}});
   candidate.link->send({encode(parts.back()), std::move(sockets)});
   successor_ = std::move(candidate.link);
+  successor_takes_ids_ = hello.takes_ids;
+  if (successor_takes_ids_) send_recent_ids(*successor_);
+}
+
+void HotRestart::send_recent_ids(DescriptorLink& link) {
+  const std::vector<std::uint64_t> all = callbacks_.recent_ids();
+  for (std::size_t at = 0; at < all.size(); at += kMaxIdsPerMessage) {
+    const auto first = all.begin() + static_cast<std::ptrdiff_t>(at);
+    const auto count = std::min(kMaxIdsPerMessage, all.size() - at);
+    link.send({encode(RecentIds{{first, first + static_cast<std::ptrdiff_t>(count)}}), {}});
+  }
 }
 
 // ---- messages
@@ -169,6 +188,8 @@
     callbacks_.on_override(*changed);
   } else if (const auto* drain = std::get_if<ClientDrain>(&*message)) {
     callbacks_.on_client_drain(drain->enabled);
+  } else if (const auto* ids = std::get_if<RecentIds>(&*message)) {
+    callbacks_.on_recent_ids(ids->hashes);
   } else if (peer == Peer::kPredecessor) {
     on_predecessor_message(*message, packet.descriptors);
   } else {
--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -40,6 +40,9 @@
     std::function<ResourceShare()> used, needs;
     std::function<void(const OperatorOverride&)> on_override;
     std::function<void(bool enabled)> on_client_drain;
+    // Return the hashes of the ids that must not run again, and receive those of the other process.
+    std::function<std::vector<std::uint64_t>()> recent_ids;
+    std::function<void(const std::vector<std::uint64_t>& hashes)> on_recent_ids;
     std::function<void(const PassedConnection&, Descriptor)> on_connection;
     // Called when state() or share() may have changed.
     std::function<void()> on_state_change;
@@ -57,6 +60,8 @@
   void on_term();
   // Sends the message to the predecessor and to the successor.
   void notify_peers(const Message& message);
+  // Tells the predecessor and the successor that an id has been taken, before its request is sent.
+  void notify_id(std::uint64_t hash);
   // Replaces the overrides in the file, which are read at a start after a crash. A failed write is
   // retried.
   void persist_overrides(std::vector<OperatorOverride> overrides);
@@ -84,7 +89,8 @@
   void on_candidate_packet(std::uint64_t id, Packet packet);
   void on_candidate_lost(std::uint64_t id);
   void drop_candidate(std::uint64_t id);
-  void accept_successor(Candidate& candidate);
+  void accept_successor(Candidate& candidate, const Hello& hello);
+  void send_recent_ids(DescriptorLink& link);
   void on_peer_packet(Packet packet, Peer peer);
   void on_predecessor_message(const Message& message, std::vector<Descriptor>& descriptors);
   void on_successor_message(const Message& message);
@@ -103,6 +109,7 @@
   std::map<std::uint64_t, Candidate> candidates_;
   std::uint64_t last_candidate_ = 0;
   std::unique_ptr<DescriptorLink> predecessor_, successor_;
+  bool predecessor_takes_ids_ = false, successor_takes_ids_ = false;
   boost::asio::steady_timer tick_;
   bool is_serving_ = false;
   ResourceShare reported_share_;
--- a/src/hot_restart/predecessor_query.cc
+++ b/src/hot_restart/predecessor_query.cc
@@ -72,7 +72,8 @@
     return is_backlog_full ? QueryResult::kNoAnswer : QueryResult::kNoPredecessor;
   }
   const auto deadline = steady_clock::now() + kAnswerTimeout;
-  if (!is_same_user(socket.get()) || !send_packet(socket.get(), encode(Hello{1, name}), {}))
+  if (!is_same_user(socket.get()) ||
+      !send_packet(socket.get(), encode(Hello{kVersion, name, true}), {}))
     return QueryResult::kNoAnswer;
   const QueryResult result = receive_snapshot(socket.get(), deadline, out);
   if (result == QueryResult::kAnswered) out.link = std::move(socket);
--- a/src/net/request.h
+++ b/src/net/request.h
@@ -22,9 +22,9 @@
 class RequestPayload {
  public:
   virtual ~RequestPayload() = default;
-  // Called when no attempt of the request is in flight and none will follow, so that the frontend
-  // may reuse the request's id.
-  virtual void on_released() const {}
+  // Called when no attempt of the request is in flight and none will follow. `may_have_run`: one of
+  // them may have been executed.
+  virtual void on_released(bool may_have_run) const { static_cast<void>(may_have_run); }
   // Returns the memory that the payload and the encoded forms of its attempts take, in bytes,
   // without what has a reservation of its own.
   virtual std::size_t held_bytes() const = 0;
--- a/src/node/hot_restart_coordinator.cc
+++ b/src/node/hot_restart_coordinator.cc
@@ -59,6 +59,9 @@
   const hot_restart::ResourceShare total{limits.total_descriptors, limits.total_bytes};
   hot_restart_.emplace(io, clock, config.folder, config.name, total, predecessor, callbacks());
   operator_calls_.attach(*hot_restart_);
+  services_.memcache()->front().ids().on_remembered = [this](std::uint64_t hash) {
+    hot_restart_->notify_id(hash);
+  };
   apply_state();
 }
 
@@ -138,6 +141,11 @@
     operator_calls_.on_peer_override(changed);
   };
   callbacks.on_client_drain = [this](bool enabled) { operator_calls_.set_client_drain(enabled); };
+  RequestIds& ids = services_.memcache()->front().ids();
+  callbacks.recent_ids = [&ids] { return ids.remembered(); };
+  callbacks.on_recent_ids = [this, &ids](const std::vector<std::uint64_t>& hashes) {
+    ids.remember(hashes, clock_.now());
+  };
   callbacks.on_connection = [this](const hot_restart::PassedConnection& connection,
                                    Descriptor socket) { adopt(connection, std::move(socket)); };
   callbacks.on_state_change = [this] { apply_state(); };
--- a/src/node/memcache_service.cc
+++ b/src/node/memcache_service.cc
@@ -42,7 +42,7 @@
       limits_(limits),
       pool_(io, clock, site_, config.seed, limits, dial_hosts(io, limits),
             [this] { discovery_.start(); }),
-      front_(site_, pool_),
+      front_(site_, pool_, limits.plan.max_remembered_ids),
       discovery_(io, config.discovery, site_, config.known ? config.known->seq : 0, config.seed,
                  limits.plan.endpoint_list,
                  {[this](const HostList& list) { return apply(list); },
--- a/src/proto/hot_restart_wire.cc
+++ b/src/proto/hot_restart_wire.cc
@@ -43,6 +43,7 @@
   void operator()(const Hello& m) const {
     to.mutable_hello()->set_version(m.version);
     to.mutable_hello()->set_name(m.name);
+    if (m.takes_ids) to.mutable_hello()->set_takes_ids(true);
   }
   void operator()(const Snapshot& m) const {
     pb::Snapshot& s = *to.mutable_snapshot();
@@ -58,6 +59,7 @@
     s.set_caches_admit_fraction(m.caches_admit_fraction);
     write(m.resources_held, *s.mutable_resources_held());
     for (const auto& l : m.listeners) s.add_listeners(l);
+    if (m.takes_ids) s.set_takes_ids(true);
   }
   void operator()(const Busy&) const { to.set_busy(true); }
   void operator()(const Serving&) const { to.set_serving(true); }
@@ -69,6 +71,9 @@
     to.mutable_connection()->set_input(m.input);
     to.mutable_connection()->set_requests_answered(m.requests_answered);
   }
+  void operator()(const RecentIds& m) const {
+    to.mutable_recent_ids()->mutable_hashes()->Add(m.hashes.begin(), m.hashes.end());
+  }
 };
 
 // ---- decoding
@@ -119,6 +124,7 @@
   m.resources_held = parse_share(s.resources_held());
   if (static_cast<std::size_t>(s.listeners_size()) > kMaxDescriptors) return std::nullopt;
   m.listeners.assign(s.listeners().begin(), s.listeners().end());
+  m.takes_ids = s.takes_ids();
   if (m.version > kVersion) return m;
   if (static_cast<std::size_t>(s.hosts_size()) > kEntriesPerPart ||
       static_cast<std::size_t>(s.overrides_size()) > kEntriesPerPart)
@@ -145,6 +151,11 @@
   return m;
 }
 
+std::optional<RecentIds> parse_ids(const pb::RecentIds& ids) {
+  if (static_cast<std::size_t>(ids.hashes_size()) > kMaxIdsPerMessage) return std::nullopt;
+  return RecentIds{{ids.hashes().begin(), ids.hashes().end()}};
+}
+
 template <typename T>
 std::optional<Message> to_message(std::optional<T> m) {
   if (!m) return std::nullopt;
@@ -166,7 +177,7 @@
   switch (m.what_case()) {
     case pb::Message::kHello:
       if (m.hello().version() == 0 || m.hello().name().size() > kMaxId) return std::nullopt;
-      return Hello{m.hello().version(), m.hello().name()};
+      return Hello{m.hello().version(), m.hello().name(), m.hello().takes_ids()};
     case pb::Message::kSnapshot:
       return to_message(parse_snapshot(m.snapshot()));
     case pb::Message::kBusy:
@@ -183,6 +194,8 @@
       if (m.connection().input().size() > kMaxPassedInput) return std::nullopt;
       return PassedConnection{m.connection().listener(), m.connection().input(),
                               m.connection().requests_answered()};
+    case pb::Message::kRecentIds:
+      return to_message(parse_ids(m.recent_ids()));
     default:
       return std::nullopt;
   }
--- a/src/proto/hot_restart_wire.h
+++ b/src/proto/hot_restart_wire.h
@@ -24,6 +24,7 @@
 inline constexpr std::size_t kMaxDescriptors = 16;         // attached to one message
 inline constexpr std::size_t kMaxPassedInput = 16u << 10;  // bytes
 inline constexpr std::size_t kMaxId = 256;                 // bytes
+inline constexpr std::size_t kMaxIdsPerMessage = 8192;
 inline constexpr Duration kMaxAge = std::chrono::hours(24 * 365 * 100);
 
 // Upper bounds on one process's usage of the resource limits that both processes share.
@@ -58,7 +59,8 @@
 // First message of a successor.
 struct Hello {
   std::uint32_t version = kVersion;
-  std::string name;  // of the balancer; a process with another name gets no reply
+  std::string name;        // of the balancer; a process with another name gets no reply
+  bool takes_ids = false;  // the sender can read RecentIds
   bool operator==(const Hello&) const = default;
 };
 
@@ -74,6 +76,7 @@
   double work_rate = 0;  // work sent to the cache hosts, in seconds of work per second
   double origin_admit_fraction = 1, caches_admit_fraction = 1;  // 0 to 1
   std::vector<std::string> listeners;  // addresses, in the order of the attached descriptors
+  bool takes_ids = false;              // the sender can read RecentIds
   bool operator==(const Snapshot&) const = default;
 };
 
@@ -98,8 +101,14 @@
   bool operator==(const PassedConnection&) const = default;
 };
 
+// Hashes of the ids of requests that must not run again, which the sender has taken.
+struct RecentIds {
+  std::vector<std::uint64_t> hashes;  // at most kMaxIdsPerMessage
+  bool operator==(const RecentIds&) const = default;
+};
+
 using Message = std::variant<Hello, Snapshot, Busy, Serving, OperatorOverride, ClientDrain,
-                             ResourceShare, PassedConnection>;
+                             ResourceShare, PassedConnection, RecentIds>;
 
 std::string encode(const Message& message);
 // Returns nullopt if `bytes` is not a valid message, contains a value out of range or exceeds the
--- a/tests/decision_modules_test.cc
+++ b/tests/decision_modules_test.cc
@@ -16,6 +16,7 @@
 #include "policy/zone_failure_detector.h"
 #include "structures/numbered_values.h"
 #include "structures/recent_counts.h"
+#include "structures/recent_ids.h"
 
 namespace balancer {
 namespace {
@@ -108,6 +109,20 @@
   EXPECT_EQ(window.size(), 7u);
 }
 
+// ---- ids
+
+TEST(RecentIdsTest, RemembersAnIdForAtLeastOnePeriod) {
+  RecentIds ids(10, seconds(30));
+  ids.expire(seconds(100));
+  ids.insert(1);
+  ids.expire(seconds(131));
+  EXPECT_TRUE(ids.contains(1));
+  ids.expire(seconds(159));
+  EXPECT_TRUE(ids.contains(1));
+  ids.expire(seconds(162));
+  EXPECT_FALSE(ids.contains(1));
+}
+
 // ---- outcome table
 
 TEST(OutcomeTableTest, ReportsNeverRanOnlyForResultsThatProveIt) {
