Reused addresses: one owner an address, ids of RESP nodes, no repeats at later processes

What callers saw: a new process at the address of one that had gone got the work of the earlier one, and a keyed write ran at both.

Cause: an address belonged to every host that a list had named there; a host that had started behind an attempt counted as one that discards its repeats; RESP nodes were known by their address alone.

Change: the host that a list named last at an address has it, and an earlier one loses its connections and opens none; hosts that one list names together share it. RetryPolicy repeats a keyed request only at processes that had started before its first attempt. The slot map keeps the ids of nodes: a new connection to a node whose id is known asks CLUSTER MYID before any request, and is closed if another process answers; a node whose id has changed in the map counts as restarted. A node that does not answer the question with an id is taken for the right one.

--- a/src/cluster/router.cc
+++ b/src/cluster/router.cc
@@ -224,13 +224,25 @@
     return;
   }
   failed_refreshes_ = 0;
-  const auto before = nodes();
+  const auto before = processes();
   table_.merge(*view);
-  if (nodes() != before) ++revision_;
+  if (processes() != before) ++revision_;
   // As long as no slot has an owner, requests the next refresh after the minimum interval.
   if (table_.assigned() == 0) refresh_requested_ = true;
 }
 
+std::vector<std::pair<std::string, std::uint64_t>> Router::processes() const {
+  std::vector<std::pair<std::string, std::uint64_t>> known;
+  for (const auto& n : table_.nodes())
+    if (!n.address.empty()) known.emplace_back(n.address, n.process);
+  return known;
+}
+
+std::string Router::node_id(std::string_view address) const {
+  const auto at = table_.find(address);
+  return at ? table_.nodes()[*at].id : std::string();
+}
+
 std::vector<std::string> Router::nodes() const {
   std::vector<std::string> known;
   for (const auto& n : table_.nodes())
--- a/src/cluster/router.h
+++ b/src/cluster/router.h
@@ -80,9 +80,13 @@
   // Merges the view that the node returned; nullopt if the query failed.
   void end_refresh(Time now, const std::optional<View>& view);
 
-  // Increases whenever a node is added or removed.
+  // Increases whenever a node is added or removed, or replaced by another process.
   std::uint64_t revision() const { return revision_; }
   std::vector<std::string> nodes() const;
+  // Returns the nodes' addresses, each with the number of processes that were seen there before.
+  std::vector<std::pair<std::string, std::uint64_t>> processes() const;
+  // Returns the id of the node at the address; empty if it is not known.
+  std::string node_id(std::string_view address) const;
   const SlotTable& table() const { return table_; }
 
   struct Counters {
--- a/src/cluster/slot_table.cc
+++ b/src/cluster/slot_table.cc
@@ -70,6 +70,7 @@
     }
     changed = changed || by_address_.size() != before;
   }
+  if (update_ids(view)) changed = true;
   for (std::size_t i = 0; i < view.shards.size(); ++i) {
     if (primaries[i] == kNone) continue;
     const Shard& shard = view.shards[i];
@@ -87,6 +88,22 @@
   return drop_unlisted(view) || changed;
 }
 
+// Returns whether a node has another id than before, and so is another process.
+bool SlotTable::update_ids(const View& view) {
+  bool has_replaced = false;
+  for (const auto& [address, id] : view.ids) {
+    const auto index = find(address);
+    if (!index) continue;
+    Node& node = nodes_[*index];
+    if (!node.id.empty() && node.id != id) {
+      ++node.process;
+      has_replaced = true;
+    }
+    node.id = id;
+  }
+  return has_replaced;
+}
+
 // Removes the nodes that own no slots and that the view does not list. Only a view whose epoch is
 // at least as new as that of every merged claim shows that they have left the cluster.
 bool SlotTable::drop_unlisted(const View& view) {
--- a/src/cluster/slot_table.h
+++ b/src/cluster/slot_table.h
@@ -25,7 +25,9 @@
   explicit SlotTable(std::size_t max_nodes) : max_nodes_(max_nodes) {}
 
   struct Node {
-    std::string address;  // empty: the entry is unused
+    std::string address;        // empty: the entry is unused
+    std::string id;             // of the node's process; empty: unknown
+    std::uint64_t process = 0;  // number of processes that have been seen at the address before
     std::vector<NodeIndex> replicas;
     std::uint64_t epoch = 0;  // newest configuration epoch reported for it as a primary
     std::uint32_t owned = 0;  // number of slots that it owns
@@ -56,6 +58,7 @@
 
   bool assign(Slot slot, NodeIndex owner, std::uint64_t epoch);
   bool drop_unlisted(const View& view);
+  bool update_ids(const View& view);
 
   const std::size_t max_nodes_;
   std::array<Entry, kSlots> slots_;
--- a/src/cluster/view.cc
+++ b/src/cluster/view.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kMaxHostName = 255;  // bytes, as in DNS
+constexpr std::size_t kMaxNodeId = 64;     // bytes; the specification has 40
 
 std::optional<std::uint64_t> number(std::string_view text) {
   std::uint64_t value = 0;
@@ -50,6 +51,10 @@
   return v && !v->null ? v->text : std::string_view();
 }
 
+void add_id(View& view, const std::string& address, std::string_view id) {
+  if (!address.empty() && !id.empty() && id.size() <= kMaxNodeId) view.ids[address] = id;
+}
+
 }  // namespace
 
 std::string node_address(std::string_view host, std::string_view port, std::string_view from) {
@@ -85,6 +90,7 @@
     };
     view.epoch = std::max(view.epoch, *epoch);
     if (address.empty() || has("noaddr") || has("handshake")) continue;
+    add_id(view, address, words[0]);
     if (has("slave") || has("replica")) {
       if (!has("fail")) replicas.emplace_back(words[3], address);
       continue;
@@ -114,7 +120,7 @@
 std::optional<View> parse_cluster_slots(const resp::Value& answer, std::string_view from,
                                         std::uint64_t epoch) {
   if (answer.type != resp::Type::kArray || answer.null) return std::nullopt;
-  View view{std::string(from), epoch, {}};
+  View view{std::string(from), epoch, {}, {}};
   std::map<std::string, std::size_t> by_primary;
   for (const resp::Value& item : answer.items) {
     if (item.items.size() < 3) continue;
@@ -123,7 +129,9 @@
     std::vector<std::string> nodes;
     for (std::size_t i = 2; i < item.items.size(); ++i) {
       const auto& node = item.items[i].items;
-      if (node.size() >= 2) nodes.push_back(node_address(text_of(&node[0]), node[1].text, from));
+      if (node.size() < 2) continue;
+      nodes.push_back(node_address(text_of(&node[0]), node[1].text, from));
+      if (node.size() >= 3) add_id(view, nodes.back(), text_of(&node[2]));
     }
     if (nodes.empty() || nodes.front().empty()) continue;
     const auto [it, fresh] = by_primary.try_emplace(nodes.front(), view.shards.size());
@@ -142,7 +150,7 @@
 std::optional<View> parse_cluster_shards(const resp::Value& answer, std::string_view from,
                                          std::uint64_t epoch) {
   if (answer.type != resp::Type::kArray || answer.null) return std::nullopt;
-  View view{std::string(from), epoch, {}};
+  View view{std::string(from), epoch, {}, {}};
   for (const resp::Value& item : answer.items) {
     const auto* slots = field(item, "slots");
     const auto* nodes = field(item, "nodes");
@@ -156,6 +164,7 @@
       std::string address =
           node_address(text_of(field(node, "ip")), port ? port->text : std::string_view(), from);
       if (address.empty()) continue;
+      add_id(view, address, text_of(field(node, "id")));
       const auto role = text_of(field(node, "role"));
       if (role == "master" || role == "primary") {
         shard.primary = std::move(address);
--- a/src/cluster/view.h
+++ b/src/cluster/view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +30,9 @@
   std::string from;         // address of the reporting node
   std::uint64_t epoch = 0;  // newest epoch that the reporting node has seen
   std::vector<Shard> shards;
+  // The nodes' ids by address, as far as the reply has them. A process that takes the address of
+  // another has another id.
+  std::map<std::string, std::string> ids{};
 };
 
 // Returns the address "host:port" of a node that is named in a reply of `from`. An empty host
--- a/src/frontend/resp/cluster_pool.cc
+++ b/src/frontend/resp/cluster_pool.cc
@@ -171,6 +171,7 @@
             const std::size_t max_value_size = settings_.max_value;
             return std::make_shared<RespConnection>(
                 io_, limits_, events, owner, login_,
+                [this](std::string_view node) { return router_.node_id(node); },
                 resp::InputLimits{.bulk = max_value_size,
                                   .elements = 256u << 10,
                                   .total = 2 * max_value_size + (64u << 10),
@@ -243,10 +244,13 @@
   applied_revision_ = router_.revision();
   HostList list;
   list.is_complete = true;
-  for (const auto& node : router_.nodes()) {
+  for (const auto& [node, earlier_processes] : router_.processes()) {
     EndpointListEntry host;
     host.id = node;
     host.endpoint = parse_endpoint(node);
+    // Another start than before: what was decided for the earlier process is not sent to this one.
+    // When it started is not known, and slow start does not need it here.
+    if (earlier_processes > 0) host.started_at = UnixTime(std::chrono::seconds(earlier_processes));
     list.hosts.push_back(std::move(host));
   }
   limits_.change_hosts(std::exchange(node_count_, list.hosts.size()), list.hosts.size());
--- a/src/frontend/resp/resp_connection.cc
+++ b/src/frontend/resp/resp_connection.cc
@@ -16,6 +16,33 @@
   return resp::Command::from_args({"AUTH", login.user, login.password}).wire();
 }
 
+std::string RespConnection::greeting() {
+  if (identity_ != Identity::kUnknown) return {};
+  expected_id_ = node_id_of_(current()->host);
+  if (expected_id_.empty()) {
+    identity_ = Identity::kConfirmed;
+    return {};
+  }
+  identity_ = Identity::kAsked;
+  std::string commands;
+  if (!login_.password.empty()) {
+    commands = login_command(login_);
+    logged_in_ = true;
+    greeting_replies_to_skip_ = 1;
+  }
+  return commands + resp::Command::from_args({"CLUSTER", "MYID"}).wire();
+}
+
+// A node that does not support the command, or does not allow it, is taken for the right one.
+bool RespConnection::on_greeting_reply() {
+  const std::string reply = std::exchange(reply_, {});
+  if (reader_.type() == resp::Type::kPush) return true;
+  if (greeting_replies_to_skip_ > 0) return --greeting_replies_to_skip_, true;
+  identity_ = Identity::kConfirmed;
+  const auto id = resp::parse_reply(reply, bounds_);
+  return id && (id->is_error() || id->text == expected_id_);
+}
+
 void RespConnection::encode(Outgoing& out) {
   const auto& payload = static_cast<const RespPayload&>(*out.attempt->payload);
   std::size_t setup_replies = 0;
@@ -88,10 +115,10 @@
         return false;
       case resp::ReplyReader::Event::kData:
         reply_ += reader_.data();
-        hold_answer(reply_, reply_.size() + reader_.expected());
+        if (is_greeted()) hold_answer(reply_, reply_.size() + reader_.expected());
         break;
       case resp::ReplyReader::Event::kEnd:
-        if (!on_reply()) return false;
+        if (!(is_greeted() ? on_reply() : on_greeting_reply())) return false;
     }
   }
 }
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "net/upstream_connection.h"
 #include "proto/resp.h"
@@ -31,15 +34,22 @@
   std::size_t held_bytes() const override { return node.capacity(); }
 };
 
-// A connection to a RESP server. Sends the setup commands (AUTH, HELLO, READONLY, ASKING) that a
+// A connection to a RESP server. Asks a node whose id is known for it before anything else, because
+// another process may have taken the address: it may belong to another cluster, and would run what
+// was meant for the node. Sends the setup commands (AUTH, HELLO, READONLY, ASKING) that a
 // request needs in the same write as the request, and drops the replies to them. The value of a
 // response is the unmodified reply.
 class RespConnection : public UpstreamConnection {
  public:
+  // Returns the id of the node at an address; empty if it is not known.
+  using NodeIdOf = std::function<std::string(std::string_view address)>;
+
   RespConnection(boost::asio::io_context& io, Limits& limits, AttemptEvents& events,
-                 UpstreamOwner& owner, const RespLogin& login, const resp::InputLimits& bounds)
+                 UpstreamOwner& owner, const RespLogin& login, NodeIdOf node_id_of,
+                 const resp::InputLimits& bounds)
       : UpstreamConnection(io, limits, events, owner),
         login_(login),
+        node_id_of_(std::move(node_id_of)),
         bounds_(bounds),
         reader_(bounds) {}
 
@@ -51,13 +61,23 @@
     bool had_error = false;     // an error preceded the last reply
   };
 
+  // Whether the node is known to be the process that the slot map names.
+  enum class Identity { kUnknown, kAsked, kConfirmed };
+
   bool can_pipeline() const override { return true; }
+  std::string greeting() override;
+  bool is_greeted() const override { return identity_ == Identity::kConfirmed; }
+  bool on_greeting_reply();
   void encode(Outgoing& out) override;
   bool on_bytes(std::string_view bytes) override;
   bool between_answers() const override;
   bool on_reply();
 
   const RespLogin& login_;
+  const NodeIdOf node_id_of_;
+  Identity identity_ = Identity::kUnknown;
+  std::string expected_id_;
+  int greeting_replies_to_skip_ = 0;
   const resp::InputLimits bounds_;
   resp::ReplyReader reader_;
   std::string reply_;  // the reply that is being received
--- a/src/net/upstream_connection.cc
+++ b/src/net/upstream_connection.cc
@@ -194,11 +194,27 @@
   }
 }
 
+// Returns whether requests may be written. The greeting fits into the empty buffer of a new
+// connection.
+bool UpstreamConnection::write_greeting() {
+  if (is_greeted()) return true;
+  if (queue_.empty()) return false;
+  const std::string bytes = greeting();
+  if (bytes.empty()) return is_greeted();
+  error_code error;
+  const auto written = socket_.write_some(asio::buffer(bytes), error);
+  if (error || written < bytes.size()) {
+    fail();
+    return false;
+  }
+  return false;
+}
+
 // Writes with direct calls instead of asynchronous operations. Whether the last byte of a request
 // was written decides whether it may have been executed, and must be known when the connection
 // breaks.
 void UpstreamConnection::flush() {
-  if (!connected_ || closed_) return;
+  if (!connected_ || closed_ || !write_greeting()) return;
   while (true) {
     const std::string_view bytes = gather();
     if (closed_) return;
@@ -296,8 +312,11 @@
 
 // Returns false if the connection has failed.
 bool UpstreamConnection::handle_input(std::string_view bytes) {
+  const bool was_greeted = is_greeted();
   // Malformed bytes are an error of the host, unlike a reset, which suggests that it is down.
   if (queue_.empty() || !on_bytes(bytes)) return fail(Result::kError), false;
+  if (!was_greeted && is_greeted()) flush();
+  if (closed_) return false;
   // Bytes after the last answer belong to no request, and the next answer would be parsed as their
   // continuation. If they arrive in a later packet, is_alive() detects them before the next
   // attempt.
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -88,6 +88,11 @@
   };
 
   virtual void encode(Outgoing& out) = 0;
+  // Returns what is written on a new connection before any request; called with an attempt in the
+  // queue until is_greeted(). Requests wait until the peer's answer to it has been accepted by
+  // on_bytes().
+  virtual std::string greeting() { return {}; }
+  virtual bool is_greeted() const { return true; }
   // Decodes input. Returns false if the bytes are malformed; the connection is then closed.
   virtual bool on_bytes(std::string_view bytes) = 0;
   // The peer has shut down its side. May complete an answer that is terminated by the close.
@@ -135,6 +140,7 @@
   bool may_read() const;
   std::size_t read_size() const;
   bool handle_input(std::string_view bytes);
+  bool write_greeting();
   void check_progress();
   // Closes the connection. `sent_result`: the outcome of attempts that were completely written.
   void fail(Result sent_result = Result::kReset);
--- a/src/net/upstream_pool.cc
+++ b/src/net/upstream_pool.cc
@@ -35,6 +35,14 @@
   if (moved) retire();
 }
 
+void UpstreamPool::set_owns_endpoint(bool owns_endpoint) {
+  const bool is_lost = owns_endpoint_ && !owns_endpoint;
+  owns_endpoint_ = owns_endpoint;
+  if (!is_lost) return;
+  retire();
+  schedule_start_queued();
+}
+
 void UpstreamPool::retire() {
   const auto connections = connections_;
   for (const auto& connection : connections)
@@ -51,6 +59,7 @@
 // ---- starting attempts
 
 void UpstreamPool::start(AttemptPtr attempt) {
+  if (!owns_endpoint_) return post_ended(attempt, Result::kConnectFailed);
   if (!must_wait_behind(queued_, *attempt) && try_start(attempt) == StartResult::kStarted) return;
   const Time give_up_at = events_.now() + settings_.connect_timeout;
   queued_.push_back({std::move(attempt), give_up_at});
@@ -67,7 +76,7 @@
 }
 
 bool UpstreamPool::can_open() const {
-  return endpoint_ && open_connections_ < settings_.max_connections &&
+  return endpoint_ && owns_endpoint_ && open_connections_ < settings_.max_connections &&
          limits_.upstreams.room_for(1);
 }
 
@@ -83,7 +92,7 @@
 ConnectionSelector::Choice UpstreamPool::choose(const AttemptTraits& traits, Time now,
                                                 bool may_open) {
   const auto choice = selector_.choose(now, traits, may_open);
-  if (may_open || !endpoint_) return choice;
+  if (may_open || !endpoint_ || !owns_endpoint_) return choice;
   const bool is_idle = choice.kind != ConnectionSelector::Choice::Kind::kWait &&
                        selector_.depth(choice.connection) == 0;
   if (is_idle || !free_descriptor_()) return choice;
@@ -162,6 +171,7 @@
 std::optional<Result> UpstreamPool::outcome_of_queued(const QueuedAttempt& queued) const {
   const SendPermission permission = events_.may_send(*queued.attempt);
   if (permission != SendPermission::kGranted) return unsent_result(permission);
+  if (!owns_endpoint_) return Result::kConnectFailed;
   if (events_.now() < queued.give_up_at) return std::nullopt;
   // If a connection is established, the host is not at fault: the attempt only found no free place
   // on a connection in time.
--- a/src/net/upstream_pool.h
+++ b/src/net/upstream_pool.h
@@ -38,6 +38,9 @@
                std::size_t& open_connections, FreeDescriptor free_descriptor);
 
   void set_host(const EndpointListEntry& host);
+  // Sets whether the endpoint still belongs to this host. If not, no connection is opened there,
+  // and those that exist are retired.
+  void set_owns_endpoint(bool owns_endpoint);
   // Assigns the attempt to a connection, or queues it. An attempt that gets no connection within
   // the connect timeout ends as kConnectFailed, or as kNotSent if clients share connections in this
   // pool and a connection to the host is established.
@@ -100,6 +103,7 @@
   std::size_t& open_connections_;
   FreeDescriptor free_descriptor_;
   std::optional<Endpoint> endpoint_;
+  bool owns_endpoint_ = true;
   std::optional<UnixTime> host_started_;
   bool is_origin_ = false;
   connection_pool::ConnectionSelector selector_;
--- a/src/net/upstreams.cc
+++ b/src/net/upstreams.cc
@@ -1,8 +1,10 @@
 #include "net/upstreams.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <iterator>
+#include <map>
 #include <utility>
 
 namespace balancer {
@@ -24,12 +26,15 @@
 }
 
 void Upstreams::apply(const HostList& list) {
+  ++list_number_;
+  bool has_changed = list.is_complete;
   if (list.is_complete)
     for (auto& [id, host] : hosts_) host.is_retired = true;
   for (const EndpointListEntry& listed : list.hosts) {
     if (listed.state == HostState::kGone) {
       const auto it = hosts_.find(listed.id);
       if (it != hosts_.end()) retire(it->second);
+      has_changed = true;
       continue;
     }
     HostPool& host = hosts_[listed.id];
@@ -37,11 +42,33 @@
       host.pool =
           std::make_unique<UpstreamPool>(io_, limits_, events_, settings_, dial_, open_connections_,
                                          [this] { return free_descriptor(); });
+    if (host.is_retired) has_changed = true;
     host.is_retired = false;
+    if (listed.endpoint && listed.endpoint != host.endpoint) {
+      host.endpoint = listed.endpoint;
+      host.claimed_by_list = list_number_;
+      has_changed = true;
+    }
     host.pool->set_host(listed);
   }
   for (auto& [id, host] : hosts_)
     if (host.is_retired) retire(host);
+  if (has_changed) assign_endpoints();
+}
+
+// Of several hosts at one endpoint, the one that was named there last has it: the others have gone,
+// though the list may not say so yet, and their requests must not reach a process that does not
+// know of them. Hosts that one list has named at the same endpoint share it.
+void Upstreams::assign_endpoints() {
+  std::map<Endpoint, std::uint64_t> last_claim;
+  for (const auto& [id, host] : hosts_) {
+    if (host.is_retired || !host.endpoint) continue;
+    std::uint64_t& last = last_claim[*host.endpoint];
+    last = std::max(last, host.claimed_by_list);
+  }
+  for (auto& [id, host] : hosts_)
+    if (!host.is_retired && host.endpoint)
+      host.pool->set_owns_endpoint(last_claim.at(*host.endpoint) == host.claimed_by_list);
 }
 
 void Upstreams::retire(HostPool& host) {
--- a/src/net/upstreams.h
+++ b/src/net/upstreams.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,11 +35,15 @@
  private:
   struct HostPool {
     std::unique_ptr<UpstreamPool> pool;
+    std::optional<Endpoint> endpoint;  // as listed last
+    // Number of the list that first named the host at its endpoint.
+    std::uint64_t claimed_by_list = 0;
     bool is_retired = false;  // no longer listed; erased once it is empty
   };
 
   bool free_descriptor();
   static void retire(HostPool& host);
+  void assign_endpoints();
   void arm_tick();
   void tick();
 
@@ -48,6 +53,7 @@
   const UpstreamSettings settings_;
   const ConnectionFactory dial_;
   std::size_t open_connections_ = 0;
+  std::uint64_t list_number_ = 0;  // number of lists applied
   std::map<std::string, HostPool, std::less<>> hosts_;
   boost::asio::steady_timer tick_timer_;
 };
--- a/src/policy/retry_policy.cc
+++ b/src/policy/retry_policy.cc
@@ -49,7 +49,9 @@
   const bool same_cell = same_zone && first.cell == host.cell;
   if (request_class.scope == DeduplicationScope::kZone && !same_zone) return false;
   if (request_class.scope == DeduplicationScope::kCell && !same_cell) return false;
-  return now < earlier.sent_at + request_class.deduplication_window;
+  // A process that started behind the attempt does not know of it.
+  const bool is_later_process = host.start && host.start->at > earlier.sent_at;
+  return !is_later_process && now < earlier.sent_at + request_class.deduplication_window;
 }
 
 bool RetryPolicy::is_retry(const RequestState& request) const {
