Policy: count an origin with many or old attempts as busy at once

What callers saw: beside a flood of bookings, or of reads with d=500, 673 of 777 and 783 of 884 ordinary requests were served, the rest refused in the first seconds.

Cause: until the admission controller had learned of it, the first 256 bookings of one client held the origin for seconds.

Change: an origin with 16 attempts or more, or with one older than the controller's target, counts as busy; a client over its share is refused first then.

--- a/src/policy/policy.cc
+++ b/src/policy/policy.cc
@@ -21,6 +21,8 @@
 // If the admission controllers of a fleet sampled at the same times, they would all close and
 // reopen together.
 constexpr double kSamplingJitterSeconds = 0.5;
+// Attempts at the origin from which on no client may add more than its share.
+constexpr int kBusyOriginAttempts = 16;
 constexpr double kOverloadedSlowAnswerRatio = 0.25;
 constexpr double kInitialMeanWorkSeconds = 0.05;
 constexpr double kMeanWorkGain = 0.01;
@@ -258,11 +260,20 @@
     reject_or_fail_if_idle(request);
 }
 
-// While not everything is admitted, one client that sends more than the others must not take their
-// places: its further requests are rejected before theirs, and take no part of what is admitted.
+// While not everything is admitted, or the origin lags behind, one client that sends more than the
+// others must not take their places: its further requests are rejected before theirs, and take no
+// part of what is admitted.
 bool Policy::is_shed_first(const RequestState& request,
                            const AdmissionController& admission) const {
-  return request.exceeds_client_share && !admission.admits_all();
+  return request.exceeds_client_share && (!admission.admits_all() || is_origin_busy());
+}
+
+// Shows at once, or within one target time, what the admission controller learns in seconds.
+bool Policy::is_origin_busy() const {
+  const auto origin = host_registry_.origin();
+  if (!origin) return false;
+  return host_registry_[*origin].references >= kBusyOriginAttempts ||
+         outliers_[*origin].has_stalled_attempts(now_, origin_admission_.target());
 }
 
 // Sends the request to a cache host, the regular path. `stored_at`: the host that has just stored
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -135,6 +135,7 @@
   void fetch_bypassing_caches(RequestState& request);
   bool send_admitted_fetch(RequestState& request);
   bool is_shed_first(const RequestState& request, const AdmissionController& admission) const;
+  bool is_origin_busy() const;
 
   // ---- handling of ended and slow attempts
   bool continue_request(RequestState& request, const AttemptRecord& attempt, NextStep step);
