Count the reason of each close, refusal and repeat, and show them at GET /stats

Need: the log of the incident could not say why connections were closed, requests refused or attempts repeated, nor who held the memory.

Change: EventCounters in Limits, counted where it is decided: sessions, connections to servers, the pool. The operators' address answers GET /stats with memory by holder and all counters, as one line of JSON.

--- a/src/dispatch/server_pool.cc
+++ b/src/dispatch/server_pool.cc
@@ -69,6 +69,8 @@
   PendingRequest& request = requests_.at(id);
   AttemptPtr attempt = make_attempt(id, request, host, until);
   ++request.attempts_in_flight;
+  limits_.events.add(Event::kAttempt);
+  if (attempt->number > 0) limits_.events.add(Event::kRepeatedAttempt);
   // If the process has just stalled, the policy's decision is based on an outdated endpoint list.
   stall_hold_.observe();
   attempt->is_held_for_stall = stall_hold_.is_holding() && host != origin_id_;
@@ -104,10 +106,14 @@
 }
 
 void ServerPool::reject(RequestId id, Duration retry_after) {
+  limits_.events.add(Event::kRefusedByPolicy);
   answer(id, {Response::Kind::kRejected, {}, retry_after, nullptr});
 }
 
-void ServerPool::fail(RequestId id) { answer(id, {}); }
+void ServerPool::fail(RequestId id) {
+  limits_.events.add(Event::kFailedByPolicy);
+  answer(id, {});
+}
 
 void ServerPool::set_timer(Time at, std::uint64_t tag) { timers_.set_policy_timer(at, tag); }
 
@@ -120,7 +126,8 @@
 void ServerPool::submit(const std::shared_ptr<ResponseSink>& sink, ResponseSlot slot,
                         RequestSpec spec) {
   stall_hold_.observe();
-  if (!may_accept(*sink, spec)) {
+  if (const auto refusal = refusal_of(*sink, spec)) {
+    limits_.events.add(*refusal);
     spec.payload->on_released(false);
     sink->on_response(slot, *spec.payload, {Response::Kind::kRejected, {}, Duration{0}, nullptr});
     return;
@@ -143,15 +150,19 @@
   erase_finished();
 }
 
-// Returns whether a request may be accepted. If not, it is rejected, which is safe as no attempt of
-// it has run. After a stall it may have waited in the socket until the client's deadline was over.
-bool ServerPool::may_accept(const ResponseSink& sink, const RequestSpec& spec) const {
-  if (unread_age(sink) >= spec.time_left) return false;
+// Returns why a request is not accepted, or nothing if it is. It is rejected then, which is safe as
+// no attempt of it has run. After a stall it may have waited in the socket until the client's
+// deadline was over.
+std::optional<Event> ServerPool::refusal_of(const ResponseSink& sink,
+                                            const RequestSpec& spec) const {
+  if (unread_age(sink) >= spec.time_left) return Event::kRefusedNotForwarded;
   if (site_.max_open_requests > 0 &&
       open_requests_ >= static_cast<std::size_t>(site_.max_open_requests))
-    return false;
-  if (!limits_.has_memory(MemoryUse::kRequest, memory_of(*spec.payload))) return false;
-  return sink.may_forward() && sink.is_connected();
+    return Event::kRefusedAtMaximum;
+  if (!limits_.has_memory(MemoryUse::kRequest, memory_of(*spec.payload)))
+    return Event::kRefusedForMemory;
+  if (!sink.may_forward() || !sink.is_connected()) return Event::kRefusedNotForwarded;
+  return std::nullopt;
 }
 
 // Returns how long a request that is read now may have waited in its socket.
--- a/src/dispatch/server_pool.h
+++ b/src/dispatch/server_pool.h
@@ -111,7 +111,7 @@
   void on_stream_started(const AttemptPtr& attempt, const StreamPtr& stream) override;
   void on_attempt_ended(const AttemptPtr& attempt, Result result, std::string value) override;
 
-  bool may_accept(const ResponseSink& sink, const RequestSpec& spec) const;
+  std::optional<Event> refusal_of(const ResponseSink& sink, const RequestSpec& spec) const;
   Duration unread_age(const ResponseSink& sink) const;
   bool exceeds_share(const ResponseSink& sink) const;
   void register_request(RequestId id, const std::shared_ptr<ResponseSink>& sink, ResponseSlot slot,
--- a/src/frontend/admin/calls.cc
+++ b/src/frontend/admin/calls.cc
@@ -84,6 +84,10 @@
     if (!operations.is_serving()) return error_response(503, "not serving yet");
     return {200, json_line({{"state", "serving"}}), {}};
   }
+  if (parts.size() == 1 && parts[0] == "stats") {
+    if (!is_get) return method_not_allowed("GET, HEAD");
+    return {200, operations.statistics() + "\n", {}};
+  }
   if (parts.size() == 2 && parts[0] == "healthcheck" && (parts[1] == "fail" || parts[1] == "ok")) {
     if (!is_post) return method_not_allowed("POST");
     const bool enabled = parts[1] == "fail";
--- a/src/frontend/admin/calls.h
+++ b/src/frontend/admin/calls.h
@@ -16,6 +16,8 @@
   // Takes a cache host out of service or returns it to service. Returns false if the host is not
   // known.
   std::function<bool(std::string_view host, bool out_of_service)> override_host;
+  // Returns counters and figures of the process as one line of JSON without a line end.
+  std::function<std::string()> statistics;
   // Asks clients to reconnect elsewhere, or accepts them again. Returns false if the process is
   // shutting down.
   std::function<bool(bool enabled)> set_client_drain;
--- a/src/net/client_listener.cc
+++ b/src/net/client_listener.cc
@@ -235,7 +235,7 @@
     chosen_rank = rank;
     chosen = session;
   }
-  if (chosen) chosen->close();
+  if (chosen) chosen->close(Event::kClientForDescriptors);
   return chosen != nullptr;
 }
 
@@ -301,7 +301,7 @@
   stop();
   close_acceptor();
   tick_timer_.cancel();
-  for (const SessionPtr& session : all_sessions()) session->close();
+  for (const SessionPtr& session : all_sessions()) session->close(Event::kClientDrained);
 }
 
 }  // namespace balancer
--- a/src/net/client_session.cc
+++ b/src/net/client_session.cc
@@ -79,7 +79,7 @@
   error_code error;
   socket_.non_blocking(true, error);
   if (!error) socket_.set_option(asio::ip::tcp::no_delay(true), error);
-  if (error) return close_soon();
+  if (error) return close_soon(Event::kClientLeft);
   arm_read();
 }
 
@@ -128,7 +128,7 @@
     unread_since_ = Time{0};
     return arm_read();
   }
-  if (error) return close();
+  if (error) return close(Event::kClientLeft);
   last_read_ = clock_.now();
   blocked_since_ = Time{0};
   if (protocol_handler_->between_commands()) state_since_ = last_read_;
@@ -276,13 +276,13 @@
   answered_ += result.completed;
   if (result.wrote_responses && blocked_) schedule_processing();
   if (result.state == WriteState::kSocketFull) return arm_write();
-  if (result.state == WriteState::kFailed) return close_soon();
+  if (result.state == WriteState::kFailed) return close_soon(Event::kClientLeft);
   if (result.state == WriteState::kStreamBroken) {
     // The close tells the client that the value is incomplete.
     close_when_written_ = true;
     error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    return close_soon();
+    return close_soon(Event::kClientValueBroken);
   }
   if (responses_.empty()) on_all_written();
 }
@@ -313,7 +313,7 @@
     });
   if (may_close_for_drain())
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
-      if (self->may_close_for_drain()) self->close();
+      if (self->may_close_for_drain()) self->close(Event::kClientDrained);
     });
 }
 
@@ -366,7 +366,7 @@
     error_code error;
     socket_.read_some(asio::buffer(buffer), error);
     if (error == asio::error::would_block || error == asio::error::try_again) return;
-    if (error && error != asio::error::interrupted) return close();
+    if (error && error != asio::error::interrupted) return close(Event::kClientAnsweredLast);
   }
 }
 
@@ -427,6 +427,7 @@
 }
 
 void ClientSession::reject_input() {
+  limits_.events.add(Event::kRefusedSlowInput);
   error_response_ = protocol_handler_->busy_response();
   error_response_at_ = clock_.now();
   blocked_ = false;
@@ -439,12 +440,12 @@
   if (closed_) return;
   if (lingering_) {
     discard_while_lingering();
-    if (now - state_since_ > kLingerTimeout) close();
+    if (now - state_since_ > kLingerTimeout) close(Event::kClientAnsweredLast);
     return;
   }
   // While reading is suspended, a close by the client goes unnoticed, and its requests would still
   // be sent much later.
-  if (!read_pending_ && has_disconnected()) return close();
+  if (!read_pending_ && has_disconnected()) return close(Event::kClientLeft);
   observe_write_progress(now);
   if (blocked_) process_commands();  // memory may be available now
   if (closed_) return;
@@ -456,17 +457,19 @@
   if (closed_) return;
   // The client may complete its command in this moment, so it gets an answer.
   if (is_overdue(now) && state() == State::kReadingCommand) return reject_input();
-  if (is_overdue(now) && (responses_.unwritten_bytes() > 0 || blocked_ || !has_input()))
-    return close();
+  const bool has_unread_response = responses_.unwritten_bytes() > 0 || responses_.is_streaming();
+  if (is_overdue(now) && (has_unread_response || blocked_ || !has_input()))
+    return close(has_unread_response ? Event::kClientDidNotRead : Event::kClientSilent);
   if (responses_.empty()) on_all_written();
 }
 
-void ClientSession::close_soon() {
-  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
+void ClientSession::close_soon(Event reason) {
+  asio::post(socket_.get_executor(), [self = shared_from_this(), reason] { self->close(reason); });
 }
 
-void ClientSession::close() {
+void ClientSession::close(std::optional<Event> reason) {
   if (closed_) return;
+  if (reason) limits_.events.add(*reason);
   closed_ = true;
   error_code ignored;
   socket_.close(ignored);
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -117,7 +117,8 @@
   bool has_input();
   // Whether the client has closed its side, even if unread input precedes the close.
   bool has_disconnected() const;
-  void close();
+  // `reason`: counted; empty if the connection was passed to another process.
+  void close(std::optional<Event> reason = std::nullopt);
   // Closes the connection as soon as it is between requests at or after `close_at`. A client that
   // has sent no request is closed once 300 ms have passed since it was accepted.
   void drain(Time close_at);
@@ -159,7 +160,7 @@
   bool may_close_for_drain();
   void linger();
   void discard_while_lingering();
-  void close_soon();
+  void close_soon(Event reason);
 
   boost::asio::ip::tcp::socket socket_;
   Limits& limits_;
--- a/src/net/limits.h
+++ b/src/net/limits.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "net/event_counters.h"
 #include "net/memory_plan.h"
 #include "net/resident_memory.h"
 
@@ -147,6 +148,7 @@
   const std::size_t total_descriptors, total_bytes, fixed;
   Budget clients, upstreams;  // descriptors
   Budget bytes;               // all that peers can make the process hold; see MemoryHolder
+  EventCounters events;       // why connections were closed, requests refused, attempts repeated
 
  private:
   // The accounted bytes are shared in a hot restart, and the resident memory in proportion.
--- a/src/net/upstream_connection.cc
+++ b/src/net/upstream_connection.cc
@@ -44,10 +44,10 @@
   socket_.open(endpoint.protocol(), error);
   if (!error) socket_.non_blocking(true, error);
   if (!error) socket_.set_option(asio::ip::tcp::no_delay(true), error);
-  if (error) return fail();
+  if (error) return fail(Event::kServerNotConnected);
   connect_timer_.expires_after(timeout);
   connect_timer_.async_wait([self = shared_from_this()](const error_code& e) {
-    if (!e && self->is_connecting()) self->fail();
+    if (!e && self->is_connecting()) self->fail(Event::kServerNotConnected);
   });
   socket_.async_connect(endpoint,
                         [self = shared_from_this()](const error_code& e) { self->on_connect(e); });
@@ -55,7 +55,7 @@
 
 void UpstreamConnection::on_connect(const error_code& error) {
   if (closed_) return;
-  if (error) return fail();
+  if (error) return fail(Event::kServerNotConnected);
   connect_timer_.cancel();
   connected_ = true;
   last_read_ = events_.now();
@@ -127,7 +127,7 @@
   owner_.on_retired(*this);
   remove(place, result);
   while (queue_.size() > place) remove(place, Result::kWithdrawn);
-  if (queue_.empty()) fail();
+  if (queue_.empty()) fail(Event::kServerRetired);
 }
 
 void UpstreamConnection::withdraw_unsendable() {
@@ -151,7 +151,7 @@
       withdraw(place, Result::kWithdrawn);
     }
   }
-  if (queue_.empty()) fail();
+  if (queue_.empty()) fail(Event::kServerRetired);
 }
 
 // Returns the next bytes to write: small pieces copied into one buffer, as a system call for each
@@ -204,7 +204,7 @@
   error_code error;
   const auto written = socket_.write_some(asio::buffer(bytes), error);
   if (error || written < bytes.size()) {
-    fail();
+    fail(Event::kServerNotConnected);
     return false;
   }
   return false;
@@ -224,7 +224,7 @@
         asio::const_buffers_1(asio::const_buffer(bytes.data(), bytes.size())), error);
     on_written(written);
     if (error == asio::error::would_block || error == asio::error::try_again) return arm_write();
-    if (error && error != asio::error::interrupted) return fail();
+    if (error && error != asio::error::interrupted) return fail(Event::kServerReset);
   }
   if (first_unsent_ > 0) arm_read();
 }
@@ -305,7 +305,7 @@
       error == asio::error::interrupted)
     return arm_read();
   if (error == asio::error::eof && is_awaiting_answer()) on_end_of_input();
-  if (error) return fail();
+  if (error) return fail(Event::kServerReset);
   last_read_ = events_.now();
   if (handle_input(std::string_view(buffer.data(), n))) close_or_read();
 }
@@ -314,23 +314,24 @@
 bool UpstreamConnection::handle_input(std::string_view bytes) {
   const bool was_greeted = is_greeted();
   // Malformed bytes are an error of the host, unlike a reset, which suggests that it is down.
-  if (queue_.empty() || !on_bytes(bytes)) return fail(Result::kError), false;
+  if (queue_.empty() || !on_bytes(bytes))
+    return fail(Event::kServerUnreadable, Result::kError), false;
   if (!was_greeted && is_greeted()) flush();
   if (closed_) return false;
   // Bytes after the last answer belong to no request, and the next answer would be parsed as their
   // continuation. If they arrive in a later packet, is_alive() detects them before the next
   // attempt.
-  if (queue_.empty() && !between_answers()) return fail(), false;
+  if (queue_.empty() && !between_answers()) return fail(Event::kServerUnreadable), false;
   is_stall_reported_ = false;
   partial_since_ = between_answers() ? std::optional<Time>() : partial_since_.value_or(last_read_);
-  if (stream_ && stream_->abandoned()) return fail(), false;
+  if (stream_ && stream_->abandoned()) return fail(Event::kServerAbandoned), false;
   return true;
 }
 
 void UpstreamConnection::close_or_read() {
   if (closed_) return;
   if (!queue_.empty()) return arm_read();
-  if (!reusable_ || retired_) return fail();
+  if (!reusable_ || retired_) return fail(Event::kServerRetired);
   arm_read();
 }
 
@@ -353,7 +354,7 @@
   last_read_ = events_.now();  // the pause was caused by the client, not by the host
   if (stream_ && stream_->abandoned()) {
     asio::post(socket_.get_executor(), [self = shared_from_this(), stream = stream_] {
-      if (self->stream_ == stream) self->fail();
+      if (self->stream_ == stream) self->fail(Event::kServerAbandoned);
     });
     return;
   }
@@ -404,11 +405,13 @@
   if (!partial_since_ || queue_.empty() || !may_read()) return;
   const Duration idle = now() - last_read_;
   if (stream_) {
-    if (idle > kStreamIdleTimeout && now() >= current()->deadline) fail(Result::kError);
+    if (idle > kStreamIdleTimeout && now() >= current()->deadline)
+      fail(Event::kServerAnswerStalled, Result::kError);
     return;
   }
   if (idle <= kAnswerStallTime) return;
-  if (current()->ended || !events_.is_answer_wanted(*current())) return fail(Result::kError);
+  if (current()->ended || !events_.is_answer_wanted(*current()))
+    return fail(Event::kServerAnswerStalled, Result::kError);
   if (std::exchange(is_stall_reported_, true)) return;
   events_.on_answer_stalled(current());
 }
@@ -454,16 +457,17 @@
   // An empty connection that is still connecting is kept for the next attempt.
   if (!queue_.empty() && std::all_of(queue_.begin(), queue_.end(),
                                      [](const Outgoing& out) { return out.attempt->ended; }))
-    fail();
+    fail(Event::kServerAbandoned);
   return is_unsent;
 }
 
 void UpstreamConnection::close() {
-  if (!closed_ && queue_.empty()) fail();
+  if (!closed_ && queue_.empty()) fail(Event::kServerRetired);
 }
 
-void UpstreamConnection::fail(Result sent_result) {
+void UpstreamConnection::fail(Event reason, Result sent_result) {
   if (closed_) return;
+  limits_.events.add(reason);
   const auto self = shared_from_this();  // the owner drops its reference in on_closed()
   closed_ = true;
   error_code ignored;
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -142,8 +142,9 @@
   bool handle_input(std::string_view bytes);
   bool write_greeting();
   void check_progress();
-  // Closes the connection. `sent_result`: the outcome of attempts that were completely written.
-  void fail(Result sent_result = Result::kReset);
+  // Closes the connection and counts the reason. `sent_result`: the outcome of attempts that were
+  // completely written.
+  void fail(Event reason, Result sent_result = Result::kReset);
   void close_or_read();
   void end(Outgoing& out, Result result, std::string value = {});
   void deliver();
--- a/src/node/balancer.cc
+++ b/src/node/balancer.cc
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <utility>
 
+#include "node/memory_watch.h"
+
 namespace balancer::node {
 namespace {
 
@@ -13,7 +15,11 @@
 
 Balancer::Balancer(boost::asio::io_context& io, const std::optional<Config>& config, Limits& limits,
                    OperatorSettings operator_settings, const Log& log)
-    : io_(io), log_(log), operator_settings_(std::move(operator_settings)), open_timer_(io) {
+    : io_(io),
+      limits_(limits),
+      log_(log),
+      operator_settings_(std::move(operator_settings)),
+      open_timer_(io) {
   if (config && config->admin) start_admin(*config);
   hot_restart::Predecessor predecessor = query_predecessor(config);
   services_ = std::make_unique<Services>(io, config, operator_settings_, clock_, limits,
@@ -36,6 +42,7 @@
   operations.is_serving = [this] {
     return is_open_ && services_->memcache()->has_list() && !is_terminating_;
   };
+  operations.statistics = [this] { return statistics_json(limits_); };
   operations.override_host = [this](std::string_view host, bool out_of_service) {
     return operator_calls_->override_host(host, out_of_service);
   };
--- a/src/node/balancer.h
+++ b/src/node/balancer.h
@@ -72,6 +72,7 @@
 
   boost::asio::io_context& io_;
   const Clock clock_;
+  Limits& limits_;
   const Log log_;
   OperatorSettings operator_settings_;
   // In the order of construction; destroyed in reverse order.
--- a/src/node/memory_watch.cc
+++ b/src/node/memory_watch.cc
@@ -15,7 +15,7 @@
 constexpr std::chrono::seconds kRepeatInterval{10};
 
 constexpr const char* kHolderNames[] = {"input",   "bodies",    "requests", "answers",
-                                        "streams", "responses", "slot maps"};
+                                        "streams", "responses", "slot_maps"};
 static_assert(std::size(kHolderNames) == kMemoryHolders);
 
 std::string megabytes(std::size_t bytes) {
@@ -38,6 +38,22 @@
   return text;
 }
 
+std::string statistics_json(const Limits& limits) {
+  const auto field = [](const std::string& name, std::uint64_t value) {
+    return "\"" + name + "\":" + std::to_string(value);
+  };
+  std::string text = "{\"memory\":{" + field("limit", limits.plan.total) + "," +
+                     field("resident", limits.resident_bytes()) + "," +
+                     field("accounted", limits.bytes.used()) + "," +
+                     field("accountable", limits.bytes.max());
+  for (std::size_t i = 0; i < kMemoryHolders; ++i)
+    text += "," + field(kHolderNames[i], limits.bytes.used_by(static_cast<MemoryHolder>(i)));
+  text += "},\"events\":{";
+  for (std::size_t i = 0; i < kEvents; ++i)
+    text += (i > 0 ? "," : "") + field(kEventNames[i], limits.events.count(static_cast<Event>(i)));
+  return text + "}}";
+}
+
 MemoryWatch::MemoryWatch(boost::asio::io_context& io, Limits& limits, Log log)
     : limits_(limits), log_(std::move(log)), timer_(io) {
   arm();
--- a/src/node/memory_watch.h
+++ b/src/node/memory_watch.h
@@ -12,6 +12,8 @@
 
 // Returns the memory in use in one line: resident, accounted, and by holder, in MB.
 std::string describe_memory(const Limits& limits);
+// Returns memory by holder, in bytes, and the event counters, as one line of JSON.
+std::string statistics_json(const Limits& limits);
 
 // Returns freed memory to the system while the process is close to its limit, and logs when uses of
 // memory begin and cease to be refused.
--- a/tests/admin_test.cc
+++ b/tests/admin_test.cc
@@ -28,6 +28,7 @@
                                        overrides[std::string(host)] = o;
                                        return true;
                                      },
+                                     [] { return std::string("{\"figures\":1}"); },
                                      [this](bool a) {
                                        drain_calls.push_back(a);
                                        return true;
@@ -38,6 +39,7 @@
   EXPECT_EQ(call("GET", "/healthcheck").status, 200u);
   serving = false;
   EXPECT_EQ(call("GET", "/healthcheck").status, 503u);
+  EXPECT_EQ(call("GET", "/stats").body, "{\"figures\":1}\n");
   EXPECT_EQ(call("POST", "/cache-hosts/s-1/maint").status, 200u);
   EXPECT_EQ(call("POST", "/cache-hosts/s%2d1%2F2%20%25/maint?why=disk").status, 200u);
   EXPECT_EQ(call("POST", "/cache-hosts/s-1/ready").status, 200u);
