Limits: half of the memory for each process of an upgrade, however small its share

What callers would have seen: behind SIGTERM in an upgrade the old process' share of accounted bytes is what it uses and what its requests need. The bound on resident memory shrank in proportion, down to nothing, so that answers over 4 KB were no longer read and new requests were refused. Found by reading; the tests of hot restarts passed, as their answers are short.

--- a/src/net/limits.h
+++ b/src/net/limits.h
@@ -132,8 +132,13 @@
   // Returns whether `n` further bytes may be held for this use.
   bool has_memory(MemoryUse use, std::size_t n) const {
     const auto index = static_cast<std::size_t>(use);
+    // Two processes that share the limits may each have half of the memory, for whatever use: what
+    // a process takes by itself does not shrink with its share.
+    const bool is_shared = share_bytes_ < total_bytes;
+    const auto last_use = static_cast<std::size_t>(MemoryUse::kAnswer);
+    const std::size_t sixteenths = kResidentSixteenths[is_shared ? last_use : index];
     return bytes.used() + n <= bytes.max() / 8 * kAccountedEighths[index] &&
-           resident_bytes() + n <= resident_limit() / 16 * kResidentSixteenths[index];
+           resident_bytes() + n <= resident_limit() / 16 * sixteenths;
   }
   // Whether so much memory is in use that only clients without a request in flight may begin one.
   bool is_memory_short() const { return !has_memory(MemoryUse::kPipelining, 0); }
@@ -151,8 +156,9 @@
   EventCounters events;       // why connections were closed, requests refused, attempts repeated
 
  private:
-  // The accounted bytes are shared in a hot restart, and the resident memory in proportion.
-  std::size_t resident_limit() const { return plan.total / 64 * (share_bytes_ * 64 / total_bytes); }
+  std::size_t resident_limit() const {
+    return share_bytes_ < total_bytes ? plan.total / 2 : plan.total;
+  }
   void apply_byte_limit() { bytes.set_max(share_bytes_ - std::min(share_bytes_ / 2, host_bytes_)); }
 
   std::size_t share_bytes_ = 0;
--- a/tests/descriptor_test.cc
+++ b/tests/descriptor_test.cc
@@ -8,6 +8,16 @@
 namespace balancer::node {
 namespace {
 
+// Guards against an old process that can no longer read the answers to its last requests in an
+// upgrade, because its share of the memory has become small.
+TEST(LimitsTest, LeavesMemoryForAnswersToAProcessWithASmallShare) {
+  Limits limits(256, 4096);
+  limits.watch_resident_memory();
+  limits.set_process_share(100, 1u << 20, false);
+  EXPECT_TRUE(limits.has_memory(MemoryUse::kAnswer, 64u << 10));
+  EXPECT_FALSE(limits.has_memory(MemoryUse::kAnswer, 2u << 20));
+}
+
 using State = SwitchableDiscovery::State;
 
 constexpr int kDescriptors = 256;
