Router: bound the nodes that redirections name before a slot map does

Cause: every redirection to a node that was not known makes the pool apply the whole list of nodes, up to 2,048, so that one server's redirections keep the event loop busy for seconds; beside load it had not worked them off. By reading; the time was not profiled.

Change: while 256 nodes are known from redirections alone, further ones are refused with TRYAGAIN; a refresh of the slot map lists the sound ones.

--- a/src/cluster/router.cc
+++ b/src/cluster/router.cc
@@ -11,6 +11,16 @@
 
 constexpr std::uint64_t kSlotMask = kSlots - 1;
 
+// Nodes that redirections name before a slot map does. Each new node is made known to the pool, so
+// a node that names ever new ones would keep the event loop busy.
+constexpr std::ptrdiff_t kMaxUnlistedNodes = 256;
+
+std::ptrdiff_t count_unlisted(const SlotTable& table) {
+  return std::count_if(table.nodes().begin(), table.nodes().end(), [](const SlotTable::Node& node) {
+    return !node.address.empty() && !node.listed && node.owned == 0;
+  });
+}
+
 std::string_view first_word(std::string_view text) { return text.substr(0, text.find(' ')); }
 
 struct Redirection {
@@ -99,6 +109,8 @@
   const auto redirection =
       parse_redirection(error.substr(std::min(error.size(), word.size() + 1)), from);
   if (!redirection) return Verdict::kMalformed;
+  const bool is_known = table_.find(redirection->address).has_value();
+  if (!is_known && count_unlisted(table_) >= kMaxUnlistedNodes) return mark_unavailable(&route);
   const std::size_t before = nodes().size();
   const auto to = table_.add(redirection->address);
   if (nodes().size() != before) ++revision_;
