Sanitizer builds: do not refuse by the resident memory

Cause: the sanitizer's own memory counts as resident.

Change: the program watches its resident memory in plain builds only; what is accounted is bounded in both.

--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -27,6 +27,13 @@
 // short objects could not hold it.
 constexpr int kMmapThresholdBytes = 32 << 10, kTrimThresholdBytes = 1 << 20;
 
+// A sanitizer takes several times the memory of the process for itself.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kIsSanitized = true;
+#else
+constexpr bool kIsSanitized = false;
+#endif
+
 std::size_t reserved_descriptors(const ProgramSettings& settings) {
   std::size_t count = 0;
   if (settings.operator_settings.group) count += kGroupDescriptors;
@@ -71,7 +78,7 @@
   open_log(process.log);
   const Log log = make_log(process.name);
   limits.emplace(process.sockets, process.memory_mb, reserved_descriptors(settings));
-  limits->watch_resident_memory();
+  if (!kIsSanitized) limits->watch_resident_memory();
   const MemoryWatch memory_watch(io, *limits, log);
   Balancer balancer(io, settings.config, *limits, std::move(settings.operator_settings), log);
   signals.on_reload(
