Review case 6: the node that dies closes its own connections, at ports of our own choice

Need: the stand-in shut and closed sockets from two threads, and took a port that the system may give to others meanwhile. Change: each connection's thread closes its socket; ports lie under the system's range. The check is the same.

--- a/review/6/test.cc
+++ b/review/6/test.cc
@@ -13,8 +13,8 @@
   ClusterNode primary("ours-0", std::string(40, 'a')), replica("ours-1", std::string(40, 'c'));
   std::atomic<bool> replica_is_dead{false};
   primary.epoch = replica.epoch = 3;
-  primary.begin();
-  replica.begin();
+  primary.begin(free_port());
+  replica.begin(free_port());
   replica.primary = primary.address();
   const auto our_nodes = [&](const ClusterNode& self) {
     const auto line = [&](const ClusterNode& node, const std::string& flags,
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 mkdir -p build/review-2
 for test in review/6 review/7 review/8 review/9 review/10; do
   [ -f "$test/test.cc" ] || continue
-  "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/stand-ins-2 "$test/test.cc" \
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/stand-ins-2 "$test/test.cc" \
     -o "build/review-2/case-${test#review/}"
 done
--- a/review/stand-ins-2/cluster_node.h
+++ b/review/stand-ins-2/cluster_node.h
@@ -19,8 +19,8 @@
   const std::string& id() const { return id_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   int port() const { return port_; }
-  // The process begins at a free port, or at this one.
-  void begin(int port = 0) {
+  // The process begins.
+  void begin(int port) {
     listening_ = bind_socket(SOCK_STREAM, port);
     if (listening_ < 0) cannot_run("no port for node " + name_);
     port_ = port_of(listening_);
@@ -28,7 +28,10 @@
     std::thread([this, listening = listening_] {
       for (int socket; (socket = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;) {
         const std::lock_guard guard(lock_);
-        if (!is_up_) return;
+        if (!is_up_) {
+          ::close(socket);
+          return;
+        }
         open_.push_back(socket);
         std::thread([this, socket] { connection(socket); }).detach();
       }
@@ -40,11 +43,11 @@
     is_up_ = false;
     ::shutdown(listening_, SHUT_RDWR);
     ::close(listening_);
+    // Each connection's thread closes its socket, which resets the connection.
     for (const int socket : open_) {
       const linger reset{1, 0};
       ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-      ::shutdown(socket, SHUT_RDWR);
-      ::close(socket);
+      ::shutdown(socket, SHUT_RD);
     }
     record("node %s has died", name_.c_str());
   }
@@ -89,7 +92,9 @@
       }
       if (!write_all(socket, reply)) break;
     }
-    ::shutdown(socket, SHUT_RDWR);
+    const std::lock_guard guard(lock_);
+    std::erase(open_, socket);
+    ::close(socket);
   }
   const std::string name_, id_;
   std::mutex lock_;
