RESP: set the read mode of a connection back before a read of the primary

Cause: RespConnection::encode sent READONLY once and kept it for the life of the connection. A node that has been demoted serves reads on such a connection instead of answering MOVED, so the slot table was not corrected either. The record shows each stale answer on a connection with READONLY, and none without.

Change: ConnectionState holds what the server keeps of a connection (login, RESP version, read mode) for the place behind the last command written; each request gets the commands that set what it requires. Related paths: a login that was refused or has changed in the file is sent again; where READWRITE is refused the connection is retired and its reads are repeated; redirected requests, and those without a known owner, no longer send READONLY to a primary. GET /stats counts the setup commands.

--- a/src/cluster/router.cc
+++ b/src/cluster/router.cc
@@ -140,8 +140,11 @@
 bool Router::reads_replica(RequestId request, std::string_view node) const {
   const auto it = routes_.find(request);
   if (it == routes_.end() || it->second.reads == ReadPreference::kPrimary) return false;
+  // A redirection names the node that serves the slot as its primary.
+  if (it->second.next) return false;
   const auto at = table_.find(node);
-  return at && table_.owner(it->second.slot) != at;
+  const auto owner = table_.owner(it->second.slot);
+  return at && owner && owner != at;
 }
 
 // ---- Placement
--- a/src/cluster/router.h
+++ b/src/cluster/router.h
@@ -59,7 +59,7 @@
   void on_attempt_failed(std::string_view node);
   // Whether ASKING must be sent before the request's attempt at `node`.
   bool asking(RequestId request, std::string_view node) const;
-  // Whether READONLY must be sent before it.
+  // Whether the node is to serve the request as a replica, on a connection with READONLY.
   bool reads_replica(RequestId request, std::string_view node) const;
 
   // ---- Placement
--- a/src/frontend/resp/resp_connection.cc
+++ b/src/frontend/resp/resp_connection.cc
@@ -2,7 +2,6 @@
 
 #include <string_view>
 #include <utility>
-#include <vector>
 
 #include "frontend/resp/replies.h"
 
@@ -10,12 +9,6 @@
 
 using reply::is_error;
 
-std::string login_command(const RespLogin& login) {
-  if (login.password.empty()) return {};
-  if (login.user.empty()) return resp::Command::from_args({"AUTH", login.password}).wire();
-  return resp::Command::from_args({"AUTH", login.user, login.password}).wire();
-}
-
 std::string RespConnection::greeting() {
   if (identity_ != Identity::kUnknown) return {};
   expected_id_ = node_id_of_(current()->host);
@@ -24,13 +17,9 @@
     return {};
   }
   identity_ = Identity::kAsked;
-  std::string commands;
-  if (!login_.password.empty()) {
-    commands = login_command(login_);
-    logged_in_ = true;
-    greeting_replies_to_skip_ = 1;
-  }
-  return commands + resp::Command::from_args({"CLUSTER", "MYID"}).wire();
+  const std::string login = state_.log_in(login_);
+  if (!login.empty()) greeting_replies_to_skip_ = 1;
+  return login + resp::Command::from_args({"CLUSTER", "MYID"}).wire();
 }
 
 // A node that does not support the command, or does not allow it, is taken for the right one.
@@ -45,31 +34,28 @@
 
 void RespConnection::encode(Outgoing& out) {
   const auto& payload = static_cast<const RespPayload&>(*out.attempt->payload);
-  std::size_t setup_replies = 0;
-  const auto add_setup = [&](const std::vector<std::string_view>& words) {
-    out.head += resp::Command::from_args(words).wire();
-    ++setup_replies;
-  };
-  if (!logged_in_ && !login_.password.empty()) {
-    out.head += login_command(login_);
-    ++setup_replies;
-  }
-  logged_in_ = true;
-  if (payload.version != version_) {
-    version_ = payload.version;
-    add_setup({"HELLO", std::to_string(version_)});
-  }
-  if (out.attempt->reads_from_replica && !reads_replica_) {
-    reads_replica_ = true;  // READONLY has no effect on slots that the node owns as a primary
-    add_setup({"READONLY"});
-  }
-  if (out.attempt->asking) add_setup({"ASKING"});
+  const bool reads_replica = out.attempt->reads_from_replica;
+  ConnectionState::Setup setup =
+      state_.prepare({.login = login_,
+                      .version = payload.version,
+                      .read_mode = reads_replica ? ReadMode::kReplica : ReadMode::kPrimaryOnly,
+                      .asking = out.attempt->asking});
+  for (std::size_t i = 0; i < setup.commands.size(); ++i) count(Event::kSetupCommand);
+  out.head = std::move(setup.wire);
   out.body = payload.wire;
-  expected_.push_back({setup_replies, payload.reply_count});
+  expected_.push_back({.setup = std::move(setup.commands),
+                       .primary_read = !reads_replica && !payload.write,
+                       .replies = payload.reply_count});
+}
+
+// A server that refuses READWRITE goes on serving reads as a replica on this connection: requests
+// behind it go to another one, which starts without READONLY.
+void RespConnection::on_setup_reply(SetupCommand command, bool accepted) {
+  if (command != SetupCommand::kReadWrite) return;
+  readwrite_refused_ = !accepted;
+  if (readwrite_refused_) retire();
 }
 
-// Any reply may be a redirection. In a transaction a command that was not queued makes EXEC fail
-// with EXECABORT. The error of that command is then the response, as it states the reason.
 bool RespConnection::on_reply() {
   if (reader_.type() == resp::Type::kPush) {
     reply_.clear();  // out-of-band data; the connection has no subscriptions
@@ -77,8 +63,8 @@
   }
   if (!is_awaiting_answer() || expected_.empty()) return false;
   Expected& e = expected_.front();
-  if (e.setup_replies > 0) {
-    --e.setup_replies;
+  if (e.setup_replies < e.setup.size()) {
+    on_setup_reply(e.setup[e.setup_replies++], !is_error(reply_));
     reply_.clear();
     return true;
   }
@@ -90,19 +76,26 @@
     reply_.clear();
     return true;
   }
-  std::string answer = std::exchange(reply_, {});
-  std::string error = std::move(e.error);
-  const bool had_error = e.had_error;
+  Expected expected = std::move(e);
   expected_.pop_front();
+  return on_response(std::move(expected), std::exchange(reply_, {}));
+}
+
+// Any reply may be a redirection. In a transaction a command that was not queued makes EXEC fail
+// with EXECABORT. The error of that command is then the response, as it states the reason.
+bool RespConnection::on_response(Expected expected, std::string answer) {
   release_answer();
-  if (had_error) {
+  if (expected.had_error) {
     if (!answer.starts_with("-EXECABORT")) {
       // MULTI was rejected but the commands after it were not: they may have run one by one.
       complete_answer(Result::kError);
       return false;
     }
-    answer = std::move(error);
+    answer = std::move(expected.error);
   }
+  if (answer.starts_with("-NOAUTH")) state_.on_login_missing();
+  // The server may have answered as a replica, with data that is behind its primary's.
+  if (readwrite_refused_ && expected.primary_read) return complete_answer(Result::kError);
   return complete_answer(Result::kOk, std::move(answer));
 }
 
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -5,20 +5,14 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
+#include "frontend/resp/connection_state.h"
 #include "net/upstream_connection.h"
 #include "proto/resp.h"
 
 namespace balancer {
 
-// Credentials of a pool's connections to its servers.
-struct RespLogin {
-  std::string user, password;  // empty password: AUTH is not sent
-};
-
-// Returns the AUTH command for these credentials; empty if there is no password.
-std::string login_command(const RespLogin& login);
-
 // A request to a RESP server.
 struct RespPayload : RequestPayload {
   std::string wire;             // one command, or MULTI, commands and EXEC
@@ -36,9 +30,8 @@
 
 // A connection to a RESP server. Asks a node whose id is known for it before anything else, because
 // another process may have taken the address: it may belong to another cluster, and would run what
-// was meant for the node. Sends the setup commands (AUTH, HELLO, READONLY, ASKING) that a
-// request needs in the same write as the request, and drops the replies to them. The value of a
-// response is the unmodified reply.
+// was meant for the node. Sends the setup commands that a request needs in the same write as the
+// request, and drops the replies to them. The value of a response is the unmodified reply.
 class RespConnection : public UpstreamConnection {
  public:
   // Returns the id of the node at an address; empty if it is not known.
@@ -55,10 +48,12 @@
 
  private:
   struct Expected {
-    std::size_t setup_replies;  // replies to the setup commands
-    std::size_t replies;        // replies to the request; the last is the response
-    std::string error{};        // first error among the replies before the last
-    bool had_error = false;     // an error preceded the last reply
+    std::vector<SetupCommand> setup;  // sent ahead of the request
+    bool primary_read;                // a read that a replica must not serve
+    std::size_t replies;              // replies to the request; the last is the response
+    std::size_t setup_replies = 0;    // received so far
+    std::string error{};              // first error among the replies before the last
+    bool had_error = false;           // an error preceded the last reply
   };
 
   // Whether the node is known to be the process that the slot map names.
@@ -72,6 +67,8 @@
   bool on_bytes(std::string_view bytes) override;
   bool between_answers() const override;
   bool on_reply();
+  void on_setup_reply(SetupCommand command, bool accepted);
+  bool on_response(Expected expected, std::string answer);
 
   const RespLogin& login_;
   const NodeIdOf node_id_of_;
@@ -82,8 +79,8 @@
   resp::ReplyReader reader_;
   std::string reply_;  // the reply that is being received
   std::deque<Expected> expected_;
-  bool logged_in_ = false, reads_replica_ = false;
-  int version_ = 2;
+  ConnectionState state_;
+  bool readwrite_refused_ = false;  // by the reply to the last READWRITE
 };
 
 }  // namespace balancer
--- a/src/net/event_counters.h
+++ b/src/net/event_counters.h
@@ -33,8 +33,10 @@
   // attempts
   kAttempt,
   kRepeatedAttempt,  // any but the first of its request
+  // commands that change the state of a connection to a RESP server, ahead of a request
+  kSetupCommand,
 };
-inline constexpr std::size_t kEvents = static_cast<std::size_t>(Event::kRepeatedAttempt) + 1;
+inline constexpr std::size_t kEvents = static_cast<std::size_t>(Event::kSetupCommand) + 1;
 
 // The names of the events as operators see them, in the order of the enumeration.
 inline constexpr std::array<const char*, kEvents> kEventNames{
@@ -48,7 +50,7 @@
     "refused_at_maximum",    "refused_not_forwarded",
     "refused_slow_input",    "refused_by_policy",
     "failed_by_policy",      "attempts",
-    "repeated_attempts"};
+    "repeated_attempts",     "setup_commands"};
 
 class EventCounters {
  public:
--- a/src/net/upstream_connection.h
+++ b/src/net/upstream_connection.h
@@ -101,6 +101,7 @@
   virtual bool between_answers() const = 0;
 
   Time now() const { return events_.now(); }
+  void count(Event event) { limits_.events.add(event); }
   const AttemptPtr& current() const { return queue_.front().attempt; }
   bool is_awaiting_answer() const { return !queue_.empty() && queue_.front().encoded; }
   // Announces the value of the current answer, with its length in bytes. A value longer than
--- a/src/testbed/servers/resp_cluster.cc
+++ b/src/testbed/servers/resp_cluster.cc
@@ -160,6 +160,7 @@
   acceptor_.async_accept([this](error_code e, tcp::socket socket) {
     if (e) return;
     error_code ignored;
+    ++all_.connections_;
     socket.set_option(tcp::no_delay(true), ignored);
     const auto connection = std::make_shared<Connection>(*this, std::move(socket));
     connections_.insert(connection);
@@ -178,6 +179,8 @@
 
 void RespCluster::Connection::handle_command(const Command& c) {
   const auto is = [&c](std::string_view word) { return equals_ignore_case(c[0], word); };
+  if (is("HELLO") || is("AUTH") || is("READONLY") || is("READWRITE") || is("ASKING"))
+    ++node_->all_.setup_commands_;
   if (is("HELLO")) return send(hello(c));
   if (is("AUTH")) return send("+OK\r\n");
   if (is("PING")) return send(c.size() > 1 ? error("ERR") : "+PONG\r\n");
@@ -190,6 +193,7 @@
     ++node_->all_.map_queries_;
     return send(cluster(c));
   }
+  if (is("READWRITE") && node_->all_.refuses_readwrite) return send(error("NOPERM READWRITE"));
   if (is("READONLY") || is("READWRITE")) {
     readonly_ = is("READONLY");
     return send("+OK\r\n");
--- a/src/testbed/servers/resp_cluster.h
+++ b/src/testbed/servers/resp_cluster.h
@@ -75,6 +75,7 @@
   };
   Duration slow_reply_delay{std::chrono::milliseconds(50)};
   std::function<Fault(int node, const resp::Command& command)> fault;
+  bool refuses_readwrite = false;  // answers READWRITE with an error
 
   // Schedules and audits the data commands of clients, except transactions. Without an observer
   // each command runs on arrival.
@@ -101,6 +102,9 @@
   std::uint64_t commands() const { return commands_; }    // data commands received by all nodes
   std::uint64_t redirections() const { return redirections_; }
   std::uint64_t map_queries() const { return map_queries_; }
+  std::uint64_t connections() const { return connections_; }  // accepted by all nodes
+  // AUTH, HELLO, READONLY, READWRITE and ASKING received by all nodes.
+  std::uint64_t setup_commands() const { return setup_commands_; }
 
  private:
   class Node;
@@ -134,6 +138,7 @@
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<Run> runs_;
   std::uint64_t commands_ = 0, redirections_ = 0, map_queries_ = 0;
+  std::uint64_t connections_ = 0, setup_commands_ = 0;
 };
 
 }  // namespace balancer::testbed
--- a/tests/resp_harness.h
+++ b/tests/resp_harness.h
@@ -82,8 +82,8 @@
   using Fault = RespCluster::Fault;
 
   void start_cluster(int primaries = 3, int replicas = 0, const std::string& pool = "",
-                     const std::string& listener = "") {
-    cluster = std::make_unique<RespCluster>(io, primaries, replicas);
+                     const std::string& listener = "", Duration replica_lag = Duration{0}) {
+    cluster = std::make_unique<RespCluster>(io, primaries, replicas, replica_lag);
     std::string seeds;
     for (const auto& a : cluster->addresses()) seeds += (seeds.empty() ? "\"" : ", \"") + a + "\"";
     OperatorSettings added = parse_operator(
