RESP: do not merge the slot map of another cluster at a node's address

Cause: SlotTable::merge compares configuration epochs, which order claims within one cluster alone. Nothing asked whether a view is one of the cluster that the table describes.

Change: Router::end_refresh merges a view only if it names the id of a known node, or no id is known yet; every view passes there. A refused one is a failed refresh, and is counted (foreign_slot_maps in GET /stats).

--- a/src/cluster/router.cc
+++ b/src/cluster/router.cc
@@ -232,7 +232,9 @@
 
 void Router::end_refresh(Time, const std::optional<View>& view) {
   refreshing_ = false;
-  const bool useful = view && !view->shards.empty();
+  const bool is_foreign = view && !table_.is_of_this_cluster(*view);
+  if (is_foreign) ++counters_.foreign_views;
+  const bool useful = view && !view->shards.empty() && !is_foreign;
   if (!useful) {
     ++failed_refreshes_;
     ++counters_.refreshes_failed;
--- a/src/cluster/router.h
+++ b/src/cluster/router.h
@@ -77,7 +77,8 @@
   std::optional<Time> refresh_at() const;
   // Returns the address of the node to query; empty if no node is known.
   std::string begin_refresh(Time now);
-  // Merges the view that the node returned; nullopt if the query failed.
+  // Merges the view that the node returned; nullopt if the query failed. A view of another cluster
+  // counts as a failure.
   void end_refresh(Time now, const std::optional<View>& view);
 
   // Increases whenever a node is added or removed, or replaced by another process.
@@ -91,7 +92,7 @@
 
   struct Counters {
     std::uint64_t moved = 0, ask = 0, unavailable = 0, loops = 0, refreshes = 0,
-                  refreshes_failed = 0;
+                  refreshes_failed = 0, foreign_views = 0;
   };
   const Counters& counters() const { return counters_; }
 
--- a/src/cluster/slot_table.cc
+++ b/src/cluster/slot_table.cc
@@ -1,6 +1,7 @@
 #include "cluster/slot_table.h"
 
 #include <algorithm>
+#include <set>
 
 namespace balancer::cluster {
 
@@ -44,6 +45,18 @@
   return changed;
 }
 
+bool SlotTable::is_of_this_cluster(const View& view) const {
+  std::set<std::string_view> named;
+  for (const auto& [address, id] : view.ids) named.insert(id);
+  bool is_any_known = false;
+  for (const Node& node : nodes_) {
+    if (node.id.empty()) continue;
+    if (named.contains(node.id)) return true;
+    is_any_known = true;
+  }
+  return !is_any_known;
+}
+
 bool SlotTable::merge(const View& view) {
   bool changed = false;
   for (Node& n : nodes_) n.listed = false;
--- a/src/cluster/slot_table.h
+++ b/src/cluster/slot_table.h
@@ -34,7 +34,12 @@
     bool listed = false;      // by the view that was merged last
   };
 
-  // Merges a view. Returns true if a slot changed its owner or a node was added or removed.
+  // Returns whether the view can be one of the cluster that this table describes: it names the id
+  // of a known node, or no id is known yet. The address of a node that has gone may belong to a
+  // node of another cluster now, whose epochs mean nothing here.
+  bool is_of_this_cluster(const View& view) const;
+  // Merges a view of this cluster. Returns true if a slot changed its owner or a node was added or
+  // removed.
   bool merge(const View& view);
   // Reassigns a slot after `from` answered MOVED and named `to`. Returns false and changes nothing
   // if `from` does not own the slot or named itself.
--- a/src/frontend/resp/cluster_pool.cc
+++ b/src/frontend/resp/cluster_pool.cc
@@ -286,7 +286,10 @@
 
 void ClusterPool::on_refreshed(const std::optional<View>& view) {
   query_ = nullptr;
+  const std::uint64_t foreign_before = router_.counters().foreign_views;
   router_.end_refresh(clock_.now(), view);
+  if (router_.counters().foreign_views != foreign_before)
+    limits_.events.add(Event::kForeignSlotMap);
   if (router_.revision() != applied_revision_) apply_nodes();
   schedule_refresh();
 }
--- a/src/frontend/resp/transactions.cc
+++ b/src/frontend/resp/transactions.cc
@@ -5,7 +5,6 @@
 namespace balancer {
 namespace {
 
-using cluster::CommandInfo;
 using cluster::CommandKind;
 using cluster::Slot;
 using resp::Command;
--- a/src/net/event_counters.h
+++ b/src/net/event_counters.h
@@ -35,8 +35,10 @@
   kRepeatedAttempt,  // any but the first of its request
   // commands that change the state of a connection to a RESP server, ahead of a request
   kSetupCommand,
+  // RESP nodes whose address another process has taken
+  kForeignSlotMap,  // a slot map that names no known node
 };
-inline constexpr std::size_t kEvents = static_cast<std::size_t>(Event::kSetupCommand) + 1;
+inline constexpr std::size_t kEvents = static_cast<std::size_t>(Event::kForeignSlotMap) + 1;
 
 // The names of the events as operators see them, in the order of the enumeration.
 inline constexpr std::array<const char*, kEvents> kEventNames{
@@ -50,7 +52,8 @@
     "refused_at_maximum",    "refused_not_forwarded",
     "refused_slow_input",    "refused_by_policy",
     "failed_by_policy",      "attempts",
-    "repeated_attempts",     "setup_commands"};
+    "repeated_attempts",     "setup_commands",
+    "foreign_slot_maps"};
 
 class EventCounters {
  public:
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -278,6 +278,43 @@
   EXPECT_EQ(first.size(), 3u);
 }
 
+// The address of a replica that has died is a seed, so the process that took it is asked for the
+// slots. Its cluster's epochs are unrelated to ours.
+TEST_F(RouterTest, IgnoresTheSlotMapOfAnotherCluster) {
+  View ours = view_of("a:1", 3, {{"a:1", 0, 16383, 3}});
+  ours.ids = {{"a:1", "id-a"}};
+  merge(ours);
+  for (const std::uint64_t epoch : {1u, 3u, 12u}) {
+    View foreign = view_of("b:1", epoch, {{"b:1", 0, 16383, epoch}});
+    foreign.ids = {{"b:1", "id-b"}};
+    merge(foreign);
+    router->begin(1, slot_of(key), ReadPreference::kPrimary);
+    EXPECT_EQ(offered(key, 1), Names{"a:1"}) << epoch;
+    EXPECT_EQ(router->node_id("b:1"), "");
+  }
+  View without_ids = view_of("b:1", 12, {{"b:1", 0, 16383, 12}});
+  merge(without_ids);
+  EXPECT_EQ(offered(key, 1), Names{"a:1"});
+  EXPECT_EQ(router->counters().foreign_views, 4u);
+}
+
+// Nodes of our cluster are replaced by new ones at their addresses, one after the other. A view is
+// ours as long as it names a node that is known.
+TEST_F(RouterTest, FollowsNodesThatAreReplacedAtTheirAddresses) {
+  View before = view_of("a:1", 3, {{"a:1", 0, 8191, 2}, {"b:1", 8192, 16383, 3}});
+  before.ids = {{"a:1", "id-a"}, {"b:1", "id-b"}};
+  merge(before);
+  View first = view_of("a:1", 4, {{"a:1", 0, 8191, 4}, {"b:1", 8192, 16383, 3}});
+  first.ids = {{"a:1", "id-c"}, {"b:1", "id-b"}};
+  merge(first);
+  EXPECT_EQ(router->node_id("a:1"), "id-c");
+  View second = view_of("b:1", 5, {{"a:1", 0, 8191, 4}, {"b:1", 8192, 16383, 5}});
+  second.ids = {{"a:1", "id-c"}, {"b:1", "id-d"}};
+  merge(second);
+  EXPECT_EQ(router->node_id("b:1"), "id-d");
+  EXPECT_EQ(router->counters().foreign_views, 0u);
+}
+
 TEST_F(RouterTest, OffersAnyNodeIfTheOwnerIsUnknown) {
   insert_new_nodes();
   router->begin(1, 12182, ReadPreference::kPrimary);
--- a/tests/reused_address_test.cc
+++ b/tests/reused_address_test.cc
@@ -90,12 +90,14 @@
 
 class ReusedNodeAddressTest : public RespNodeTest {
  protected:
-  void start_with(const ScriptedNode& node) {
-    OperatorSettings added = parse_operator(
-        "[[pool]]\nname = \"history\"\nseeds = [\"" + node.server.dial() +
-            "\"]\nrefresh_interval_ms = 20\n[[listener]]\nname = \"resp\"\naddress = "
-            "\"127.0.0.1:0\"\npool = \"history\"\n",
-        "test.toml");
+  void start_with(const ScriptedNode& node) { start("seeds = [\"" + node.server.dial() + "\"]\n"); }
+  // `pool`: further lines of the pool's table, with the seeds.
+  void start(const std::string& pool) {
+    OperatorSettings added =
+        parse_operator("[[pool]]\nname = \"history\"\n" + pool +
+                           "refresh_interval_ms = 20\n[[listener]]\nname = \"resp\"\naddress = "
+                           "\"127.0.0.1:0\"\npool = \"history\"\n",
+                       "test.toml");
     limits = std::make_unique<Limits>(config.sockets, config.memory_mb);
     balancer = std::make_unique<Balancer>(io, config, *limits, std::move(added));
     ASSERT_TRUE(wait([&] { return router().table().assigned() == cluster::kSlots; }));
@@ -119,5 +121,27 @@
   EXPECT_EQ(node.commands.size(), 1u);
 }
 
+// The process at the address is a node of another cluster, and is asked for the slots there.
+TEST_F(ReusedNodeAddressTest, IgnoresTheSlotMapOfAnotherCluster) {
+  ScriptedNode ours(io), gone(io);
+  for (ScriptedNode* node : {&ours, &gone})
+    node->on_command = [](Peer& p, const ScriptedNode::Arguments&) { p.send("+OK\r\n"); };
+  gone.slot_owner = ours.server.dial();  // a replica
+  start("refresh_every_ms = 100\nseeds = [\"" + ours.server.dial() + "\", \"" + gone.server.dial() +
+        "\"]\n");
+  auto c = client();
+  EXPECT_EQ(c->send_and_receive({"SET", "k", "1"}), "+OK\r\n");
+  // Two more refreshes of each seed.
+  gone.id = std::string(40, '9');
+  gone.slot_owner = gone.server.dial();
+  const auto refreshes = router().counters().refreshes;
+  ASSERT_TRUE(wait([&] { return router().counters().refreshes >= refreshes + 4; }));
+  EXPECT_GT(router().counters().foreign_views, 0u);
+  EXPECT_EQ(limits->events.count(Event::kForeignSlotMap), router().counters().foreign_views);
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(c->send_and_receive({"SET", "k", "2"}), "+OK\r\n");
+  EXPECT_EQ(ours.commands.size(), 11u);
+  EXPECT_TRUE(gone.commands.empty());
+}
+
 }  // namespace
 }  // namespace balancer::node
