RESP: send commands only to a process that shows the node's id

Cause: a connection asks CLUSTER MYID first, and any error to it counted as the right id, so that servers without the command were not shut out. A store of no cluster answers with an error too.

Change: NodeIdentity decides for every connection. Only the expected id confirms the node; where MYID is not known or not allowed, CLUSTER NODES and then SLOTS have to list the process with the id under its address. Other errors end the connection with nothing sent. Related paths: connections opened before a node's id was known are opened anew once a view names it; of two nodes that CLUSTER NODES lists at one address, the failed one's id no longer hides the live one's.

--- a/src/cluster/slot_table.cc
+++ b/src/cluster/slot_table.cc
@@ -12,6 +12,13 @@
 }
 
 std::optional<NodeIndex> SlotTable::add(std::string_view address) {
+  if (const auto known = find(address)) return known;
+  const auto added = insert(address);
+  if (added) nodes_[*added].unverified = true;
+  return added;
+}
+
+std::optional<NodeIndex> SlotTable::insert(std::string_view address) {
   if (const auto known = find(address)) return known;
   if (address.empty() || by_address_.size() >= max_nodes_) return std::nullopt;
   const auto free =
@@ -65,14 +72,14 @@
   for (std::size_t i = 0; i < view.shards.size(); ++i) {
     const Shard& shard = view.shards[i];
     const std::size_t before = by_address_.size();
-    const auto primary = add(shard.primary);
+    const auto primary = insert(shard.primary);
     if (primary) {
       primaries[i] = *primary;
       nodes_[*primary].listed = true;
     }
     std::vector<NodeIndex> replicas;
     for (const auto& address : shard.replicas) {
-      const auto replica = add(address);
+      const auto replica = insert(address);
       if (!replica || replica == primary) continue;
       nodes_[*replica].listed = true;
       replicas.push_back(*replica);
@@ -101,14 +108,17 @@
   return drop_unlisted(view) || changed;
 }
 
-// Returns whether a node has another id than before, and so is another process.
+// Returns whether a process at a known address was replaced, or may have been: connections that
+// were opened before the id was known have not asked for it.
 bool SlotTable::update_ids(const View& view) {
   bool has_replaced = false;
   for (const auto& [address, id] : view.ids) {
     const auto index = find(address);
     if (!index) continue;
     Node& node = nodes_[*index];
-    if (!node.id.empty() && node.id != id) {
+    const bool is_replaced = node.id.empty() ? node.unverified : node.id != id;
+    node.unverified = false;
+    if (is_replaced) {
       ++node.process;
       has_replaced = true;
     }
--- a/src/cluster/slot_table.h
+++ b/src/cluster/slot_table.h
@@ -25,13 +25,16 @@
   explicit SlotTable(std::size_t max_nodes) : max_nodes_(max_nodes) {}
 
   struct Node {
-    std::string address;        // empty: the entry is unused
-    std::string id;             // of the node's process; empty: unknown
-    std::uint64_t process = 0;  // number of processes that have been seen at the address before
+    std::string address;  // empty: the entry is unused
+    std::string id;       // of the node's process; empty: unknown
+    // Number of earlier processes at the address: those with other ids, and the one whose id was
+    // not known, as it may have been another.
+    std::uint64_t process = 0;
     std::vector<NodeIndex> replicas;
     std::uint64_t epoch = 0;  // newest configuration epoch reported for it as a primary
     std::uint32_t owned = 0;  // number of slots that it owns
     bool listed = false;      // by the view that was merged last
+    bool unverified = false;  // named by a seed or a redirection, and by no view with its id yet
   };
 
   // Returns whether the view can be one of the cluster that this table describes: it names the id
@@ -61,6 +64,7 @@
     NodeIndex owner = kNone;
   };
 
+  std::optional<NodeIndex> insert(std::string_view address);
   bool assign(Slot slot, NodeIndex owner, std::uint64_t epoch);
   bool drop_unlisted(const View& view);
   bool update_ids(const View& view);
--- a/src/cluster/view.cc
+++ b/src/cluster/view.cc
@@ -90,7 +90,8 @@
     };
     view.epoch = std::max(view.epoch, *epoch);
     if (address.empty() || has("noaddr") || has("handshake")) continue;
-    add_id(view, address, words[0]);
+    // A node that has failed stays on the list beside the one that has taken its address.
+    if (!has("fail") || !view.ids.contains(address)) add_id(view, address, words[0]);
     if (has("slave") || has("replica")) {
       if (!has("fail")) replicas.emplace_back(words[3], address);
       continue;
--- a/src/frontend/resp/resp_connection.cc
+++ b/src/frontend/resp/resp_connection.cc
@@ -10,26 +10,40 @@
 using reply::is_error;
 
 std::string RespConnection::greeting() {
-  if (identity_ != Identity::kUnknown) return {};
-  expected_id_ = node_id_of_(current()->host);
-  if (expected_id_.empty()) {
-    identity_ = Identity::kConfirmed;
-    return {};
+  if (identity_state_ != IdentityState::kUnknown) return {};
+  std::string login;
+  if (!identity_) {
+    const std::string& address = current()->host;
+    std::string id = node_id_of_(address);
+    if (id.empty()) {
+      identity_state_ = IdentityState::kConfirmed;
+      return {};
+    }
+    identity_.emplace(std::move(id), address);
+    login = state_.log_in(login_);
+    if (!login.empty()) greeting_replies_to_skip_ = 1;
   }
-  identity_ = Identity::kAsked;
-  const std::string login = state_.log_in(login_);
-  if (!login.empty()) greeting_replies_to_skip_ = 1;
-  return login + resp::Command::from_args({"CLUSTER", "MYID"}).wire();
+  identity_state_ = IdentityState::kAsked;
+  return login + identity_->question();
 }
 
-// A node that does not support the command, or does not allow it, is taken for the right one.
 bool RespConnection::on_greeting_reply() {
   const std::string reply = std::exchange(reply_, {});
   if (reader_.type() == resp::Type::kPush) return true;
   if (greeting_replies_to_skip_ > 0) return --greeting_replies_to_skip_, true;
-  identity_ = Identity::kConfirmed;
-  const auto id = resp::parse_reply(reply, bounds_);
-  return id && (id->is_error() || id->text == expected_id_);
+  switch (identity_->on_reply(reply, bounds_)) {
+    case NodeIdentity::Answer::kConfirmed:
+      identity_state_ = IdentityState::kConfirmed;
+      identity_.reset();
+      return true;
+    case NodeIdentity::Answer::kAskAgain:
+      identity_state_ = IdentityState::kUnknown;
+      flush();
+      return true;
+    case NodeIdentity::Answer::kOther:
+      break;
+  }
+  return false;
 }
 
 void RespConnection::encode(Outgoing& out) {
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -2,12 +2,14 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "frontend/resp/connection_state.h"
+#include "frontend/resp/node_identity.h"
 #include "net/upstream_connection.h"
 #include "proto/resp.h"
 
@@ -30,9 +32,9 @@
 };
 
 // A connection to a RESP server. Asks a node whose id is known for it before anything else, because
-// another process may have taken the address: it may belong to another cluster, and would run what
-// was meant for the node. Sends the setup commands that a request needs in the same write as the
-// request, and drops the replies to them. The value of a response is the unmodified reply.
+// another process may have taken the address and would run what was meant for the node. Sends the
+// setup commands that a request needs in the same write as the request, and drops the replies to
+// them. The value of a response is the unmodified reply.
 class RespConnection : public UpstreamConnection {
  public:
   // Returns the id of the node at an address; empty if it is not known.
@@ -57,12 +59,12 @@
     bool had_error = false;           // an error preceded the last reply
   };
 
-  // Whether the node is known to be the process that the slot map names.
-  enum class Identity { kUnknown, kAsked, kConfirmed };
+  // Whether the process is known to be the node that the slot map names.
+  enum class IdentityState { kUnknown, kAsked, kConfirmed };
 
   bool can_pipeline() const override { return true; }
   std::string greeting() override;
-  bool is_greeted() const override { return identity_ == Identity::kConfirmed; }
+  bool is_greeted() const override { return identity_state_ == IdentityState::kConfirmed; }
   bool on_greeting_reply();
   void encode(Outgoing& out) override;
   bool on_bytes(std::string_view bytes) override;
@@ -73,8 +75,8 @@
 
   const RespLogin& login_;
   const NodeIdOf node_id_of_;
-  Identity identity_ = Identity::kUnknown;
-  std::string expected_id_;
+  IdentityState identity_state_ = IdentityState::kUnknown;
+  std::optional<NodeIdentity> identity_;  // while it is being established
   int greeting_replies_to_skip_ = 0;
   const resp::InputLimits bounds_;
   resp::ReplyReader reader_;
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -278,6 +278,26 @@
   EXPECT_EQ(first.size(), 3u);
 }
 
+// Connections that were opened before the id of a node was known have not asked for it.
+TEST_F(RouterTest, TakesANodeForAnotherProcessOnceItsIdIsKnown) {
+  using Processes = std::vector<std::pair<std::string, std::uint64_t>>;
+  EXPECT_EQ(router->processes(), (Processes{{"a:1", 0}}));
+  View view = view_of("a:1", 3, {{"a:1", 0, 8191, 3}, {"b:1", 8192, 16383, 3}});
+  view.ids = {{"a:1", "id-a"}, {"b:1", "id-b"}};
+  merge(view);
+  EXPECT_EQ(router->processes(), (Processes{{"a:1", 1}, {"b:1", 0}}));
+  merge(view);
+  EXPECT_EQ(router->processes(), (Processes{{"a:1", 1}, {"b:1", 0}}));
+}
+
+// A node that has failed and the one that has taken its address are both listed.
+TEST(ClusterView, NamesTheLiveOneOfTwoNodesAtOneAddress) {
+  const std::string dead = "id-dead 127.0.0.1:7@1 master,fail - 0 0 1 disconnected 0-5\n";
+  const std::string live = "id-live 127.0.0.1:7@1 master - 0 0 2 connected 6-9\n";
+  for (const std::string& text : {dead + live, live + dead})
+    EXPECT_EQ(parse_cluster_nodes(text, "127.0.0.1:7")->ids.at("127.0.0.1:7"), "id-live");
+}
+
 // The address of a replica that has died is a seed, so the process that took it is asked for the
 // slots. Its cluster's epochs are unrelated to ours.
 TEST_F(RouterTest, IgnoresTheSlotMapOfAnotherCluster) {
--- a/tests/reused_address_test.cc
+++ b/tests/reused_address_test.cc
@@ -121,6 +121,56 @@
   EXPECT_EQ(node.commands.size(), 1u);
 }
 
+// A server of no cluster answers the question for its id with an error, and runs all commands.
+class StoreAtNodeAddressTest : public ReusedNodeAddressTest,
+                               public ::testing::WithParamInterface<const char*> {};
+
+TEST_P(StoreAtNodeAddressTest, GetsNoCommands) {
+  ScriptedNode node(io);
+  node.on_command = [](Peer& p, const ScriptedNode::Arguments&) { p.send("+OK\r\n"); };
+  start_with(node);
+  auto c = client();
+  EXPECT_EQ(c->send_and_receive({"SET", "k", "1"}), "+OK\r\n");
+  node.cluster_error = GetParam();
+  for (const auto& p : std::exchange(node.server.peers, {})) p->close();
+  for (int i = 0; i < 5; ++i) {
+    const std::string reply = c->send_and_receive({"SET", "k", "2"});
+    EXPECT_TRUE(reply.starts_with("-TRYAGAIN")) << reply;
+  }
+  EXPECT_EQ(node.commands.size(), 1u);
+  // The node is back.
+  node.cluster_error.clear();
+  EXPECT_TRUE(wait([&] { return c->send_and_receive({"SET", "k", "3"}) == "+OK\r\n"; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Errors, StoreAtNodeAddressTest,
+                         ::testing::Values("ERR This instance has cluster support disabled",
+                                           "ERR unknown command 'CLUSTER'",
+                                           "NOPERM this user has no permissions to run it",
+                                           "NOAUTH Authentication required.",
+                                           "LOADING the dataset is being loaded"));
+
+// Servers that do not know CLUSTER MYID, or do not allow it, are known by their slot map.
+class NodeWithoutMyIdTest : public ReusedNodeAddressTest,
+                            public ::testing::WithParamInterface<const char*> {};
+
+TEST_P(NodeWithoutMyIdTest, IsKnownByItsSlotMap) {
+  ScriptedNode node(io);
+  node.supports_my_id = false;
+  node.topology_subcommands = {GetParam()};
+  node.on_command = [](Peer& p, const ScriptedNode::Arguments&) { p.send("+OK\r\n"); };
+  start_with(node);
+  auto c = client();
+  EXPECT_EQ(c->send_and_receive({"SET", "k", "1"}), "+OK\r\n");
+  node.id = std::string(40, '2');
+  for (const auto& p : std::exchange(node.server.peers, {})) p->close();
+  const std::string reply = c->send_and_receive({"SET", "k", "2"});
+  EXPECT_TRUE(reply.starts_with("-TRYAGAIN")) << reply;
+  EXPECT_EQ(node.commands.size(), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Subcommands, NodeWithoutMyIdTest, ::testing::Values("NODES", "SLOTS"));
+
 // The process at the address is a node of another cluster, and is asked for the slots there.
 TEST_F(ReusedNodeAddressTest, IgnoresTheSlotMapOfAnotherCluster) {
   ScriptedNode ours(io), gone(io);
--- a/tests/scripted_node.h
+++ b/tests/scripted_node.h
@@ -30,6 +30,8 @@
   std::string slot_owner;
   std::string id = std::string(40, '1');  // as reported by CLUSTER NODES and CLUSTER MYID
   bool answers_topology = true;           // answers CLUSTER commands other than MYID
+  bool supports_my_id = true;
+  std::string cluster_error;  // answer to all CLUSTER commands, as of a server of no cluster
   // CLUSTER subcommands that it supports besides INFO.
   std::vector<std::string> topology_subcommands = {"NODES"};
   std::vector<Arguments> commands;
@@ -71,7 +73,9 @@
       text(value);
     };
     const auto colon = slot_owner.find(':');
-    if (subcommand == "MYID") {
+    if (!cluster_error.empty()) {
+      resp::append_error(reply, cluster_error);
+    } else if (subcommand == "MYID" && supports_my_id) {
       text(id);
     } else if (subcommand == "INFO") {
       text("cluster_current_epoch:1\r\n");
