Leases: let lease_ms differ between members while it is rolled out

Cause: the holder counted its lease and its renewals by its own lease_ms; a voter kept a grant by its own, also one that it had given before a restart with a longer one. The reply to a grant states how long the voter keeps it, and the holder did not read that.

Change: a voter never shortens a grant, across renewals, raised terms and restarts; its record has the duration of each grant. A holder uses the shortest time that the voters of its round state, at most its own, and renews four times within it. A voter accepts a successor of the set of voters once the longest grant on its record has ended.

--- a/src/lease/lease_holder.cc
+++ b/src/lease/lease_holder.cc
@@ -52,7 +52,8 @@
       voters_(std::move(voters)),
       random_(static_cast<std::minstd_rand::result_type>(seed ^ seed >> 32)),
       since_(now),
-      next_election_at_(now) {}
+      next_election_at_(now),
+      lease_duration_(times.duration) {}
 
 bool LeaseHolder::may_serve(Time now, Duration drain) const {
   if (holds(now)) return true;
@@ -147,7 +148,7 @@
 void LeaseHolder::start_round(Time now, VoteRequest::Kind kind) {
   if (open_rounds_.size() >= kMaxOpenRounds) open_rounds_.pop_front();
   const VoteRequest request = make_request(kind);
-  open_rounds_.push_back({request.number, now, {}, {}});
+  open_rounds_.push_back({request.number, now, {}, {}, times_.duration});
   for (const auto& voter : voters_.names) requests_.push_back({voter, request});
 }
 
@@ -201,9 +202,10 @@
 }
 
 void LeaseHolder::become_holder(Time now, const Round& round) {
-  valid_until_ = round.sent_at + times_.holder_duration();
+  lease_duration_ = round.duration;
+  valid_until_ = round.sent_at + times_.holder_duration(lease_duration_);
   voters_reached_ = round.answered.size();
-  next_renewal_at_ = std::max(now, round.sent_at + times_.duration / kRenewalsPerLease);
+  next_renewal_at_ = std::max(now, round.sent_at + renewal_interval());
   if (now >= valid_until_ - times_.withdraw_lead)
     return abandon_election(now, "the lease was granted too late to be used");
   believed_holder_ = self_;
@@ -222,9 +224,11 @@
     route_actions_.push_back({RouteAction::Kind::kAnnounce, address_, term_});
   }
   start_round(now, VoteRequest::Kind::kLease);
-  next_renewal_at_ = now + times_.duration / kRenewalsPerLease;
+  next_renewal_at_ = now + renewal_interval();
 }
 
+Duration LeaseHolder::renewal_interval() const { return lease_duration_ / kRenewalsPerLease; }
+
 void LeaseHolder::poll_voters(Time now) {
   open_rounds_.clear();
   start_round(now, VoteRequest::Kind::kQuery);
@@ -255,7 +259,7 @@
   if (state_ == State::kPartitioned) return on_partitioned_reply(now, *round);
   if (in_pre_vote_) return on_pre_vote_reply(now, *round, voter, reply);
   if (reply.verdict == VoteReply::Verdict::kGranted && reply.term == term_ && reply.holder == self_)
-    round->granted.insert(voter);
+    record_grant(*round, voter, reply);
   if (state_ == State::kCandidate) return on_election_reply(now, *round, reply);
   if (state_ == State::kHolder) return on_renewal_reply(now, *round, reply);
 }
@@ -273,6 +277,13 @@
     is_release_confirmed_ = true;
 }
 
+// The voters may go by another duration than this instance, and state for how long they keep the
+// grant. A longer time than the own duration is not used.
+void LeaseHolder::record_grant(Round& round, const std::string& voter, const VoteReply& reply) {
+  round.granted.insert(voter);
+  if (reply.remaining > Duration{0}) round.duration = std::min(round.duration, reply.remaining);
+}
+
 void LeaseHolder::on_partitioned_reply(Time now, const Round& round) {
   voters_reached_ = round.answered.size();
   if (voters_reached_ < majority()) return;
@@ -305,7 +316,9 @@
   if (reply.verdict == Verdict::kOldTerm && raise_term_at_ == Time::max())
     raise_term_at_ = now + times_.duration;
   if (round.granted.size() >= majority()) {
-    valid_until_ = std::max(valid_until_, round.sent_at + times_.holder_duration());
+    lease_duration_ = round.duration;
+    valid_until_ = std::max(valid_until_, round.sent_at + times_.holder_duration(lease_duration_));
+    next_renewal_at_ = std::min(next_renewal_at_, round.sent_at + renewal_interval());
     voters_reached_ = round.answered.size();
     return;
   }
@@ -425,11 +438,12 @@
   for (const Time t :
        {next_election_at_, known_lease_ends_at_, election_deadline_, next_renewal_at_, valid_until_,
         overlap_ends_at_, next_poll_at_, raise_term_at_, may_serve_until_,
-        graceful_since_.value_or(Time{-1}), since_})
+        graceful_since_.value_or(Time{-1}), since_, lease_duration_})
     time(t);
   for (const Round& r : open_rounds_) {
     number(r.number);
     time(r.sent_at);
+    time(r.duration);
     for (const auto* set : {&r.granted, &r.answered}) {
       for (const auto& name : *set) out += name + " ";
       out += ";";
--- a/src/lease/lease_holder.h
+++ b/src/lease/lease_holder.h
@@ -129,6 +129,7 @@
     std::uint64_t number;
     Time sent_at;
     std::set<std::string> granted, answered;  // names of voters
+    Duration duration;                        // the shortest of the grants; at most the own one
   };
 
   void enter(Time now, State state, std::string_view reason);
@@ -147,6 +148,8 @@
   void on_partitioned_reply(Time now, const Round& round);
   void on_pre_vote_reply(Time now, Round& round, const std::string& voter, const VoteReply& reply);
   void on_election_reply(Time now, const Round& round, const VoteReply& reply);
+  static void record_grant(Round& round, const std::string& voter, const VoteReply& reply);
+  Duration renewal_interval() const;
   void on_renewal_reply(Time now, const Round& round, const VoteReply& reply);
   // Returns whether so many voters have denied the request that no majority can grant it.
   bool is_denied(const Round& round) const {
@@ -198,6 +201,7 @@
 
   // The lease.
   Time valid_until_{0};
+  Duration lease_duration_;  // as the voters granted it last
   Time next_renewal_at_{0};
   Time raise_term_at_ = Time::max();
 
--- a/src/lease/messages.h
+++ b/src/lease/messages.h
@@ -50,9 +50,11 @@
   bool empty() const { return number == 0; }
 };
 
-// Times of the lease protocol. Every member of a group must use the same values.
+// Times of the lease protocol. While a new duration is introduced member by member, a holder goes
+// by what the voters grant; the other values must be the same at every member of a group.
 struct LeaseTimes {
-  // How long a voter keeps a grant, on its own clock, from the moment it grants. Default: 1000 ms.
+  // How long a voter keeps a grant, on its own clock, from the moment it grants, and the longest
+  // time for which a holder uses a grant. Default: 1000 ms.
   Duration duration{std::chrono::milliseconds(1000)};
   // Largest relative difference between the speeds of two machines' clocks. Default: 0.01.
   double max_clock_drift = 0.01;
@@ -68,10 +70,11 @@
   // enumerate all states. Default: 1.
   double jitter_factor = 1;
 
-  // Returns how long a holder may use a lease, on its own clock, counted from before it sent the
-  // request. In true time this is no longer than any voter keeps its grant.
-  Duration holder_duration() const {
-    return from_seconds(seconds(duration) * (1 - max_clock_drift) / (1 + max_clock_drift));
+  // Returns how long a holder may use a lease that the voters keep for `granted`, on its own clock,
+  // counted from before it sent the request. In true time this is no longer than any voter keeps
+  // its grant.
+  Duration holder_duration(Duration granted) const {
+    return from_seconds(seconds(granted) * (1 - max_clock_drift) / (1 + max_clock_drift));
   }
 };
 
@@ -107,6 +110,7 @@
   std::uint64_t number = 0;  // of the request
   Term term = 0;             // the newest term that the voter has granted
   InstanceId holder;         // the holder to which that term was granted
+  // How much longer the voter keeps the grant, its own to the sender included; 0: not stated.
   Duration remaining{0};
   VoterSet voters;  // the set that the voter uses
 };
--- a/src/lease/voter.cc
+++ b/src/lease/voter.cc
@@ -37,7 +37,7 @@
   if (record) {
     record_ = *record;
     for (const auto& [address, grant] : record_.grants)
-      grant_states_[address].expires_at = now + times_.duration;
+      grant_states_[address].expires_at = now + std::max(grant.duration, times_.duration);
   } else {
     record_.voters = initial_voters;
     record_.record_lost = true;
@@ -111,10 +111,11 @@
   if (is_granted_to(grant, request) && !state.is_released) {
     // A renewal, possibly of a lease that has expired on this voter: no other instance was granted
     // a lease in between.
-    grant_states_[request.address].expires_at = now + times_.duration;
+    GrantState& renewed = grant_states_[request.address];
+    const bool changed = renew(now, record_.grants[request.address], renewed);
     reply.verdict = Verdict::kGranted;
-    reply.remaining = times_.duration;
-    return false;
+    reply.remaining = renewed.expires_at - now;
+    return changed;
   }
   // The holder may take a newer term: the grant stays with the same holder.
   const bool raises_term = grant.holder == request.holder && request.term > grant.term;
@@ -137,15 +138,35 @@
     reply.remaining = times_.duration;
     return false;
   }
-  record_.grants[request.address] = {request.term, request.holder};
-  grant_states_[request.address] = {now + times_.duration, {}, Time{0}, false};
+  // A holder that raises its term keeps what it was granted before.
+  const bool keeps_lease = raises_term && is_held(grant, state, now);
+  VoterRecord::Grant& granted = record_.grants[request.address];
+  GrantState& granted_state = grant_states_[request.address];
+  if (!keeps_lease) granted_state = {};
+  granted = {request.term, request.holder, keeps_lease ? grant.duration : Duration{0}};
+  renew(now, granted, granted_state);
   reply.verdict = Verdict::kGranted;
   reply.term = request.term;
   reply.holder = request.holder;
-  reply.remaining = times_.duration;
+  reply.remaining = granted_state.expires_at - now;
   return true;
 }
 
+// A grant is never shortened: its holder relies on what it was told. The record has the longest
+// duration that is still running, so that a restart does not shorten it either.
+bool Voter::renew(Time now, VoterRecord::Grant& grant, GrantState& state) {
+  const Time expires_at = now + times_.duration;
+  if (expires_at < state.expires_at) return false;
+  state.expires_at = expires_at;
+  return std::exchange(grant.duration, times_.duration) != times_.duration;
+}
+
+Duration Voter::longest_grant() const {
+  Duration longest = times_.duration;
+  for (const auto& [address, grant] : record_.grants) longest = std::max(longest, grant.duration);
+  return longest;
+}
+
 // ---- reconfiguration of the voters
 
 Voter::ReconfigurationDecision Voter::on_reconfiguration(Time now,
@@ -202,7 +223,7 @@
   if (!is_valid(request.next) || !is_single_step(request.current, request.next))
     return "version " + std::to_string(request.next.version) + " does not follow version " +
            std::to_string(request.current.version) + " by one voter more or less";
-  if (now < voter_set_adopted_at_ + times_.duration)
+  if (now < voter_set_adopted_at_ + longest_grant())
     return "has not gone by the present set for a lease yet";
   return {};
 }
@@ -217,7 +238,7 @@
       std::to_string(record_.record_lost);
   for (const auto& [address, grant] : record_.grants)
     out += ";" + address + "," + std::to_string(grant.term) + "," + grant.holder.name + "," +
-           std::to_string(grant.holder.incarnation);
+           std::to_string(grant.holder.incarnation) + "," + std::to_string(grant.duration.count());
   for (const auto& [address, state] : grant_states_)
     out += ";" + address + "," + std::to_string(state.expires_at.count()) + "," +
            state.reserved_for + "," + std::to_string(state.reserved_until.count()) + "," +
--- a/src/lease/voter.h
+++ b/src/lease/voter.h
@@ -15,16 +15,16 @@
 // by GroupNode. Performs no I/O and reads no clock; `now` is passed to every call and must not
 // decrease.
 //
-// Guarantee: after a grant, no other holder is granted the address until LeaseTimes::duration has
-// passed on this voter's clock, even across a crash. The caller must therefore write record() to
-// disk before it sends the reply of a decision with `record_changed`; if the record cannot be
-// written, it must not send the reply.
+// Guarantee: after a grant, no other holder is granted the address until the duration that the
+// reply states has passed on this voter's clock, even across a crash or a restart with another
+// duration. The caller must therefore write record() to disk before it sends the reply of a
+// decision with `record_changed`; if the record cannot be written, it must not send the reply.
 //
 // Expiry times are not stored. A restarted voter treats each grant in its record as if it had just
-// been given. A voter without a record (a new folder, an unreadable file) grants nothing for the
-// duration of a lease, after which any grant that it has forgotten has expired. An empty record
-// would state that nothing was granted, so none may be written before the first decision that
-// requires it.
+// been given, for the duration in the record. A voter without a record (a new folder, an unreadable
+// file) grants nothing for the duration of a lease, after which any grant that it has forgotten has
+// expired. An empty record would state that nothing was granted, so none may be written before the
+// first decision that requires it.
 class Voter {
  public:
   // `record`: the record on disk, or nullopt if there is none. `initial_voters`: the voters of a
@@ -81,6 +81,10 @@
   static bool is_held(const VoterRecord::Grant& grant, const GrantState& state, Time now) {
     return !state.is_released && state.expires_at > now && !grant.holder.empty();
   }
+  // Extends a grant to its present holder. Returns whether the record has changed.
+  bool renew(Time now, VoterRecord::Grant& grant, GrantState& state);
+  // Returns the longest duration for which this voter keeps a grant.
+  Duration longest_grant() const;
   VoterRecord::Grant newest_grant(const std::string& address) const;
   GrantState grant_state(const std::string& address) const;
 
--- a/src/lease/voter_record.h
+++ b/src/lease/voter_record.h
@@ -14,6 +14,7 @@
   struct Grant {
     Term term = 0;
     InstanceId holder;
+    Duration duration{0};  // for which the voter keeps the grant; 0: an older version's record
     bool operator==(const Grant&) const = default;
   };
   VoterSet voters;                      // the set that the voter uses
--- a/src/proto/group_wire.cc
+++ b/src/proto/group_wire.cc
@@ -326,6 +326,8 @@
     wire_grant.set_address(address);
     wire_grant.set_term(grant.term);
     to_wire(grant.holder, *wire_grant.mutable_holder());
+    wire_grant.set_duration_us(static_cast<std::uint64_t>(
+        std::chrono::ceil<std::chrono::microseconds>(grant.duration).count()));
   }
   to_wire(record.promised_ballot, *out.mutable_promised_ballot());
   to_wire(record.accepted_ballot, *out.mutable_accepted_ballot());
@@ -348,6 +350,7 @@
     if (!is_name(wire_grant.address())) return std::nullopt;
     auto& grant = record.grants[wire_grant.address()];
     grant.term = wire_grant.term();
+    grant.duration = std::chrono::microseconds(std::min(wire_grant.duration_us(), kMaxRemainingUs));
     if (!from_wire(wire_grant.holder(), grant.holder)) return std::nullopt;
   }
   return record;
--- a/src/settings/group_file.cc
+++ b/src/settings/group_file.cc
@@ -74,7 +74,7 @@
   t.round_timeout = keys.time("patience_ms", 1e-3, 150, 5, 30'000);
   // A holder renews every quarter of the lease; at least two renewals must be possible before
   // withdraw_lead begins.
-  if (t.withdraw_lead > t.holder_duration() / 2)
+  if (t.withdraw_lead > t.holder_duration(t.duration) / 2)
     keys.fail("withdraw_lead_ms",
               "is more than half of the time for which a holder may use its lease");
   if (t.round_timeout > t.duration / 2) keys.fail("patience_ms", "is more than half of lease_ms");
