Hot restart: accept again at once when the new version is terminated

Cause: the new process closes its copy of the listening socket when it may accept no more. The old one holds the same socket, but pauses it while its successor serves, and learnt of the end from the closed link alone, when the successor had exited.

Change: at SIGTERM a process tells its predecessor that it is ending, and a process whose successor is ending accepts again. It keeps its share of the limits until the link ends.

--- a/src/hot_restart/hot_restart.cc
+++ b/src/hot_restart/hot_restart.cc
@@ -42,6 +42,7 @@
   if (predecessor.link) {
     state_.on_predecessor(predecessor.snapshot.resources_held);
     predecessor_takes_ids_ = predecessor.snapshot.takes_ids;
+    predecessor_takes_ending_ = predecessor.snapshot.takes_ending;
     connect_predecessor(std::move(predecessor.link));
   } else if (predecessor.is_presumed) {
     state_.on_predecessor_presumed(clock.now() + kUnqueriedPredecessorLifetime);
@@ -59,6 +60,7 @@
 
 void HotRestart::on_term() {
   state_.on_term();
+  if (predecessor_ && predecessor_takes_ending_) predecessor_->send({encode(Ending{}), {}});
   callbacks_.on_state_change();
 }
 
@@ -153,7 +155,7 @@
   callbacks_.log("hot restart: successor connected; both processes now share the limits");
   callbacks_.on_state_change();
   Snapshot snapshot = callbacks_.snapshot();
-  snapshot.takes_ids = true;
+  snapshot.takes_ids = snapshot.takes_ending = true;
   reported_share_ = snapshot.resources_held = share();
   auto parts = split(std::move(snapshot));
   auto sockets = callbacks_.sockets();
@@ -209,9 +211,15 @@
 }
 
 void HotRestart::on_successor_message(const Message& message) {
-  if (!std::holds_alternative<Serving>(message)) return;
-  state_.on_successor_serving();
-  callbacks_.log("hot restart: successor is serving; it accepts new clients");
+  if (std::holds_alternative<Serving>(message)) {
+    state_.on_successor_serving();
+    callbacks_.log("hot restart: successor is serving; it accepts new clients");
+  } else if (std::holds_alternative<Ending>(message)) {
+    state_.on_successor_ending();
+    callbacks_.log("hot restart: successor was terminated; this process accepts new clients again");
+  } else {
+    return;
+  }
   callbacks_.on_state_change();
 }
 
--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -56,7 +56,8 @@
 
   // Notifies the predecessor that this process accepts clients, and listens for a successor.
   void serve();
-  // Handles SIGTERM: from now on clients' connections are passed to a successor that serves.
+  // Handles SIGTERM: from now on clients' connections are passed to a successor that serves, and a
+  // predecessor accepts new ones again.
   void on_term();
   // Sends the message to the predecessor and to the successor.
   void notify_peers(const Message& message);
@@ -110,6 +111,7 @@
   std::uint64_t last_candidate_ = 0;
   std::unique_ptr<DescriptorLink> predecessor_, successor_;
   bool predecessor_takes_ids_ = false, successor_takes_ids_ = false;
+  bool predecessor_takes_ending_ = false;
   boost::asio::steady_timer tick_;
   bool is_serving_ = false;
   ResourceShare reported_share_;
--- a/src/hot_restart/hot_restart_state.cc
+++ b/src/hot_restart/hot_restart_state.cc
@@ -37,6 +37,10 @@
   if (successor_ == Successor::kStarting) successor_ = Successor::kServing;
 }
 
+void HotRestartState::on_successor_ending() {
+  if (successor_ != Successor::kNone && !is_terminating_) successor_ = Successor::kEnding;
+}
+
 void HotRestartState::on_successor_lost() {
   successor_ = Successor::kNone;
   ceiling_.reset();
--- a/src/hot_restart/hot_restart_state.h
+++ b/src/hot_restart/hot_restart_state.h
@@ -17,6 +17,7 @@
 //   none               yes               stay              all, less what a predecessor holds
 //   starting           yes               stay              half, or what is in use if more
 //   serving            no                stay              as while starting
+//   ending             yes               stay              as while starting
 //   serving, after     no                are passed to     what is in use, and what requests in
 //   SIGTERM                              the successor     flight need, as far as it is below half
 //
@@ -24,7 +25,7 @@
 // rest.
 class HotRestartState {
  public:
-  enum class Successor { kNone, kStarting, kServing };
+  enum class Successor { kNone, kStarting, kServing, kEnding };
 
   // `total`: the limits that both processes share.
   explicit HotRestartState(ResourceShare total) : total_(total) {}
@@ -42,6 +43,9 @@
   // A process requests to replace this one. Returns whether it may.
   bool on_successor(Time now);
   void on_successor_serving();
+  // The successor has been terminated. Has no effect if this process is terminating too: its
+  // clients' connections still go to the successor.
+  void on_successor_ending();
   void on_successor_lost();
 
   void on_term() { is_terminating_ = true; }
--- a/src/proto/hot_restart_wire.cc
+++ b/src/proto/hot_restart_wire.cc
@@ -60,9 +60,11 @@
     write(m.resources_held, *s.mutable_resources_held());
     for (const auto& l : m.listeners) s.add_listeners(l);
     if (m.takes_ids) s.set_takes_ids(true);
+    if (m.takes_ending) s.set_takes_ending(true);
   }
   void operator()(const Busy&) const { to.set_busy(true); }
   void operator()(const Serving&) const { to.set_serving(true); }
+  void operator()(const Ending&) const { to.set_ending(true); }
   void operator()(const OperatorOverride& m) const { write(m, *to.mutable_operator_override()); }
   void operator()(const ClientDrain& m) const { to.set_client_drain(m.enabled); }
   void operator()(const ResourceShare& m) const { write(m, *to.mutable_resource_share()); }
@@ -125,6 +127,7 @@
   if (static_cast<std::size_t>(s.listeners_size()) > kMaxDescriptors) return std::nullopt;
   m.listeners.assign(s.listeners().begin(), s.listeners().end());
   m.takes_ids = s.takes_ids();
+  m.takes_ending = s.takes_ending();
   if (m.version > kVersion) return m;
   if (static_cast<std::size_t>(s.hosts_size()) > kEntriesPerPart ||
       static_cast<std::size_t>(s.overrides_size()) > kEntriesPerPart)
@@ -184,6 +187,8 @@
       return Busy{};
     case pb::Message::kServing:
       return Serving{};
+    case pb::Message::kEnding:
+      return Ending{};
     case pb::Message::kOperatorOverride:
       return to_message(parse_override(m.operator_override()));
     case pb::Message::kClientDrain:
--- a/src/proto/hot_restart_wire.h
+++ b/src/proto/hot_restart_wire.h
@@ -77,6 +77,7 @@
   double origin_admit_fraction = 1, caches_admit_fraction = 1;  // 0 to 1
   std::vector<std::string> listeners;  // addresses, in the order of the attached descriptors
   bool takes_ids = false;              // the sender can read RecentIds
+  bool takes_ending = false;           // the sender can read Ending
   bool operator==(const Snapshot&) const = default;
 };
 
@@ -107,8 +108,14 @@
   bool operator==(const RecentIds&) const = default;
 };
 
+// The sender, a successor, has been terminated: it soon stops accepting connections, while requests
+// in flight are still answered.
+struct Ending {
+  bool operator==(const Ending&) const = default;
+};
+
 using Message = std::variant<Hello, Snapshot, Busy, Serving, OperatorOverride, ClientDrain,
-                             ResourceShare, PassedConnection, RecentIds>;
+                             ResourceShare, PassedConnection, RecentIds, Ending>;
 
 std::string encode(const Message& message);
 // Returns nullopt if `bytes` is not a valid message, contains a value out of range or exceeds the
--- a/tests/hot_restart_state_test.cc
+++ b/tests/hot_restart_state_test.cc
@@ -33,7 +33,7 @@
   s.hosts = {host("s-1"), HostRecord{"s-2", "", 0, {}, {}, true, 0, 0, 0, 1}};
   s.overrides = {{"s-1", true, seconds(4)}};
   s.list_sequence = 41;
-  s.has_list = s.client_drain = true;
+  s.has_list = s.client_drain = s.takes_ids = s.takes_ending = true;
   s.resources_held = {200, 1 << 20};
   s.listeners = {"127.0.0.1:11211"};
   return {Hello{1, "n0"},
@@ -43,7 +43,9 @@
           OperatorOverride{"s-1", false, seconds(5)},
           ClientDrain{true},
           ResourceShare{100, 1000},
-          PassedConnection{"127.0.0.1:11211", std::string("mg k\0", 5), 7}};
+          PassedConnection{"127.0.0.1:11211", std::string("mg k\0", 5), 7},
+          RecentIds{{1, 2}},
+          Ending{}};
 }
 
 TEST(HotRestartWireTest, DecodesWhatItEncoded) {
@@ -123,6 +125,32 @@
 
 // ---- states
 
+TEST(HotRestartStateTest, AcceptsAgainOnceTheSuccessorIsEnding) {
+  HotRestartState t({400, 4000});
+  ASSERT_TRUE(t.on_successor(seconds(1)));
+  t.on_successor_serving();
+  ASSERT_FALSE(t.accepts());
+  t.on_successor_ending();
+  EXPECT_TRUE(t.accepts());
+  EXPECT_EQ(t.share(seconds(1), {50, 0}, {}), (ResourceShare{200, 2000}));
+  EXPECT_FALSE(t.on_successor(seconds(1))) << "the first one still holds its share";
+  t.on_term();
+  EXPECT_FALSE(t.passes_connections()) << "nobody is left to take them";
+  t.on_successor_lost();
+  EXPECT_TRUE(t.on_successor(seconds(1)));
+}
+
+// Both are being terminated: connections that are on their way are still answered there.
+TEST(HotRestartStateTest, PassesConnectionsToASuccessorThatEndsLater) {
+  HotRestartState t({400, 4000});
+  ASSERT_TRUE(t.on_successor(seconds(1)));
+  t.on_successor_serving();
+  t.on_term();
+  t.on_successor_ending();
+  EXPECT_TRUE(t.passes_connections());
+  EXPECT_FALSE(t.accepts());
+}
+
 TEST(HotRestartStateTest, AcceptsOneSuccessorAtATimeAndNoneWhileAPredecessorRuns) {
   HotRestartState t({400, 4000});
   EXPECT_TRUE(t.accepts());
--- a/tests/hot_restart_test.cc
+++ b/tests/hot_restart_test.cc
@@ -544,6 +544,38 @@
   EXPECT_TRUE(next->logged("hot restart: predecessor answered")) << next->log;
 }
 
+// A new version is taken back with SIGTERM while clients keep their connections to it. Until it has
+// ended it answers them, and somebody has to accept the clients that come.
+TEST_F(HotRestartTest, AcceptsAtOnceWhenTheSuccessorIsTakenBack) {
+  auto old = start();
+  ASSERT_TRUE(serving(*old));
+  auto next = start();
+  ASSERT_TRUE(serving(*next));
+  std::vector<std::shared_ptr<Peer>> held;
+  for (int i = 0; i < 10; ++i) {
+    held.push_back(Peer::connect(io_, listen_));
+    ASSERT_TRUE(request_key(*held.back(), "k").starts_with("VA 1 "));
+  }
+  // Requests that keep the new process from ending before its last moment.
+  for (const auto& c : held) c->send(get("held"));
+  ::kill(next->pid, SIGTERM);
+  int requests = 0;
+  for (; !next->exited(); ++requests) {
+    auto c = Peer::connect(io_, listen_);
+    const auto sent_at = std::chrono::steady_clock::now();
+    EXPECT_TRUE(request_key(*c, "k").starts_with("VA 1 ")) << c->in;
+    // The objective of the class: a request that waits unread for the end of a process takes
+    // longer.
+    EXPECT_LT(std::chrono::steady_clock::now() - sent_at, milliseconds(500));
+    run_for(io_, milliseconds(20));
+  }
+  EXPECT_GT(requests, 20);
+  EXPECT_TRUE(next->exited_cleanly()) << next->log;
+  EXPECT_TRUE(old->logged("successor was terminated")) << old->log;
+  auto again = restart(*old);  // the next version finds the old one
+  EXPECT_TRUE(again->logged("hot restart: predecessor answered")) << again->log;
+}
+
 // A successor with an invalid configuration logs one line and exits; the predecessor continues to
 // serve.
 TEST_F(HotRestartTest, ContinuesWhenTheSuccessorsConfigurationIsInvalid) {
