RESP: fail a keyed write that may have run, instead of refusing it

Cause: RetryPolicy::may_reject allows a refusal of each keyed request whose repeats all servers discard.

Change: the settings say whether a pool's clients know the windows; pools of the operator's file say no. There a keyed request that may have run ends as failed. One that has never run is refused as before.

--- a/src/policy/policy_settings.h
+++ b/src/policy/policy_settings.h
@@ -27,6 +27,9 @@
   bool static_weights = false;
   // A request may have several attempts in flight.
   bool hedging = false;
+  // Clients send a rejected keyed request again only within its deduplication window. Otherwise a
+  // rejection means that nothing has run, and they may come at any time.
+  bool clients_know_windows = true;
   // Attempts per request, including the first one; withdrawn attempts do not count.
   int max_attempts = 1;
   // Upper bound of Retry-After. Default: 0, no Retry-After is sent.
--- a/src/policy/retry_policy.cc
+++ b/src/policy/retry_policy.cc
@@ -78,7 +78,7 @@
   const RequestClass& request_class = class_of(request);
   if (request_class.idempotency == Idempotency::kIdempotent) return true;
   if (request_class.idempotency == Idempotency::kIdempotencyKey &&
-      request_class.scope == DeduplicationScope::kAll)
+      request_class.scope == DeduplicationScope::kAll && settings_.clients_know_windows)
     return true;
   return request.in_flight() + request.count(AttemptState::kMayHaveRun) == 0;
 }
--- a/src/settings/operator.cc
+++ b/src/settings/operator.cc
@@ -133,6 +133,7 @@
   pool.site.max_open_requests = keys.integer("most_held", 20'000, 1, 1'000'000);
   Settings& policy = pool.site.policy;
   policy.balancers = keys.integer("balancers", 1, 1, membership::kMaxMembers);
+  policy.clients_know_windows = false;  // a RESP client sees no window
   policy.max_attempts = keys.integer("most_attempts", 8, 1, 32);
   policy.max_retry_after = keys.time("most_retry_after_ms", 1e-3, 1000, 0, 60'000);
   keys.tables("class", [&](TomlTable& k) { read_class(k, pool); });
--- a/tests/decision_modules_test.cc
+++ b/tests/decision_modules_test.cc
@@ -292,6 +292,14 @@
   EXPECT_TRUE(policy.may_reject(ran));
 }
 
+TEST_F(RetryPolicyTest, RejectsNoKeyedRequestThatMayHaveRunWhereClientsKnowNoWindow) {
+  settings.clients_know_windows = false;
+  set_class(Idempotency::kIdempotencyKey, DeduplicationScope::kAll);
+  EXPECT_FALSE(policy.may_reject(attempted(AttemptState::kMayHaveRun)));
+  EXPECT_FALSE(policy.may_reject(attempted(AttemptState::kInFlight)));
+  EXPECT_TRUE(policy.may_reject(attempted(AttemptState::kNeverRan)));
+}
+
 TEST_F(RetryPolicyTest, NeverRepeatsANonIdempotentRequestThatMayHaveRun) {
   set_class(Idempotency::kNone, DeduplicationScope::kAll);
   EXPECT_FALSE(may_attempt(attempted(AttemptState::kMayHaveRun), "a", seconds(2)));
--- a/tests/resp_node_test.cc
+++ b/tests/resp_node_test.cc
@@ -455,6 +455,24 @@
                                          testbed::RespCluster::Fault::kGarbage),
                        ::testing::Bool()));
 
+// The node discards repeats of a key for its window only, and a client that is told that nothing
+// has run may repeat the write at any time.
+TEST_F(RespNodeTest, FailsAKeyedWriteWhoseAnswerIsLost) {
+  start_cluster(1, 0,
+                "[[pool.class]]\nname = \"booking\"\ncommands = [\"APPEND\"]\neffect = \"keyed\"\n"
+                "key_argument = 2\nwindow_ms = 100\naim_ms = 100\ndeadline_ms = 300\n");
+  auto c = client();
+  cluster->fault = [](int, const resp::Command& command) {
+    return command[0] == "APPEND" ? Fault::kSilent : Fault::kNone;
+  };
+  EXPECT_EQ(c->send_and_receive({"APPEND", "b", "key"}), "-ERR failed, it may have run\r\n");
+  EXPECT_GE(count_runs("key"), 1);
+  // What has never run is refused as before.
+  cluster->kill(0);
+  const std::string reply = c->send_and_receive({"APPEND", "b", "other"});
+  EXPECT_TRUE(reply.starts_with("-TRYAGAIN ")) << reply;
+}
+
 // After a truncated redirection the write may have run, so the balancer must not retry it.
 TEST_F(RespNodeTest, DoesNotFollowATruncatedRedirection) {
   start_cluster(2);
